--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench package."""
--- /dev/null
+++ b/rattangate/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/rattangate/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: the model, the merge of base and overlay, and the checks."""
--- /dev/null
+++ b/rattangate/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: routing, limits, retries, membership, state, recovery."""
--- /dev/null
+++ b/rattangate/core/messages.py
@@ -0,0 +1,205 @@
+"""The typed messages that the gateway core takes and the effects that it returns.
+
+All times are seconds on the monotonic clock of the instance that runs the core.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.core.prefix import Scope
+    from rattangate.errors import Failure
+
+
+class AttemptResult(Enum):
+    """Name the ways in which an attempt at an endpoint can end."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+class EndpointState(Enum):
+    """Name the states of an endpoint as seen from one instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+# Messages
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """Ask for the placement of a new request.
+
+    `pieces` are the chained hashes of the whole pieces of the prompt.
+    """
+
+    req_id: int
+    scope: Scope
+    pieces: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    digest: bytes
+    priority: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class FirstTokenSeen:
+    """Report the first token of an attempt, with the engine's own count of cached tokens."""
+
+    req_id: int
+    attempt: int
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Report the end of an attempt."""
+
+    req_id: int
+    attempt: int
+    result: AttemptResult
+    completion_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAbandoned:
+    """Report that the caller went away or the request was cancelled."""
+
+    req_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSeen:
+    """Report an endpoint's state, incarnation and weights version."""
+
+    endpoint: str
+    incarnation: int
+    weights_version: str
+    state: EndpointState
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """Report the load of an endpoint as it was at `measured_at`."""
+
+    endpoint: str
+    incarnation: int
+    running: int
+    waiting: int
+    waiting_tokens: int
+    measured_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """Report pieces stored and evicted by an engine, numbered from `first_seq`."""
+
+    endpoint: str
+    incarnation: int
+    first_seq: int
+    last_seq: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Record one request given to an endpoint, for the instance's own use and for its peers."""
+
+    endpoint: str
+    incarnation: int
+    workspace: str
+    pieces: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """Record the end of a placed request, so that peers release its share of work."""
+
+    endpoint: str
+    incarnation: int
+    prompt_tokens: int
+    max_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class NewsReceived:
+    """Deliver the placements and departures of one peer, numbered by `seq`."""
+
+    instance: str
+    instance_incarnation: int
+    seq: int
+    placements: tuple[Placement, ...]
+    departures: tuple[Departure, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """Report that a peer instance is no longer heard from."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Let the core act on the passing of time."""
+
+
+Message = (
+    RequestArrived
+    | FirstTokenSeen
+    | AttemptEnded
+    | RequestAbandoned
+    | EndpointSeen
+    | LoadReported
+    | CacheChanged
+    | NewsReceived
+    | PeerLost
+    | Tick
+)
+
+# Effects
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send a request to an endpoint, which must still be of this incarnation and version."""
+
+    req_id: int
+    attempt: int
+    endpoint: str
+    incarnation: int
+    weights_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer a request with a failure."""
+
+    req_id: int
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class SendNews:
+    """Send the placements and departures of this instance to its peers."""
+
+    seq: int
+    placements: tuple[Placement, ...]
+    departures: tuple[Departure, ...]
+
+
+Effect = Dispatch | Refuse | SendNews
--- /dev/null
+++ b/rattangate/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/rattangate/errors.py
@@ -0,0 +1,122 @@
+"""The closed list of error kinds and the answer that each one gives to a caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RunState(Enum):
+    """Say whether the refused work can have taken effect at an endpoint."""
+
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+
+
+class ErrorKind(Enum):
+    """Name every way in which a request can fail."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    TOO_LARGE = "too_large"
+    IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    VERSION_CONFLICT = "version_conflict"
+    CONFIG_INVALID = "config_invalid"
+    OVER_LIMIT = "over_limit"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NO_ENDPOINT = "no_endpoint"
+    QUARANTINED = "quarantined"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    SHUTTING_DOWN = "shutting_down"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    ENDPOINT_FAILED = "endpoint_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    STREAM_BROKEN = "stream_broken"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Describe the HTTP answer of one error kind.
+
+    `retry_after_s` is the default advice in seconds; None means that a repeat cannot help.
+    """
+
+    status: int
+    run_state: RunState
+    retry_after_s: float | None
+    message: str
+
+
+_NOT_RUN = RunState.NOT_RUN
+_MAY_HAVE_RUN = RunState.MAY_HAVE_RUN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN, None, "The request is malformed."),
+    ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, None, "The bearer key is unknown."),
+    ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, None, "The key does not permit this."),
+    ErrorKind.NOT_FOUND: Answer(404, _NOT_RUN, None, "There is no such path or model."),
+    ErrorKind.TOO_LARGE: Answer(413, _NOT_RUN, None, "The request exceeds a size limit."),
+    ErrorKind.IDEMPOTENCY_KEY_MISSING: Answer(
+        400, _NOT_RUN, None, "This path requires an Idempotency-Key header."
+    ),
+    ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(
+        422, _NOT_RUN, None, "The Idempotency-Key was used with another body."
+    ),
+    ErrorKind.VERSION_CONFLICT: Answer(
+        409, _NOT_RUN, None, "The configuration changed since the version that was edited."
+    ),
+    ErrorKind.CONFIG_INVALID: Answer(422, _NOT_RUN, None, "The configuration is invalid."),
+    ErrorKind.OVER_LIMIT: Answer(429, _NOT_RUN, 1.0, "The workspace exceeds its limit."),
+    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 1.0, "All endpoints are fully loaded."),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, _NOT_RUN, 1.0, "No endpoint can answer before the deadline."
+    ),
+    ErrorKind.NO_ENDPOINT: Answer(503, _NOT_RUN, 2.0, "No endpoint serves this model or path."),
+    ErrorKind.QUARANTINED: Answer(
+        422, _MAY_HAVE_RUN, 600.0, "This request crashed endpoints and is quarantined."
+    ),
+    ErrorKind.RETRIES_EXHAUSTED: Answer(
+        503, _MAY_HAVE_RUN, 2.0, "The endpoints failed and the retry budget is used up."
+    ),
+    ErrorKind.SHUTTING_DOWN: Answer(503, _NOT_RUN, 0.5, "This instance is shutting down."),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, _NOT_RUN, 2.0, "The platform's store is unavailable."
+    ),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, _MAY_HAVE_RUN, 1.0, "The endpoint failed."),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504, _MAY_HAVE_RUN, 5.0, "The request was sent and its outcome is unknown."
+    ),
+    ErrorKind.STREAM_BROKEN: Answer(
+        502, _MAY_HAVE_RUN, 1.0, "The stream broke and could not be continued."
+    ),
+    ErrorKind.INTERNAL: Answer(500, _MAY_HAVE_RUN, 1.0, "The instance met an internal fault."),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Report one failed request.
+
+    `retry_after_s` is in seconds and overrides the default of the kind.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """Return the answer that the kind maps to."""
+        return ANSWERS[self.kind]
+
+    @property
+    def advised_wait_s(self) -> float | None:
+        """Return the advised wait before a repeat, in seconds."""
+        if self.retry_after_s is not None:
+            return self.retry_after_s
+        return self.answer.retry_after_s
--- /dev/null
+++ b/rattangate/http/__init__.py
@@ -0,0 +1,1 @@
+"""The caller API and the administration API."""
--- /dev/null
+++ b/rattangate/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between entry instances."""
--- /dev/null
+++ b/rattangate/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the table service, the object store and the instance list."""
--- /dev/null
+++ b/rattangate/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the outside systems, with faults on request."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests package."""
--- /dev/null
+++ b/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Config package."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core package."""
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults package."""
--- /dev/null
+++ b/tests/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators package."""
--- /dev/null
+++ b/tests/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Promises package."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Standins package."""
