--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: setup demo test check check-model bench bench-policy bench-capacity binary soak
+.PHONY: setup fix demo test check check-model bench bench-policy bench-capacity binary soak
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -13,6 +13,10 @@
 demo: setup
 	$(PY) -m bench.demo
 
+fix: setup
+	$(PY) -m ruff check --fix rattangate tests bench
+	$(PY) -m black --quiet rattangate tests bench
+
 check: setup
 	$(PY) -m black --check --quiet rattangate tests bench
 	$(PY) -m ruff check rattangate tests bench
