Place requests by predicted caches, learned speeds and shared work

Cause: the gateway placed by plain rendezvous hashing, without a picture of caches or load. Each engine's cache is now predicted by three models (LRU, FIFO, reported evictions) fed by all placements; the one whose predictions were lately nearest to the engine's own cached count is used. Capacity is learned from the balance of stored and evicted pieces.

--- /dev/null
+++ b/rattangate/core/endpoint_state.py
@@ -0,0 +1,137 @@
+"""What one instance knows of one endpoint: state, cache picture, speed and work ahead."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from rattangate.core.cache_model import CachePicture
+from rattangate.core.messages import EndpointState
+from rattangate.core.speeds import Speed
+
+if TYPE_CHECKING:
+    from rattangate.core.messages import EndpointSeen, LoadReported
+
+OVERDUE_FACTOR = 1.5
+OVERDUE_SLACK_S = 0.5
+STALE_SLACK_S = 1.0
+
+WorkKey = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Work:
+    """Hold one placed request whose first token is still awaited."""
+
+    pieces: tuple[int, ...]
+    prompt_tokens: int
+    priority: int
+    placed_at: float
+    missing_tokens: int
+    forecasts: tuple[int, ...]
+
+
+class Endpoint:
+    """Follow one incarnation and weights version of an endpoint."""
+
+    def __init__(self, seen: EndpointSeen, piece_tokens: int, learn: bool, now: float) -> None:
+        self.seen = seen
+        self.piece_tokens = piece_tokens
+        self.cache = CachePicture(seen.cache_pieces, learn)
+        self.speed = Speed()
+        self.work: OrderedDict[WorkKey, Work] = OrderedDict()
+        self._tokens: dict[int, int] = {}
+        self._head_since = now
+        self._reported_tokens = 0.0
+        self._reported_at = now
+
+    @property
+    def name(self) -> str:
+        """Return the endpoint's name."""
+        return self.seen.endpoint
+
+    def update(self, seen: EndpointSeen) -> None:
+        """Take a new state of the same incarnation; a leaving mark stays."""
+        if self.seen.state is EndpointState.LEAVING:
+            seen = replace(seen, state=EndpointState.LEAVING)
+        self.seen = seen
+
+    def missing_tokens(self, pieces: tuple[int, ...], prompt_tokens: int) -> int:
+        """Predict the tokens of a prompt that the engine must prefill."""
+        return max(1, prompt_tokens - self.cache.cached(pieces) * self.piece_tokens)
+
+    def wait_s(self, priority: int, now: float) -> float:
+        """Estimate the seconds of prefill ahead of a new request of this priority."""
+        tokens = sum(count for level, count in self._tokens.items() if level <= priority)
+        s_per_token = self.s_per_token(now)
+        unknown = self._unknown_s(now)
+        if tokens == 0:
+            return unknown
+        head = next(iter(self.work.values()))
+        head_s = head.missing_tokens * s_per_token
+        done_s = min(head_s, max(0.0, now - self._head_since))
+        return max(0.0, tokens * s_per_token - done_s) + unknown
+
+    def s_per_token(self, now: float) -> float:
+        """Return the learned speed, or a slower one where the oldest request is overdue."""
+        learned = self.speed.s_per_token
+        if not self.work:
+            return learned
+        head = next(iter(self.work.values()))
+        elapsed = now - self._head_since - OVERDUE_SLACK_S
+        if elapsed > OVERDUE_FACTOR * head.missing_tokens * learned:
+            return elapsed / head.missing_tokens
+        return learned
+
+    def place(
+        self, key: WorkKey, pieces: tuple[int, ...], prompt_tokens: int, priority: int, at: float
+    ) -> None:
+        """Enter a placement into the work ahead and the cache picture."""
+        forecasts = self.cache.forecasts(pieces)
+        missing = self.missing_tokens(pieces, prompt_tokens)
+        if not self.work:
+            self._head_since = at
+        self.work[key] = Work(pieces, prompt_tokens, priority, at, missing, forecasts)
+        self._tokens[priority] = self._tokens.get(priority, 0) + missing
+        self.cache.use(pieces, at + self.wait_s(priority, at))
+
+    def first_token(self, key: WorkKey, cached_tokens: int, at: float) -> None:
+        """Release the work of a request and learn from the engine's count and time."""
+        work = self.work.get(key)
+        if work is None:
+            return
+        self.cache.observe(work.pieces, work.forecasts, cached_tokens // self.piece_tokens)
+        self.speed.observe(work.placed_at, at, work.prompt_tokens - cached_tokens)
+        self.drop(key, at)
+
+    def drop(self, key: WorkKey, at: float) -> None:
+        """Release the work of a request that ended without a token."""
+        work = self.work.pop(key, None)
+        if work is None:
+            return
+        self._tokens[work.priority] -= work.missing_tokens
+        self._head_since = max(self._head_since, at)
+
+    def drop_owner(self, owner: str, now: float) -> None:
+        """Release the work of a lost peer."""
+        for key in [key for key in self.work if key[0] == owner]:
+            self.drop(key, now)
+
+    def report_load(self, msg: LoadReported, now: float) -> None:
+        """Keep the waiting tokens that no known placement explains; forget work of an idle engine."""
+        if msg.running == 0 and msg.waiting == 0:
+            self._drop_placed_before(msg.measured_at - STALE_SLACK_S, now)
+        known = sum(w.prompt_tokens for w in self.work.values() if w.placed_at <= msg.measured_at)
+        self._reported_tokens = max(0.0, msg.waiting_tokens - known)
+        self._reported_at = msg.measured_at
+
+    def _drop_placed_before(self, limit: float, now: float) -> None:
+        for key in [key for key, work in self.work.items() if work.placed_at < limit]:
+            self.drop(key, now)
+
+    def _unknown_s(self, now: float) -> float:
+        if self._reported_tokens == 0:
+            return 0.0
+        left_s = self._reported_tokens * self.speed.s_per_token
+        return max(0.0, left_s - (now - self._reported_at))
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -4,17 +4,23 @@
 
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from rattangate.core.endpoint_state import Endpoint
 from rattangate.core.messages import (
     AttemptEnded,
     AttemptResult,
+    CacheChanged,
     Departure,
     Dispatch,
     Effect,
     EndpointSeen,
     EndpointState,
+    FirstTokenSeen,
+    LoadReported,
+    NewsReceived,
+    PeerLost,
+    PictureReceived,
     Placement,
     Refuse,
     RequestAbandoned,
@@ -22,12 +28,15 @@
     SendNews,
     Tick,
 )
+from rattangate.core.placement import choose, find_candidates
 from rattangate.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
     from rattangate.core.messages import Message
+    from rattangate.core.placement import Candidate
 
 MAX_ATTEMPTS = 3
+OWN = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,14 +45,17 @@
 
     piece_tokens: int
     recompute_weight: float
+    learn_caches: bool = True
 
 
 @dataclass(slots=True)
 class _Running:
     req: RequestArrived
-    attempt: int
-    endpoint: str
-    tried: set[str] = field(default_factory=set)
+    attempt: int = 0
+    number: int = 0
+    placed_on: Endpoint | None = None
+    first_token: bool = False
+    tried: set[tuple[str, int]] = field(default_factory=set)
 
 
 class Gateway:
@@ -51,49 +63,121 @@
 
     def __init__(self, cfg: GatewayCfg, seed: int) -> None:
         self.cfg = cfg
-        self.endpoints: dict[str, EndpointSeen] = {}
+        self.endpoints: dict[str, Endpoint] = {}
         self._running: dict[int, _Running] = {}
-        self._placements: list[Placement] = []
-        self._departures: list[Departure] = []
+        self._placements: list[tuple[float, Placement]] = []
+        self._departures: list[tuple[float, Departure]] = []
+        self._number = 0
         self._seq = 0
+        self._peers: dict[str, tuple[int, int]] = {}
 
     def handle(self, msg: Message, now: float) -> list[Effect]:
         """Apply one message and return the effects to carry out."""
         return self._handle(msg, now)
 
+    def weights_versions(self, model: str) -> tuple[str, ...]:
+        """Return the weights versions of a model that live endpoints run."""
+        live = [e.seen for e in self.endpoints.values() if e.seen.state is EndpointState.LIVE]
+        return tuple(sorted({s.weights_version for s in live if s.serves in ("", model)}))
+
+    def pictures(self) -> tuple[PictureReceived, ...]:
+        """Return the cache pictures, for a snapshot or a restarted peer."""
+        return tuple(
+            PictureReceived(
+                e.name,
+                e.seen.incarnation,
+                e.seen.weights_version,
+                tuple(e.cache.best.held),
+                int(e.cache.capacity),
+            )
+            for e in self.endpoints.values()
+        )
+
     @singledispatchmethod
     def _handle(self, msg: object, now: float) -> list[Effect]:
         return []
 
     @_handle.register
     def _on_request(self, msg: RequestArrived, now: float) -> list[Effect]:
-        self._running[msg.req_id] = _Running(msg, 0, "")
-        return self._place(msg.req_id)
+        self._running[msg.req_id] = _Running(msg)
+        return self._place(msg.req_id, now)
+
+    @_handle.register
+    def _on_first_token(self, msg: FirstTokenSeen, now: float) -> list[Effect]:
+        run = self._running.get(msg.req_id)
+        if run is None or run.attempt != msg.attempt or run.placed_on is None or run.first_token:
+            return []
+        run.first_token = True
+        run.placed_on.first_token((OWN, run.number), msg.cached_tokens, now)
+        self._depart(run, msg.cached_tokens, now)
+        return []
 
     @_handle.register
     def _on_attempt_ended(self, msg: AttemptEnded, now: float) -> list[Effect]:
         run = self._running.get(msg.req_id)
-        if run is None:
+        if run is None or run.attempt != msg.attempt:
             return []
+        self._release(run, now)
         if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
             del self._running[msg.req_id]
             return []
-        return self._place(msg.req_id)
+        return self._place(msg.req_id, now)
 
     @_handle.register
     def _on_abandoned(self, msg: RequestAbandoned, now: float) -> list[Effect]:
-        self._running.pop(msg.req_id, None)
+        run = self._running.pop(msg.req_id, None)
+        if run is not None:
+            self._release(run, now)
         return []
 
     @_handle.register
     def _on_endpoint(self, msg: EndpointSeen, now: float) -> list[Effect]:
         known = self.endpoints.get(msg.endpoint)
-        if known is not None and known.incarnation > msg.incarnation:
+        if known is None or msg.incarnation > known.seen.incarnation:
+            self.endpoints[msg.endpoint] = self._new_endpoint(msg, now)
+        elif msg.incarnation == known.seen.incarnation:
+            self._update(known, msg, now)
+        return []
+
+    @_handle.register
+    def _on_load(self, msg: LoadReported, now: float) -> list[Effect]:
+        endpoint = self._current(msg.endpoint, msg.incarnation)
+        if endpoint is not None:
+            endpoint.report_load(msg, now)
+        return []
+
+    @_handle.register
+    def _on_cache(self, msg: CacheChanged, now: float) -> list[Effect]:
+        endpoint = self._current(msg.endpoint, msg.incarnation)
+        if endpoint is not None:
+            endpoint.cache.apply_events(msg, now)
+        return []
+
+    @_handle.register
+    def _on_news(self, msg: NewsReceived, now: float) -> list[Effect]:
+        stamp = (msg.instance_incarnation, msg.seq)
+        last = self._peers.get(msg.instance, (0, 0))
+        if stamp <= last:
             return []
-        if known is not None and known.state is EndpointState.LEAVING:
-            if known.incarnation == msg.incarnation:
-                msg = replace(msg, state=EndpointState.LEAVING)
-        self.endpoints[msg.endpoint] = msg
+        if last[0] and stamp[0] != last[0]:
+            self._drop_peer(msg.instance, now)
+        self._peers[msg.instance] = stamp
+        for placement in msg.placements:
+            self._apply_placement(msg.instance, placement, now)
+        for departure in msg.departures:
+            self._apply_departure(msg.instance, departure, now)
+        return []
+
+    @_handle.register
+    def _on_peer_lost(self, msg: PeerLost, now: float) -> list[Effect]:
+        self._drop_peer(msg.instance, now)
+        return []
+
+    @_handle.register
+    def _on_picture(self, msg: PictureReceived, now: float) -> list[Effect]:
+        endpoint = self._current(msg.endpoint, msg.incarnation)
+        if endpoint is not None and endpoint.seen.weights_version == msg.weights_version:
+            endpoint.cache.restore(msg.pieces, msg.capacity, now)
         return []
 
     @_handle.register
@@ -101,44 +185,123 @@
         if not self._placements and not self._departures:
             return []
         self._seq += 1
-        news = SendNews(self._seq, tuple(self._placements), tuple(self._departures))
+        placements = tuple(replace(sent, age_s=now - at) for at, sent in self._placements)
+        departures = tuple(replace(sent, age_s=now - at) for at, sent in self._departures)
         self._placements.clear()
         self._departures.clear()
-        return [news]
+        return [SendNews(self._seq, placements, departures)]
 
-    def _place(self, req_id: int) -> list[Effect]:
+    def _place(self, req_id: int, now: float) -> list[Effect]:
         run = self._running[req_id]
-        live = [
-            seen
-            for name, seen in self.endpoints.items()
-            if seen.state is EndpointState.LIVE and name not in run.tried
-        ]
-        if not live or run.attempt >= MAX_ATTEMPTS:
-            del self._running[req_id]
-            kind = ErrorKind.NO_ENDPOINT if run.attempt == 0 else ErrorKind.RETRIES_EXHAUSTED
-            return [Refuse(req_id, Failure(kind))]
-        chosen = max(live, key=lambda seen: _rendezvous_score(seen.endpoint, run.req.pieces))
+        if run.attempt >= MAX_ATTEMPTS:
+            return self._refuse(req_id, ErrorKind.RETRIES_EXHAUSTED)
+        weight = self.cfg.recompute_weight
+        candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
+        untried = [c for c in candidates if _incarnation(c.endpoint) not in run.tried]
+        if not untried:
+            kind = ErrorKind.RETRIES_EXHAUSTED if run.attempt else ErrorKind.NO_ENDPOINT
+            return self._refuse(req_id, kind)
+        return [self._dispatch(run, choose(untried), now)]
+
+    def _dispatch(self, run: _Running, chosen: Candidate, now: float) -> Dispatch:
+        req = run.req
+        endpoint = chosen.endpoint
+        self._number += 1
         run.attempt += 1
-        run.endpoint = chosen.endpoint
-        run.tried.add(chosen.endpoint)
-        self._placements.append(
-            Placement(
-                chosen.endpoint,
-                chosen.incarnation,
-                run.req.scope.workspace,
-                run.req.pieces,
-                run.req.prompt_tokens,
-                run.req.max_tokens,
-                run.req.priority,
-            )
+        run.number = self._number
+        run.placed_on = endpoint
+        run.tried.add(_incarnation(endpoint))
+        endpoint.place((OWN, run.number), chosen.pieces, req.prompt_tokens, req.priority, now)
+        placement = Placement(
+            endpoint.name,
+            endpoint.seen.incarnation,
+            req.scope.workspace,
+            chosen.pieces,
+            req.prompt_tokens,
+            req.max_tokens,
+            req.priority,
+            run.number,
         )
-        return [
-            Dispatch(
-                req_id, run.attempt, chosen.endpoint, chosen.incarnation, chosen.weights_version
-            )
-        ]
+        self._placements.append((now, placement))
+        return Dispatch(
+            req.req_id,
+            run.attempt,
+            endpoint.name,
+            endpoint.seen.incarnation,
+            endpoint.seen.weights_version,
+        )
+
+    def _refuse(self, req_id: int, kind: ErrorKind) -> list[Effect]:
+        del self._running[req_id]
+        return [Refuse(req_id, Failure(kind))]
+
+    def _release(self, run: _Running, now: float) -> None:
+        if run.placed_on is not None and not run.first_token:
+            run.placed_on.drop((OWN, run.number), now)
+            self._depart(run, None, now)
+        run.placed_on = None
+        run.first_token = False
+
+    def _depart(self, run: _Running, cached_tokens: int | None, now: float) -> None:
+        assert run.placed_on is not None
+        seen = run.placed_on.seen
+        req = run.req
+        departure = Departure(
+            seen.endpoint,
+            seen.incarnation,
+            req.prompt_tokens,
+            req.max_tokens,
+            run.number,
+            cached_tokens,
+        )
+        self._departures.append((now, departure))
+
+    def _apply_placement(self, peer: str, placement: Placement, now: float) -> None:
+        endpoint = self._current(placement.endpoint, placement.incarnation)
+        if endpoint is None:
+            return
+        endpoint.place(
+            (peer, placement.number),
+            placement.pieces,
+            placement.prompt_tokens,
+            placement.priority,
+            now - placement.age_s,
+        )
+
+    def _apply_departure(self, peer: str, departure: Departure, now: float) -> None:
+        endpoint = self._current(departure.endpoint, departure.incarnation)
+        if endpoint is None:
+            return
+        key = (peer, departure.number)
+        at = now - departure.age_s
+        if departure.cached_tokens is None:
+            endpoint.drop(key, at)
+        else:
+            endpoint.first_token(key, departure.cached_tokens, at)
+
+    def _drop_peer(self, peer: str, now: float) -> None:
+        for endpoint in self.endpoints.values():
+            endpoint.drop_owner(peer, now)
+
+    def _current(self, name: str, incarnation: int) -> Endpoint | None:
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.seen.incarnation != incarnation:
+            return None
+        return endpoint
+
+    def _new_endpoint(self, seen: EndpointSeen, now: float) -> Endpoint:
+        return Endpoint(seen, self.cfg.piece_tokens, self.cfg.learn_caches, now)
+
+    def _update(self, known: Endpoint, seen: EndpointSeen, now: float) -> None:
+        if seen.weights_version != known.seen.weights_version:
+            fresh = self._new_endpoint(seen, now)
+            if known.seen.state is EndpointState.LEAVING:
+                fresh.seen = replace(seen, state=EndpointState.LEAVING)
+            fresh.speed = known.speed
+            self.endpoints[seen.endpoint] = fresh
+            return
+        known.update(seen)
 
 
-def _rendezvous_score(endpoint: str, pieces: tuple[int, ...]) -> bytes:
-    first = pieces[0] if pieces else 0
-    return blake2b(endpoint.encode() + first.to_bytes(8, "big"), digest_size=8).digest()
+def _incarnation(endpoint: Endpoint) -> tuple[str, int]:
+    return (endpoint.name, endpoint.seen.incarnation)
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -35,11 +35,20 @@
 # Messages
 
 
+@dataclass(frozen=True, slots=True)
+class VersionedPieces:
+    """Give the chained hashes of a prompt under another weights version of its model."""
+
+    weights_version: str
+    pieces: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """Ask for the placement of a new request.
 
-    `pieces` are the chained hashes of the whole pieces of the prompt.
+    `pieces` are the chained hashes of the whole pieces of the prompt under the scope's weights
+    version; `other_versions` offers the same prompt under versions that still run.
     """
 
     req_id: int
@@ -50,6 +59,7 @@
     digest: bytes
     priority: int
     deadline: float
+    other_versions: tuple[VersionedPieces, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +90,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSeen:
-    """Report an endpoint's state, incarnation and weights version."""
+    """Report an endpoint's state, incarnation and weights version.
+
+    `serves` is the model, empty for any; `cache_pieces` is the declared cache size, 0 if unknown.
+    """
 
     endpoint: str
     incarnation: int
     weights_version: str
     state: EndpointState
+    serves: str = ""
+    cache_pieces: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +129,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Record one request given to an endpoint, for the instance's own use and for its peers."""
+    """Record one request given to an endpoint, for the instance's own use and for its peers.
+
+    `number` is unique within the sending instance; `age_s` is the age when the news was sent.
+    """
 
     endpoint: str
     incarnation: int
@@ -123,16 +141,24 @@
     prompt_tokens: int
     max_tokens: int
     priority: int
+    number: int = 0
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """Record the end of a placed request, so that peers release its share of work."""
+    """Record the first token or the loss of a placed request, so that peers release its work.
+
+    `cached_tokens` is the engine's own count, None where no token came.
+    """
 
     endpoint: str
     incarnation: int
     prompt_tokens: int
     max_tokens: int
+    number: int = 0
+    cached_tokens: int | None = None
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +179,17 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class PictureReceived:
+    """Deliver the cache picture of one endpoint from a peer or a snapshot, oldest piece first."""
+
+    endpoint: str
+    incarnation: int
+    weights_version: str
+    pieces: tuple[int, ...]
+    capacity: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Let the core act on the passing of time."""
@@ -168,6 +205,7 @@
     | CacheChanged
     | NewsReceived
     | PeerLost
+    | PictureReceived
     | Tick
 )
 
