--- /dev/null
+++ b/rattangate/core/prompts.py
@@ -0,0 +1,38 @@
+"""The bytes of a prompt, as they enter the piece hashes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class PromptFault:
+    """Say what is wrong with the prompt of a request."""
+
+    key: str
+    problem: str
+
+
+def prompt_bytes(body: dict[str, Any]) -> bytes | PromptFault:
+    """Return the prompt of a completion or chat completion body."""
+    if "messages" in body:
+        return _chat_bytes(body["messages"])
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        return PromptFault("prompt", "must be a string")
+    return prompt.encode()
+
+
+def _chat_bytes(messages: object) -> bytes | PromptFault:
+    if not isinstance(messages, list) or not messages:
+        return PromptFault("messages", "must be a list with at least one message")
+    parts = []
+    for number, message in enumerate(messages):
+        if not isinstance(message, dict):
+            return PromptFault(f"messages[{number}]", "must be a mapping")
+        role, content = message.get("role"), message.get("content")
+        if not isinstance(role, str) or not isinstance(content, str):
+            return PromptFault(f"messages[{number}]", "needs `role` and `content` as strings")
+        parts.append(f"<{role}>\n{content}\n".encode())
+    return b"".join(parts)
