--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,12 @@
 	$(PY) -m bench.demo
 
 fix: setup
-	$(PY) -m ruff check --fix rattangate tests bench
-	$(PY) -m black --quiet rattangate tests bench
+	$(PY) -m ruff check --fix rattangate tests bench tools
+	$(PY) -m black --quiet rattangate tests bench tools
 
 check: setup
-	$(PY) -m black --check --quiet rattangate tests bench
-	$(PY) -m ruff check rattangate tests bench
+	$(PY) -m black --check --quiet rattangate tests bench tools
+	$(PY) -m ruff check rattangate tests bench tools
 	$(PY) -m mypy
 
 test: check
--- /dev/null
+++ b/rattangate/log_events.py
@@ -0,0 +1,167 @@
+"""The closed list of numbered log events and the writer that puts them on standard output."""
+
+from __future__ import annotations
+
+import os
+import select
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+import eliot
+import orjson
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+SECRET_PARTS = frozenset({"key", "keys", "secret", "secrets", "token", "authorization", "password"})
+MAX_QUEUED_LINES = 10_000
+# A pipe that polls as writable takes this many bytes without blocking.
+WRITE_BYTES = 4096
+
+FieldValue = str | int | float | bool | None
+
+
+class LogEvent(Enum):
+    """Name every log event; each value holds the number, the meaning and the fields."""
+
+    INSTANCE_STARTED = (100, "The instance accepts requests.", ("instance", "version", "address"))
+    INSTANCE_DRAINING = (101, "The instance accepts no new requests.", ("instance", "streams"))
+    INSTANCE_STOPPED = (102, "The instance finished its last stream.", ("instance", "streams_cut"))
+    INTERNAL_FAULT = (103, "An unexpected exception was caught.", ("where", "error"))
+    LOG_LINES_DROPPED = (104, "Standard output was blocked and lines were dropped.", ("lines",))
+    WARM_START = (105, "The cache picture was loaded.", ("source", "pieces"))
+    REQUEST_DONE = (
+        200,
+        "A request was answered.",
+        ("request_id", "workspace", "endpoint", "attempts", "prompt", "cached", "completion"),
+    )
+    REQUEST_REFUSED = (
+        201,
+        "A request was refused.",
+        ("request_id", "workspace", "kind", "run_state", "detail"),
+    )
+    REQUEST_RETRIED = (202, "An attempt failed and another began.", ("request_id", "reason"))
+    STREAM_CONTINUED = (
+        203,
+        "A stream continues on another endpoint.",
+        ("request_id", "endpoint", "offset"),
+    )
+    STREAM_BROKEN = (204, "A stream ended with an error event.", ("request_id", "offset"))
+    REQUEST_ABANDONED = (205, "The caller went away.", ("request_id", "workspace"))
+    ANSWER_MISMATCHED = (
+        206,
+        "An endpoint answered for another request, incarnation or weights version.",
+        ("request_id", "endpoint", "detail"),
+    )
+    AUTHENTICATION_FAILED = (207, "A caller presented an unknown credential.", ("address", "path"))
+    REQUEST_QUARANTINED = (208, "A request crashed endpoints.", ("digest", "endpoints"))
+    QUARANTINE_RELEASED = (209, "An operator released a quarantined request.", ("digest", "who"))
+    ENDPOINT_LIVE = (300, "An endpoint became live.", ("endpoint", "incarnation", "weights"))
+    ENDPOINT_LEAVING = (301, "An endpoint is leaving.", ("endpoint", "incarnation", "source"))
+    ENDPOINT_DOWN = (302, "An endpoint does not answer.", ("endpoint", "error"))
+    ENDPOINT_SLOW = (303, "An endpoint is much slower than its own past.", ("endpoint", "ratio"))
+    CACHE_EVENTS_LOST = (
+        304,
+        "Cache events of an endpoint were lost.",
+        ("endpoint", "first_seq", "last_seq"),
+    )
+    ORDER_SENT = (305, "An order was sent to an endpoint.", ("endpoint", "order", "fencing"))
+    ORDER_REFUSED = (306, "An endpoint refused an order.", ("endpoint", "order", "detail"))
+    PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
+    PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
+    PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
+    PEER_REFUSED = (403, "A peer failed authentication.", ("address",))
+    NEWS_LOST = (404, "News of a peer were lost.", ("instance", "first_seq", "last_seq"))
+    CONFIG_IN_FORCE = (500, "A configuration version is in force.", ("version", "source"))
+    CONFIG_INVALID = (501, "A configuration was refused.", ("version", "faults"))
+    CONFIG_ACCEPTED = (502, "A configuration change was accepted.", ("version", "who", "why"))
+    CONFIG_CONFLICT = (503, "Two configuration changes raced.", ("version", "who"))
+    PLATFORM_DOWN = (510, "A service of the platform does not answer.", ("service", "error"))
+    PLATFORM_UP = (511, "A service of the platform answers again.", ("service",))
+    LEASE_TAKEN = (600, "This instance took a lease.", ("lease", "fencing"))
+    LEASE_LOST = (601, "This instance lost a lease.", ("lease", "fencing"))
+    ROLLOUT_STEP = (610, "A rollout went one step on.", ("model", "weights", "endpoint", "step"))
+    ROLLOUT_STOPPED = (611, "A rollout was stopped.", ("model", "weights", "who"))
+    ADMIN_CHANGED = (620, "The administration API changed something.", ("who", "action", "object"))
+    BOOKING_ANSWERED = (700, "A booking was answered.", ("request_id", "workspace", "endpoint"))
+    BOOKING_REPLAYED = (701, "A repeat got the stored answer.", ("request_id", "workspace"))
+    BOOKING_UNKNOWN = (702, "The outcome of a booking is unknown.", ("request_id", "workspace"))
+    BOOKING_ABANDONED = (703, "A booking was given up before dispatch.", ("request_id", "reason"))
+
+    def __init__(self, number: int, meaning: str, fields: tuple[str, ...]) -> None:
+        self.number = number
+        self.meaning = meaning
+        self.fields = fields
+
+
+class LineWriter:
+    """Write lines to a descriptor without waiting for a slow reader."""
+
+    def __init__(self, fd: int, max_lines: int = MAX_QUEUED_LINES) -> None:
+        self.dropped = 0
+        self._fd = fd
+        self._max_lines = max_lines
+        self._lines: deque[bytes] = deque()
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
+
+    def __call__(self, message: Mapping[str, Any]) -> None:
+        """Queue one eliot message as a JSON line and write what the reader takes."""
+        line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        if len(self._lines) >= self._max_lines:
+            self.flush()
+        if len(self._lines) >= self._max_lines:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write queued lines until the descriptor would block."""
+        while self._lines and self._writable():
+            chunk = self._lines.popleft()
+            try:
+                written = os.write(self._fd, chunk[:WRITE_BYTES])
+            except OSError:
+                self._lines.clear()
+                return
+            if written < len(chunk):
+                self._lines.appendleft(chunk[written:])
+        if self.dropped and len(self._lines) < self._max_lines // 2:
+            self._report_dropped()
+
+    def _writable(self) -> bool:
+        return any(events & select.POLLOUT for _, events in self._poll.poll(0))
+
+    def _report_dropped(self) -> None:
+        lines, self.dropped = self.dropped, 0
+        log(LogEvent.LOG_LINES_DROPPED, lines=lines)
+
+
+def open_log(instance: str, fd: int = 1) -> tuple[LineWriter, Callable[[], None]]:
+    """Send all log events to a descriptor; return the writer and the function that stops it."""
+    writer = LineWriter(fd)
+    eliot.add_global_fields(instance_name=instance)
+    eliot.add_destinations(writer)
+
+    def close() -> None:
+        writer.flush()
+        eliot.remove_destination(writer)
+
+    return writer, close
+
+
+def log(event: LogEvent, **fields: FieldValue) -> None:
+    """Log one event; raise ValueError for a field that the event does not declare."""
+    for name in fields:
+        if is_secret(name):
+            raise ValueError(f"field {name!r} may hold a secret")
+        if name not in event.fields:
+            raise ValueError(f"event {event.name} declares no field {name!r}")
+    eliot.log_message(event.name.lower(), number=event.number, **fields)
+
+
+def is_secret(field: str) -> bool:
+    """Tell whether a field's name suggests a secret value."""
+    return not SECRET_PARTS.isdisjoint(field.lower().split("_"))
--- /dev/null
+++ b/rattangate/metrics.py
@@ -0,0 +1,291 @@
+"""The counters, gauges and times of one instance, and the list that declares them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import SummaryMetricFamily
+from prometheus_client.registry import Collector
+
+from rattangate.core.messages import EndpointState
+from rattangate.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+QUANTILES = (0.5, 0.95, 0.99)
+MICROS_PER_S = 1_000_000
+HIGHEST_MICROS = 3600 * MICROS_PER_S
+SIGNIFICANT_DIGITS = 2
+
+
+class RetryReason(Enum):
+    """Name every reason for another attempt."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    STREAM_CONTINUED = "stream_continued"
+    ANSWER_MISMATCHED = "answer_mismatched"
+    SUSPECT_PROBED = "suspect_probed"
+
+
+class MetricKind(Enum):
+    """Name the kinds of metric in Prometheus' terms."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    SUMMARY = "summary"
+
+
+class Metric(Enum):
+    """Declare every metric: name, kind, labels, meaning and what an operator does about it."""
+
+    REQUESTS = (
+        "rattangate_requests",
+        MetricKind.COUNTER,
+        ("route",),
+        "Requests that arrived, by kind of route.",
+        "Compare with the balancer's count; a gap means that callers do not reach this instance.",
+    )
+    REFUSALS = (
+        "rattangate_refusals",
+        MetricKind.COUNTER,
+        ("kind",),
+        "Refused requests, by error kind.",
+        "Look the kind up in the list of error kinds; alert on `internal` and `outcome_unknown`.",
+    )
+    RETRIES = (
+        "rattangate_retries",
+        MetricKind.COUNTER,
+        ("reason",),
+        "Further attempts, by reason.",
+        "A steady `lost` names failing engines; `answer_mismatched` follows a restart or rollout.",
+    )
+    PROMPT_TOKENS = (
+        "rattangate_prompt_tokens",
+        MetricKind.COUNTER,
+        (),
+        "Prompt tokens of the requests that reached an engine.",
+        "The base of the hit rate.",
+    )
+    CACHE_HIT_TOKENS = (
+        "rattangate_cache_hit_tokens",
+        MetricKind.COUNTER,
+        (),
+        "Prompt tokens that the engine found in its cache.",
+        "Divide by the prompt tokens; a fall means evictions, a rollout or a shifted hot prefix.",
+    )
+    COMPLETION_TOKENS = (
+        "rattangate_completion_tokens",
+        MetricKind.COUNTER,
+        (),
+        "Generated tokens that were relayed.",
+        "Compare its rate with the capacity page's share of one instance.",
+    )
+    STREAMS = (
+        "rattangate_streams",
+        MetricKind.GAUGE,
+        (),
+        "Streams that are open now.",
+        "Watch it fall to zero before a drained instance ends.",
+    )
+    PEERS = (
+        "rattangate_peers",
+        MetricKind.GAUGE,
+        (),
+        "Peer instances that are heard from.",
+        "Fewer than configured: look for a cut link or a failed instance.",
+    )
+    ENDPOINTS = (
+        "rattangate_endpoints",
+        MetricKind.GAUGE,
+        ("state",),
+        "Endpoints by state, as this instance sees them.",
+        "Compare instances; they should agree within seconds.",
+    )
+    CONFIG_VERSION = (
+        "rattangate_config_version",
+        MetricKind.GAUGE,
+        (),
+        "Configuration version in force.",
+        "All instances show the same number within 8 s of a change.",
+    )
+    LOG_LINES_DROPPED = (
+        "rattangate_log_lines_dropped",
+        MetricKind.COUNTER,
+        (),
+        "Log lines dropped because standard output was blocked.",
+        "Speed the log collector up.",
+    )
+    FIRST_TOKEN = (
+        "rattangate_first_token_seconds",
+        MetricKind.SUMMARY,
+        (),
+        "Time from a request's arrival to its first token.",
+        "Above target while engines are idle: look at the lookup time; else add engines.",
+    )
+    BETWEEN_TOKENS = (
+        "rattangate_between_tokens_seconds",
+        MetricKind.SUMMARY,
+        (),
+        "Time between two chunks of a stream.",
+        "Above target on one instance only: it is short of processor time.",
+    )
+    LOOKUP = (
+        "rattangate_lookup_seconds",
+        MetricKind.SUMMARY,
+        (),
+        "Time that the choice of an endpoint takes.",
+        "Grows with prompt length and endpoints; above 5 ms the instance is too small.",
+    )
+    NEWS_AGE = (
+        "rattangate_peer_news_age_seconds",
+        MetricKind.SUMMARY,
+        (),
+        "Age of peers' news on arrival.",
+        "Above 1 s placement works on old news: look at the links between instances.",
+    )
+
+    def __init__(
+        self, title: str, kind: MetricKind, labels: tuple[str, ...], meaning: str, action: str
+    ) -> None:
+        self.title = title
+        self.kind = kind
+        self.labels = labels
+        self.meaning = meaning
+        self.action = action
+
+
+@dataclass(frozen=True, slots=True)
+class TimeSummary:
+    """Hold the quantiles, in seconds, with the count and sum of a time."""
+
+    quantiles: tuple[tuple[float, float], ...]
+    count: int
+    total_s: float
+
+
+class TimeRecorder:
+    """Record times in two windows, so that quantiles tell of the recent past only."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.total_s = 0.0
+        self._current = _new_histogram()
+        self._previous = _new_histogram()
+
+    def observe(self, seconds: float) -> None:
+        """Record one time."""
+        micros = min(max(int(seconds * MICROS_PER_S), 1), HIGHEST_MICROS)
+        self._current.record_value(micros)
+        self.count += 1
+        self.total_s += seconds
+
+    def rotate(self) -> None:
+        """Begin a new window and forget the one before the last."""
+        self._current, self._previous = self._previous, self._current
+        self._current.reset()
+
+    def summarise(self) -> TimeSummary:
+        """Return the quantiles of both windows with the count and sum of all time."""
+        merged = _new_histogram()
+        merged.add(self._previous)
+        merged.add(self._current)
+        values = tuple(
+            (quantile, merged.get_value_at_percentile(quantile * 100) / MICROS_PER_S)
+            for quantile in QUANTILES
+        )
+        return TimeSummary(values, self.count, self.total_s)
+
+
+class Metrics:
+    """Own every metric of one instance, without global state."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(Metric.REQUESTS)
+        self.refusals = self._counter(Metric.REFUSALS)
+        self.retries = self._counter(Metric.RETRIES)
+        self.prompt_tokens = self._counter(Metric.PROMPT_TOKENS)
+        self.cache_hit_tokens = self._counter(Metric.CACHE_HIT_TOKENS)
+        self.completion_tokens = self._counter(Metric.COMPLETION_TOKENS)
+        self.log_lines_dropped = self._counter(Metric.LOG_LINES_DROPPED)
+        self.streams = self._gauge(Metric.STREAMS)
+        self.peers = self._gauge(Metric.PEERS)
+        self.endpoints = self._gauge(Metric.ENDPOINTS)
+        self.config_version = self._gauge(Metric.CONFIG_VERSION)
+        self.first_token = TimeRecorder()
+        self.between_tokens = TimeRecorder()
+        self.lookup = TimeRecorder()
+        self.news_age = TimeRecorder()
+        self.times = {
+            Metric.FIRST_TOKEN: self.first_token,
+            Metric.BETWEEN_TOKENS: self.between_tokens,
+            Metric.LOOKUP: self.lookup,
+            Metric.NEWS_AGE: self.news_age,
+        }
+        self.registry.register(_TimeCollector(self.times))
+        self._show_zeros()
+
+    def count_request(self, route: str) -> None:
+        """Count one request that arrived; `route` is a kind of route, never a caller's path."""
+        self.requests.labels(route).inc()
+
+    def count_refusal(self, kind: ErrorKind) -> None:
+        """Count one refused request."""
+        self.refusals.labels(kind.value).inc()
+
+    def count_retry(self, reason: RetryReason) -> None:
+        """Count one further attempt."""
+        self.retries.labels(reason.value).inc()
+
+    def set_endpoints(self, counts: dict[EndpointState, int]) -> None:
+        """Set the number of endpoints in each state."""
+        for state in EndpointState:
+            self.endpoints.labels(state.value).set(counts.get(state, 0))
+
+    def rotate(self) -> None:
+        """Begin a new window of every time; call it once a minute."""
+        for recorder in self.times.values():
+            recorder.rotate()
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(self.registry)
+
+    def _counter(self, metric: Metric) -> Counter:
+        return Counter(metric.title, metric.meaning, metric.labels, registry=self.registry)
+
+    def _gauge(self, metric: Metric) -> Gauge:
+        return Gauge(metric.title, metric.meaning, metric.labels, registry=self.registry)
+
+    def _show_zeros(self) -> None:
+        for kind in ErrorKind:
+            self.refusals.labels(kind.value)
+        for reason in RetryReason:
+            self.retries.labels(reason.value)
+        self.set_endpoints({})
+
+
+class _TimeCollector(Collector):
+    def __init__(self, times: dict[Metric, TimeRecorder]) -> None:
+        self._times = times
+
+    def collect(self) -> Iterator[SummaryMetricFamily]:
+        for metric, recorder in self._times.items():
+            summary = recorder.summarise()
+            family = SummaryMetricFamily(metric.title, metric.meaning)
+            for quantile, value in summary.quantiles:
+                family.add_sample(metric.title, {"quantile": str(quantile)}, value)
+            family.add_metric([], summary.count, summary.total_s)
+            yield family
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/tests/test_log_events.py
@@ -0,0 +1,67 @@
+"""Tests of the log events and their catalogue."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+from pathlib import Path
+
+import pytest
+
+from rattangate.log_events import LogEvent, is_secret, log, open_log
+from tools.build_reference import REFERENCE, render_log_events
+
+PACKAGE = Path(__file__).parent.parent / "rattangate"
+
+
+def test_catalogue_is_generated_from_the_code():
+    assert (REFERENCE / "log-events.md").read_text() == render_log_events()
+
+
+def test_numbers_are_unique_and_fields_hold_no_secret():
+    numbers = [event.number for event in LogEvent]
+    assert len(set(numbers)) == len(numbers)
+    assert not [field for event in LogEvent for field in event.fields if is_secret(field)]
+
+
+def test_every_event_in_the_source_is_in_the_list():
+    used = set()
+    for path in PACKAGE.rglob("*.py"):
+        used.update(re.findall(r"\bLogEvent\.([A-Z_]+)", path.read_text()))
+    assert used <= set(LogEvent.__members__)
+
+
+@pytest.mark.parametrize("name", ["key", "api_key", "secret", "token", "Authorization"])
+def test_log_refuses_secret_fields(name):
+    with pytest.raises(ValueError, match="secret"):
+        log(LogEvent.PLATFORM_UP, **{name: "x"})
+
+
+def test_log_refuses_undeclared_fields():
+    with pytest.raises(ValueError, match="declares no field"):
+        log(LogEvent.PLATFORM_UP, colour="red")
+
+
+def test_blocked_output_drops_lines_and_reports_them():
+    reader, writer_fd = os.pipe()
+    writer, close = open_log("a1", writer_fd)
+    writer._max_lines = 10
+    try:
+        for _ in range(2000):
+            log(LogEvent.PLATFORM_UP, service="table")
+        assert writer.dropped > 0
+        received = b""
+        while writer._lines:
+            received += os.read(reader, 1 << 20)
+            writer.flush()
+        received += os.read(reader, 1 << 20)
+    finally:
+        close()
+        os.close(writer_fd)
+        os.close(reader)
+    events = [json.loads(line) for line in received.splitlines()]
+    assert events[0]["number"] == 511
+    assert events[0]["instance_name"] == "a1"
+    dropped = [event["lines"] for event in events if event["message_type"] == "log_lines_dropped"]
+    assert sum(dropped) + len(events) - len(dropped) == 2000
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,51 @@
+"""Tests of the metrics and their reference page."""
+
+from __future__ import annotations
+
+from rattangate.core.messages import EndpointState
+from rattangate.errors import ErrorKind
+from rattangate.metrics import Metric, Metrics, RetryReason, TimeRecorder
+from tools.build_reference import REFERENCE, render_metrics
+
+
+def test_page_is_generated_from_the_code():
+    assert (REFERENCE / "metrics.md").read_text() == render_metrics()
+
+
+def test_every_declared_metric_is_served():
+    metrics = Metrics()
+    metrics.count_request("chat")
+    text = metrics.render().decode()
+    for metric in Metric:
+        assert f"# TYPE {metric.title}" in text, metric.title
+
+
+def test_each_refusal_kind_and_retry_reason_shows_from_the_start():
+    text = Metrics().render().decode()
+    for kind in ErrorKind:
+        assert f'rattangate_refusals_total{{kind="{kind.value}"}} 0.0' in text
+    for reason in RetryReason:
+        assert f'rattangate_retries_total{{reason="{reason.value}"}} 0.0' in text
+
+
+def test_instances_share_no_state():
+    first, second = Metrics(), Metrics()
+    first.count_refusal(ErrorKind.OVERLOADED)
+    first.set_endpoints({EndpointState.LIVE: 3})
+    assert 'kind="overloaded"} 1.0' in first.render().decode()
+    assert 'kind="overloaded"} 0.0' in second.render().decode()
+
+
+def test_times_give_quantiles_of_two_windows_and_lifelong_count():
+    recorder = TimeRecorder()
+    for millis in range(1, 101):
+        recorder.observe(millis / 1000)
+    quantiles = dict(recorder.summarise().quantiles)
+    assert abs(quantiles[0.5] - 0.050) < 0.001
+    assert abs(quantiles[0.99] - 0.099) < 0.001
+    recorder.rotate()
+    recorder.rotate()
+    recorder.observe(5.0)
+    summary = recorder.summarise()
+    assert summary.count == 101
+    assert abs(dict(summary.quantiles)[0.5] - 5.0) < 0.05
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for the project's developers."""
