--- /dev/null
+++ b/bench/policy_scenarios.py
@@ -0,0 +1,260 @@
+"""The scenarios and rules of the policy bench and the figures that one run yields."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from bench.policy_rules import (
+    LeastLoaded,
+    Oracle,
+    PrefixFirst,
+    RandomChoice,
+    RoundRobin,
+    StaticRendezvous,
+)
+from bench.policy_workload import PIECE_TOKENS, WORKSPACE_SHARES, Demand, make_arrivals
+from bench.policy_world import DEADLINE_S, Conditions, Fault, World
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.standins.engine_model import Eviction
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bench.policy_rules import Router
+    from bench.policy_workload import Deployment
+    from bench.policy_world import Outcome
+
+WARM_UP_S = 60.0
+CHANGE_S = 150.0
+DURATION_S = 240.0
+DRAIN_S = 120.0
+WINDOW_S = 2.0
+LOSS = 0.05
+ORACLE_WEIGHTS = (0.0, 1.0, 3.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe one scenario; `change_s` is when it disturbs, 0 if it never does."""
+
+    name: str
+    demands: tuple[Demand, ...]
+    conditions: Conditions = field(default_factory=Conditions)
+    faults: tuple[Fault, ...] = ()
+    change_s: float = 0.0
+    settle_s: float = 0.0
+
+
+def _steady(load: float) -> tuple[Demand, ...]:
+    return (Demand(0.0, load),)
+
+
+_ROLLOUT = tuple(Fault(CHANGE_S + 3.0 * (n // 2), "rollout", n, 1.5) for n in range(6))
+
+SCENARIOS = (
+    Scenario("steady-0.6", _steady(0.6)),
+    Scenario("steady-0.8", _steady(0.8)),
+    Scenario("steady-1.0", _steady(1.0)),
+    Scenario("not-lru-fifo", _steady(0.8), Conditions(eviction=Eviction.FIFO)),
+    Scenario("not-lru-random", _steady(0.8), Conditions(eviction=Eviction.RANDOM)),
+    Scenario("capacity-under", _steady(0.8), Conditions(declared_capacity=0.75)),
+    Scenario("capacity-over", _steady(0.8), Conditions(declared_capacity=1.25)),
+    Scenario("capacity-unknown", _steady(0.8), Conditions(declared_capacity=0.0)),
+    Scenario("event-gaps", _steady(0.8), Conditions(event_loss=LOSS)),
+    Scenario(
+        "gaps-and-capacity", _steady(0.8), Conditions(declared_capacity=1.25, event_loss=LOSS)
+    ),
+    Scenario("lagging-0.1", _steady(0.8), Conditions(report_lag_s=0.1)),
+    Scenario("lagging-2.0", _steady(0.8), Conditions(report_lag_s=2.0, event_lag_s=2.0)),
+    Scenario(
+        "hot-shift",
+        (Demand(0.0, 0.8, 0.4, 1), Demand(CHANGE_S, 0.8, 0.4, 20)),
+        change_s=CHANGE_S,
+        settle_s=5.0,
+    ),
+    Scenario(
+        "crash",
+        _steady(0.6),
+        faults=(Fault(CHANGE_S, "crash", 2), Fault(CHANGE_S + 5.0, "return", 2)),
+        change_s=CHANGE_S,
+        settle_s=1.0 + 3.0,
+    ),
+    Scenario(
+        "slow-endpoint",
+        _steady(0.6),
+        faults=(Fault(CHANGE_S, "slow", 1, 5.0),),
+        change_s=CHANGE_S,
+    ),
+    Scenario(
+        "one-workspace-tenfold",
+        (Demand(0.0, 0.6), Demand(CHANGE_S, 0.6, surge=10.0)),
+        change_s=CHANGE_S,
+    ),
+    Scenario(
+        "overload-1.5",
+        (Demand(0.0, 0.8), Demand(CHANGE_S, 1.5), Demand(CHANGE_S + 60.0, 0.6)),
+        change_s=CHANGE_S,
+    ),
+    Scenario("weight-rollout", _steady(0.6), faults=_ROLLOUT, change_s=CHANGE_S, settle_s=15.0),
+    Scenario(
+        "entries-restart",
+        _steady(0.8),
+        faults=(Fault(CHANGE_S, "restart"),),
+        change_s=CHANGE_S,
+        settle_s=3.0,
+    ),
+)
+BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
+
+BASELINES: dict[str, Callable[[int], Router]] = {
+    "round robin": RoundRobin,
+    "random": RandomChoice,
+    "least loaded": LeastLoaded,
+    "static rendezvous": StaticRendezvous,
+    "prefix first": PrefixFirst,
+}
+ORACLES = {f"oracle w={weight:g}": weight for weight in ORACLE_WEIGHTS}
+PRODUCT = "rattangate"
+FIXED = "rattangate, no learning"
+RULES = (*BASELINES, PRODUCT, *ORACLES)
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Hold the figures of one run; times in seconds, sizes in tokens and bytes."""
+
+    requests: int
+    hit_rate: float
+    median_s: float
+    p99_s: float
+    before_p99_s: float
+    after_p99_s: float
+    needless_share: float
+    recomputed_share: float
+    refused_share: float
+    slowest_refusal_s: float
+    within_deadline_share: float
+    served_of_capacity: float
+    retries_share: float
+    lowest_served_share: float
+    worst_other_ratio: float
+    control_bytes_per_s: float
+    series: tuple[tuple[float, float], ...]
+
+
+def make_world(
+    deployment: Deployment, scenario: Scenario, rule: str, seed: int, cfg: GatewayCfg | None = None
+) -> World:
+    """Return the world of one run."""
+    if cfg is None:
+        cfg = GatewayCfg(PIECE_TOKENS, deployment.recompute_weight)
+    if rule == FIXED:
+        cfg = replace(cfg, learn_caches=False)
+
+    def make_router(world: World, entry: int, router_seed: int) -> Router:
+        own_seed = router_seed * 1000 + entry
+        if rule in BASELINES:
+            return BASELINES[rule](own_seed)
+        if rule in ORACLES:
+            futures = {str(n): engine.future for n, engine in enumerate(world.engines)}
+            return Oracle(own_seed, futures, ORACLES[rule])
+        return Gateway(cfg, own_seed)
+
+    return World(deployment, scenario.conditions, make_router, seed)
+
+
+def run_one(
+    deployment: Deployment, scenario: Scenario, rule: str, seed: int, cfg: GatewayCfg | None = None
+) -> Figures:
+    """Run one rule through one scenario."""
+    world = make_world(deployment, scenario, rule, seed, cfg)
+    arrivals = make_arrivals(deployment, scenario.demands, DURATION_S, seed)
+    faults = tuple(f for f in scenario.faults if f.endpoint < len(deployment.speeds))
+    world.run(arrivals, faults, DURATION_S + DRAIN_S)
+    return _figures(world, scenario)
+
+
+def _figures(world: World, scenario: Scenario) -> Figures:
+    counted = [o for o in world.outcomes.values() if o.at >= WARM_UP_S]
+    served = [o for o in counted if o.first_token_s >= 0]
+    before = [o for o in counted if scenario.change_s and o.at < scenario.change_s]
+    after = [
+        o for o in counted if scenario.change_s and o.at >= scenario.change_s + scenario.settle_s
+    ]
+    refused = [o for o in counted if o.refused_s >= 0]
+    prompt = sum(o.prompt_tokens for o in served)
+    cached = sum(o.cached_tokens for o in served)
+    needless = sum(max(0, o.best_cached_tokens - o.cached_tokens) for o in served)
+    return Figures(
+        requests=len(counted),
+        hit_rate=cached / max(1, prompt),
+        median_s=_percentile(counted, 50),
+        p99_s=_percentile(counted, 99),
+        before_p99_s=_percentile(before, 99),
+        after_p99_s=_percentile(after, 99),
+        needless_share=needless / max(1, prompt),
+        recomputed_share=(prompt - cached) / max(1, prompt),
+        refused_share=len(refused) / max(1, len(counted)),
+        slowest_refusal_s=max((o.refused_s for o in refused), default=0.0),
+        within_deadline_share=sum(o.first_token_s <= DEADLINE_S for o in served)
+        / max(1, len(counted)),
+        served_of_capacity=_served_of_capacity(world, scenario),
+        retries_share=sum(max(0, o.attempts - 1) for o in counted) / max(1, len(counted)),
+        lowest_served_share=_lowest_served_share(counted),
+        worst_other_ratio=_worst_other_ratio(before, after, scenario),
+        control_bytes_per_s=world.control_bytes / len(world.routers) / DURATION_S,
+        series=_series(world),
+    )
+
+
+def _percentile(outcomes: list[Outcome], share: float) -> float:
+    """Return a percentile of the time to first token; a request without one counts as drained."""
+    times = [o.first_token_s if o.first_token_s >= 0 else DRAIN_S for o in _not_refused(outcomes)]
+    return float(np.percentile(times, share)) if times else 0.0
+
+
+def _not_refused(outcomes: list[Outcome]) -> list[Outcome]:
+    return [o for o in outcomes if o.refused_s < 0]
+
+
+def _served_of_capacity(world: World, scenario: Scenario) -> float:
+    """Return the rate served within the deadline in the overload, as a share of capacity."""
+    peak = max(scenario.demands, key=lambda demand: demand.load)
+    end = peak.start + 60.0 if peak.start else DURATION_S
+    start = max(peak.start, WARM_UP_S)
+    offered = [o for o in world.outcomes.values() if start <= o.at < end]
+    good = sum(0 <= o.first_token_s <= DEADLINE_S for o in offered)
+    return peak.load * good / max(1, len(offered))
+
+
+def _lowest_served_share(counted: list[Outcome]) -> float:
+    """Return the lowest workspace's share served within the deadline of what it asked for."""
+    shares = []
+    for workspace in range(len(WORKSPACE_SHARES)):
+        own = [o for o in counted if o.workspace == workspace]
+        good = sum(0 <= o.first_token_s <= DEADLINE_S for o in own)
+        shares.append(good / max(1, len(own)))
+    return min(shares)
+
+
+def _worst_other_ratio(before: list[Outcome], after: list[Outcome], scenario: Scenario) -> float:
+    surged = {d.surge_workspace for d in scenario.demands if d.surge != 1.0}
+    if not surged:
+        return 0.0
+    ratios = []
+    for workspace in set(range(len(WORKSPACE_SHARES))) - surged:
+        was = _percentile([o for o in before if o.workspace == workspace], 99)
+        now = _percentile([o for o in after if o.workspace == workspace], 99)
+        ratios.append(now / max(was, 1e-9))
+    return max(ratios)
+
+
+def _series(world: World) -> tuple[tuple[float, float], ...]:
+    """Return the 99th percentile of each window by time of arrival."""
+    windows: dict[int, list[Outcome]] = {}
+    for outcome in world.outcomes.values():
+        windows.setdefault(int(outcome.at / WINDOW_S), []).append(outcome)
+    return tuple((n * WINDOW_S, _percentile(own, 99)) for n, own in sorted(windows.items()))
