--- a/rattangate/core/cache_model.py
+++ b/rattangate/core/cache_model.py
@@ -56,11 +56,20 @@
                 held.move_to_end(piece)
             held[piece] = at
 
-    def shrink(self, capacity: int) -> None:
-        """Evict the oldest pieces beyond the capacity."""
+    def store(self, pieces: tuple[int, ...], now: float, capacity: int) -> None:
+        """Enter pieces that the engine reported as stored.
+
+        A full model of a known rule runs ahead of the reports and ignores them.
+        """
         bound = self._bound(capacity)
-        while len(self.held) > bound:
-            self.held.popitem(last=False)
+        for piece in pieces:
+            if piece in self.held:
+                continue
+            if len(self.held) >= bound:
+                if self.rule is not Rule.EVENTS:
+                    return
+                self.held.popitem(last=False)
+            self.held[piece] = now
 
     def evict(self, pieces: tuple[int, ...], now: float) -> None:
         """Drop pieces that the engine reported as evicted, unless they were used since."""
@@ -120,10 +129,7 @@
         self._next_seq = msg.last_seq + 1
         self.models[Rule.EVENTS].evict(msg.evicted, now)
         for model in self.models:
-            for piece in msg.stored:
-                if piece not in model.held:
-                    model.held[piece] = now
-            model.shrink(int(self.capacity))
+            model.store(msg.stored, now, int(self.capacity))
         self._learn_capacity(len(msg.stored), len(msg.evicted))
 
     def restore(self, pieces: tuple[int, ...], capacity: int, now: float) -> None:
