Count only reported work that no placement explained at the time of the report

Cause: a report 0.5 s late was compared with the work that still waits now, so requests that had started since counted as unknown work and idle endpoints looked loaded. Conclusion: a report must be compared with the past that it describes.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -45,7 +45,7 @@
 
     MakeRouter = Callable[["World", int, int], Router]
 
-TICK_S = 0.1
+TICK_S = 0.02
 REPORT_INTERVAL_S = 0.5
 SNAPSHOT_INTERVAL_S = 5.0
 DEADLINE_S = 10.0
--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -16,6 +16,7 @@
 OVERDUE_FACTOR = 1.5
 OVERDUE_SLACK_S = 0.5
 STALE_SLACK_S = 1.0
+REPORT_WINDOW_S = 10.0
 
 WorkKey = tuple[str, int]
 
@@ -43,7 +44,8 @@
         self.work: OrderedDict[WorkKey, Work] = OrderedDict()
         self._tokens: dict[int, int] = {}
         self._head_since = now
-        self._reported_tokens = 0.0
+        self._unknown_tokens = 0
+        self._released: deque[tuple[float, Work]] = deque()
         self._reported_at = now
 
     @property
@@ -93,6 +95,7 @@
         if not self.work:
             self._head_since = at
         self.work[key] = Work(pieces, prompt_tokens, priority, at, missing, forecasts)
+        self._sort_last(at)
         self._tokens[priority] = self._tokens.get(priority, 0) + missing
         self.cache.use(pieces, at + self.wait_s(priority, at))
 
@@ -111,6 +114,8 @@
         if work is None:
             return
         self._tokens[work.priority] -= work.missing_tokens
+        self._released.append((at, work))
+        self._forget_released(at - REPORT_WINDOW_S)
         self._head_since = max(self._head_since, at)
 
     def drop_owner(self, owner: str, now: float) -> None:
@@ -122,16 +127,35 @@
         """Keep the waiting tokens that no known placement explains; forget work of an idle engine."""
         if msg.running == 0 and msg.waiting == 0:
             self._drop_placed_before(msg.measured_at - STALE_SLACK_S, now)
-        known = sum(w.prompt_tokens for w in self.work.values() if w.placed_at <= msg.measured_at)
-        self._reported_tokens = max(0.0, msg.waiting_tokens - known)
-        self._reported_at = msg.measured_at
+        measured_at = msg.measured_at
+        self._forget_released(measured_at)
+        known = [work for _, work in self._released]
+        known.extend(self.work.values())
+        explained = sum(work.prompt_tokens for work in known if work.placed_at <= measured_at)
+        self._unknown_tokens = max(0, msg.waiting_tokens - explained)
+        self._reported_at = measured_at
+
+    def _forget_released(self, limit: float) -> None:
+        while self._released and self._released[0][0] < limit:
+            self._released.popleft()
+
+    def _sort_last(self, at: float) -> None:
+        """Move work that was placed after `at` behind the entry just added."""
+        later = []
+        for key in reversed(self.work):
+            if self.work[key].placed_at < at:
+                break
+            if self.work[key].placed_at > at:
+                later.append(key)
+        for key in reversed(later):
+            self.work.move_to_end(key)
 
     def _drop_placed_before(self, limit: float, now: float) -> None:
         for key in [key for key, work in self.work.items() if work.placed_at < limit]:
             self.drop(key, now)
 
     def _unknown_s(self, now: float) -> float:
-        if self._reported_tokens == 0:
+        if self._unknown_tokens == 0:
             return 0.0
-        left_s = self._reported_tokens * self.speed.s_per_token
+        left_s = self._unknown_tokens * self.speed.s_per_token
         return max(0.0, left_s - (now - self._reported_at))
