--- /dev/null
+++ b/rattangate/core/streams.py
@@ -0,0 +1,138 @@
+"""Checking and splicing of a token stream, so that it reaches the caller whole and in order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data: "
+DONE = b"[DONE]"
+MAX_EVENT_BYTES = 1_000_000
+
+
+class StreamFault(Enum):
+    """Name the ways in which an engine's stream can be wrong."""
+
+    GAP = "gap"
+    OTHER_SOURCE = "other_source"
+    MALFORMED = "malformed"
+    EVENT_TOO_LARGE = "event_too_large"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStep:
+    """Report what a chunk of bytes brought: the events to forward, and how many tokens."""
+
+    forward: bytes
+    tokens: int
+    done: bool = False
+    fault: StreamFault | None = None
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str | None = None
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Details(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _Details | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    offset: int | None = None
+    system_fingerprint: str | None = None
+    usage: _Usage | None = None
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+
+
+class StreamChecker:
+    """Follow one answer over all its attempts; offsets count tokens from 0."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.finish_reason: str | None = None
+        self.cached_tokens = 0
+        self._texts: list[str] = []
+        self._buffer = b""
+        self._fingerprint = ""
+
+    @property
+    def text(self) -> str:
+        """Return the text delivered so far."""
+        return "".join(self._texts)
+
+    def begin_attempt(self, fingerprint: str) -> None:
+        """Expect the following bytes from a new source, continuing at the next offset."""
+        self._buffer = b""
+        self._fingerprint = fingerprint
+
+    def feed(self, data: bytes) -> StreamStep:
+        """Check the events that the bytes complete."""
+        *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return StreamStep(b"", 0, fault=StreamFault.EVENT_TOO_LARGE)
+        forward = []
+        tokens = 0
+        for event in events:
+            outcome = self._check(event)
+            if isinstance(outcome, StreamFault):
+                return StreamStep(b"".join(forward), tokens, fault=outcome)
+            if outcome is _Verdict.DONE:
+                return StreamStep(b"".join(forward), tokens, done=True)
+            if outcome is _Verdict.FORWARD:
+                forward.append(event + EVENT_END)
+                tokens += 1
+        return StreamStep(b"".join(forward), tokens)
+
+    def _check(self, event: bytes) -> _Verdict | StreamFault:
+        if not event.startswith(DATA_PREFIX):
+            return _Verdict.DROP if event.startswith(b":") else StreamFault.MALFORMED
+        payload = event[len(DATA_PREFIX) :]
+        if payload == DONE:
+            return _Verdict.DONE if self.finish_reason is not None else StreamFault.GAP
+        try:
+            chunk = _decode_chunk(payload)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return StreamFault.MALFORMED
+        if chunk.system_fingerprint not in (None, self._fingerprint):
+            return StreamFault.OTHER_SOURCE
+        offset = self.next_offset if chunk.offset is None else chunk.offset
+        if offset < self.next_offset:
+            return _Verdict.DROP
+        if offset > self.next_offset:
+            return StreamFault.GAP
+        self._accept(chunk)
+        return _Verdict.FORWARD
+
+    def _accept(self, chunk: _Chunk) -> None:
+        if chunk.choices:
+            choice = chunk.choices[0]
+            text = choice.text if choice.delta is None else choice.delta.content
+            self._texts.append(text or "")
+            self.next_offset += 1
+            self.finish_reason = choice.finish_reason or self.finish_reason
+        if chunk.usage is not None and chunk.usage.prompt_tokens_details is not None:
+            self.cached_tokens = chunk.usage.prompt_tokens_details.cached_tokens
+
+
+class _Verdict(Enum):
+    FORWARD = "forward"
+    DROP = "drop"
+    DONE = "done"
--- /dev/null
+++ b/rattangate/driver.py
@@ -0,0 +1,149 @@
+"""The link between the gateway core and the tasks that carry out its effects."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from contextlib import contextmanager
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.core.messages import (
+    AttemptEnded,
+    AttemptResult,
+    Dispatch,
+    FirstTokenSeen,
+    Refuse,
+    RequestAbandoned,
+    SendNews,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from rattangate.core.gateway import Gateway
+    from rattangate.core.messages import Effect, Message, RequestArrived
+    from rattangate.metrics import Metrics
+
+
+class Driver:
+    """Feed messages to the gateway and hand its effects to the exchanges and the peers."""
+
+    def __init__(
+        self, gateway: Gateway, metrics: Metrics, send_news: Callable[[SendNews], None]
+    ) -> None:
+        self.gateway = gateway
+        self._metrics = metrics
+        self._send_news = send_news
+        self._exchanges: dict[int, Exchange] = {}
+        self._req_ids = itertools.count(1)
+
+    def next_req_id(self) -> int:
+        """Return a new request number."""
+        return next(self._req_ids)
+
+    def feed(self, msg: Message) -> None:
+        """Give one message to the gateway and carry out the effects."""
+        for effect in self.gateway.handle(msg, trio.current_time()):
+            self._carry_out(effect)
+
+    @contextmanager
+    def exchange(self, req: RequestArrived) -> Iterator[Exchange]:
+        """Open the exchange of one request; leaving it early abandons the request."""
+        exchange = Exchange(self, req.req_id)
+        self._exchanges[req.req_id] = exchange
+        try:
+            started = trio.current_time()
+            self.feed(req)
+            self._metrics.lookup.observe(trio.current_time() - started)
+            yield exchange
+        finally:
+            del self._exchanges[req.req_id]
+            if not exchange.closed:
+                self.feed(RequestAbandoned(req.req_id))
+
+    def drop_endpoint(self, endpoint: str, incarnation: int) -> None:
+        """Cancel the attempts that run at one incarnation of an endpoint."""
+        for exchange in self._exchanges.values():
+            running = exchange.running
+            if running is None or running.endpoint != endpoint:
+                continue
+            if running.incarnation == incarnation:
+                exchange.cancel_attempt()
+
+    @singledispatchmethod
+    def _carry_out(self, effect: Effect) -> None:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_carry_out.register
+    def _dispatch(self, effect: Dispatch) -> None:
+        self._deliver(effect.req_id, effect)
+
+    @_carry_out.register
+    def _refuse(self, effect: Refuse) -> None:
+        self._deliver(effect.req_id, effect)
+
+    @_carry_out.register
+    def _news(self, effect: SendNews) -> None:
+        self._send_news(effect)
+
+    def _deliver(self, req_id: int, effect: Dispatch | Refuse) -> None:
+        exchange = self._exchanges.get(req_id)
+        if exchange is not None:
+            exchange.put(effect)
+
+
+class Exchange:
+    """Connect one request's task with the gateway."""
+
+    def __init__(self, driver: Driver, req_id: int) -> None:
+        self.closed = False
+        self.running: Dispatch | None = None
+        self.attempt_lost = False
+        self._driver = driver
+        self._req_id = req_id
+        self._scope: trio.CancelScope | None = None
+        self._sender, self._receiver = trio.open_memory_channel[Dispatch | Refuse](math.inf)
+
+    def put(self, effect: Dispatch | Refuse) -> None:
+        """Hand an effect to the request's task."""
+        self._sender.send_nowait(effect)
+
+    async def next_effect(self) -> Dispatch | Refuse:
+        """Wait for the gateway's decision."""
+        effect = await self._receiver.receive()
+        if isinstance(effect, Refuse):
+            self.closed = True
+        else:
+            self.running = effect
+            self.attempt_lost = False
+        return effect
+
+    @contextmanager
+    def attempt_scope(self, deadline: float) -> Iterator[trio.CancelScope]:
+        """Bound a wait on the endpoint by a deadline and by the endpoint's life."""
+        with trio.CancelScope(deadline=-math.inf if self.attempt_lost else deadline) as scope:
+            self._scope = scope
+            try:
+                yield scope
+            finally:
+                self._scope = None
+
+    def cancel_attempt(self) -> None:
+        """End the present attempt as lost."""
+        self.attempt_lost = True
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def first_token(self, attempt: int, cached_tokens: int) -> None:
+        """Report the first token."""
+        self._driver.feed(FirstTokenSeen(self._req_id, attempt, cached_tokens))
+
+    def end_attempt(self, attempt: int, result: AttemptResult, tokens: int) -> None:
+        """Report the end of the attempt."""
+        self.running = None
+        if result is AttemptResult.COMPLETED:
+            self.closed = True
+        self._driver.feed(AttemptEnded(self._req_id, attempt, result, tokens))
--- /dev/null
+++ b/rattangate/endpoints/client.py
@@ -0,0 +1,174 @@
+"""The client of one model engine."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import msgspec
+
+from rattangate.core.messages import AttemptResult
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from contextlib import AsyncExitStack
+
+CONNECT_TIMEOUT_S = 1.0
+POLL_TIMEOUT_S = 1.0
+EVENTS_TIMEOUT_S = 5.0
+MAX_IDLE_CONNECTIONS = 64
+IDLE_CONNECTION_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """Describe one attempt at an engine."""
+
+    path: str
+    body: bytes
+    request_id: str
+    incarnation: int
+    weights_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpened:
+    """Report an engine's answer whose body follows."""
+
+    resp: httpx.Response
+    cached_tokens: int
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True)
+class OpenFailed:
+    """Report an attempt that brought no stream; `status` is 0 without an HTTP answer."""
+
+    result: AttemptResult
+    detail: str
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReport:
+    """Hold an endpoint's own report of its state and load."""
+
+    incarnation: int
+    weights_version: str
+    model: str
+    state: str
+    running: int
+    waiting: int
+    waiting_tokens: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Hold one numbered cache event."""
+
+    seq: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+class EndpointClient:
+    """Call one endpoint over its own connections."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=IDLE_CONNECTION_S,
+        )
+        timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
+        self.http = httpx.AsyncClient(
+            base_url=f"http://{address}", limits=limits, timeout=timeout, trust_env=False
+        )
+
+    async def open_stream(
+        self, call: EngineCall, stack: AsyncExitStack
+    ) -> StreamOpened | OpenFailed:
+        """Send a request and return the answer's stream, which the stack owns."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": call.request_id,
+            "X-Expected-Incarnation": str(call.incarnation),
+            "X-Expected-Weights-Version": call.weights_version,
+        }
+        sent = self.http.stream("POST", call.path, content=call.body, headers=headers)
+        try:
+            resp = await stack.enter_async_context(sent)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+            return OpenFailed(AttemptResult.NOT_SENT, repr(exc))
+        except httpx.HTTPError as exc:
+            return OpenFailed(AttemptResult.LOST, repr(exc))
+        if resp.status_code != httpx.codes.OK:
+            return await _open_failure(resp)
+        if not _is_expected(resp, call):
+            return OpenFailed(AttemptResult.REFUSED, "another incarnation or version")
+        cached = int(resp.headers.get("X-Cached-Tokens", "0"))
+        return StreamOpened(resp, cached, f"{call.incarnation}.{call.weights_version}")
+
+    async def report(self) -> EndpointReport | OpenFailed:
+        """Ask the endpoint for its state and load."""
+        try:
+            resp = await self.http.get("/load", timeout=POLL_TIMEOUT_S)
+            raw = msgspec.json.decode(resp.content)
+            return msgspec.convert(
+                {name: raw[name] for name in EndpointReport.__dataclass_fields__}, EndpointReport
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            return OpenFailed(AttemptResult.NOT_SENT, repr(exc))
+        except (httpx.HTTPError, msgspec.MsgspecError, KeyError) as exc:
+            return OpenFailed(AttemptResult.LOST, repr(exc))
+
+    async def cache_events(self, after: int) -> tuple[int, tuple[CacheEvent, ...]] | OpenFailed:
+        """Wait for cache events after a sequence number; return incarnation and events."""
+        try:
+            resp = await self.http.get(f"/cache-events?after={after}", timeout=EVENTS_TIMEOUT_S)
+            raw = msgspec.json.decode(resp.content)
+            return raw["incarnation"], tuple(_cache_event(event) for event in raw["events"])
+        except (httpx.HTTPError, msgspec.MsgspecError, KeyError, ValueError) as exc:
+            return OpenFailed(AttemptResult.LOST, repr(exc))
+
+
+@asynccontextmanager
+async def open_clients(addresses: dict[str, str]) -> AsyncIterator[dict[str, EndpointClient]]:
+    """Own the clients of all endpoints."""
+    clients = {name: EndpointClient(name, address) for name, address in addresses.items()}
+    try:
+        yield clients
+    finally:
+        for client in clients.values():
+            await client.http.aclose()
+
+
+async def _open_failure(resp: httpx.Response) -> OpenFailed:
+    body: dict[str, Any] = {}
+    try:
+        decoded = msgspec.json.decode(await resp.aread())
+    except (httpx.HTTPError, msgspec.DecodeError):
+        decoded = None
+    if isinstance(decoded, dict):
+        body = decoded
+    detail = str(body.get("error", f"status {resp.status_code}"))
+    if body.get("not_run") or resp.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
+        return OpenFailed(AttemptResult.REFUSED, detail, resp.status_code)
+    return OpenFailed(AttemptResult.LOST, detail, resp.status_code)
+
+
+def _is_expected(resp: httpx.Response, call: EngineCall) -> bool:
+    incarnation = resp.headers.get("X-Incarnation", str(call.incarnation))
+    version = resp.headers.get("X-Weights-Version", call.weights_version)
+    return incarnation == str(call.incarnation) and version == call.weights_version
+
+
+def _cache_event(raw: dict[str, Any]) -> CacheEvent:
+    stored = tuple(int(piece, 16) for piece in raw["stored"])
+    evicted = tuple(int(piece, 16) for piece in raw["evicted"])
+    return CacheEvent(raw["seq"], stored, evicted)
--- /dev/null
+++ b/rattangate/endpoints/monitor.py
@@ -0,0 +1,163 @@
+"""The watch over endpoints: state, load, cache events and the platform's instance list."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.config.model import EndpointKind
+from rattangate.core.messages import (
+    AttemptResult,
+    CacheChanged,
+    EndpointSeen,
+    EndpointState,
+    LoadReported,
+)
+from rattangate.endpoints.client import OpenFailed
+from rattangate.log_events import LogEvent, log
+from rattangate.platform.client import Unavailable
+
+if TYPE_CHECKING:
+    from rattangate.config.model import EndpointCfg
+    from rattangate.driver import Driver
+    from rattangate.endpoints.client import CacheEvent, EndpointClient, EndpointReport
+    from rattangate.platform.client import PlatformClient
+
+LOAD_INTERVAL_S = 0.1
+MISSED_REPORTS = 2
+EVENTS_RETRY_S = 0.2
+INSTANCE_LIST_INTERVAL_S = 0.5
+
+_STATES = {"live": EndpointState.LIVE, "leaving": EndpointState.LEAVING}
+
+
+@dataclass(slots=True)
+class Watched:
+    """Hold what one instance last saw of an endpoint."""
+
+    incarnation: int = 0
+    weights_version: str = ""
+    state: EndpointState = EndpointState.DOWN
+    misses: int = 0
+
+
+class Monitor:
+    """Watch all endpoints and tell the driver what changes."""
+
+    def __init__(
+        self,
+        endpoints: tuple[EndpointCfg, ...],
+        clients: dict[str, EndpointClient],
+        platform: PlatformClient,
+        driver: Driver,
+    ) -> None:
+        self.watched = {endpoint.name: Watched() for endpoint in endpoints}
+        self._endpoints = endpoints
+        self._clients = clients
+        self._platform = platform
+        self._driver = driver
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for endpoint in self._endpoints:
+                nursery.start_soon(self._watch_load, endpoint)
+                if endpoint.kind is EndpointKind.ENGINE:
+                    nursery.start_soon(self._follow_cache, endpoint)
+            nursery.start_soon(self._watch_instance_list)
+
+    def mark_leaving(self, name: str, source: str) -> None:
+        """Mark the present incarnation of an endpoint as leaving, for good."""
+        seen = self.watched.get(name)
+        if seen is None or seen.state is EndpointState.LEAVING or not seen.incarnation:
+            return
+        self._change(name, seen.incarnation, seen.weights_version, EndpointState.LEAVING, source)
+
+    async def _watch_load(self, endpoint: EndpointCfg) -> None:
+        client = self._clients[endpoint.name]
+        while True:
+            report = await client.report()
+            if isinstance(report, OpenFailed):
+                self._miss(endpoint.name, report)
+            else:
+                self._apply_report(endpoint.name, report)
+            await trio.sleep(LOAD_INTERVAL_S)
+
+    def _apply_report(self, name: str, report: EndpointReport) -> None:
+        seen = self.watched[name]
+        seen.misses = 0
+        state = _STATES.get(report.state, EndpointState.DOWN)
+        if seen.state is EndpointState.LEAVING and report.incarnation <= seen.incarnation:
+            state = EndpointState.LEAVING
+        now_seen = (report.incarnation, report.weights_version, state)
+        if now_seen != (seen.incarnation, seen.weights_version, seen.state):
+            self._change(name, *now_seen, "report")
+        self._driver.feed(
+            LoadReported(
+                name,
+                report.incarnation,
+                report.running,
+                report.waiting,
+                report.waiting_tokens,
+                trio.current_time() - report.age_s,
+            )
+        )
+
+    def _miss(self, name: str, failed: OpenFailed) -> None:
+        seen = self.watched[name]
+        seen.misses += 1
+        is_gone = failed.result is AttemptResult.NOT_SENT or seen.misses >= MISSED_REPORTS
+        if not is_gone or seen.state is EndpointState.DOWN:
+            return
+        log(LogEvent.ENDPOINT_DOWN, endpoint=name, error=failed.detail)
+        if seen.state is EndpointState.LIVE:
+            self._change(name, seen.incarnation, seen.weights_version, EndpointState.DOWN, "report")
+        self._driver.drop_endpoint(name, seen.incarnation)
+
+    def _change(
+        self, name: str, incarnation: int, version: str, state: EndpointState, source: str
+    ) -> None:
+        seen = self.watched[name]
+        replaced = seen.incarnation if seen.incarnation != incarnation else 0
+        seen.incarnation, seen.weights_version, seen.state = incarnation, version, state
+        if state is EndpointState.LIVE:
+            log(LogEvent.ENDPOINT_LIVE, endpoint=name, incarnation=incarnation, weights=version)
+        if state is EndpointState.LEAVING:
+            log(LogEvent.ENDPOINT_LEAVING, endpoint=name, incarnation=incarnation, source=source)
+        self._driver.feed(EndpointSeen(name, incarnation, version, state))
+        if replaced:
+            self._driver.drop_endpoint(name, replaced)
+
+    async def _follow_cache(self, endpoint: EndpointCfg) -> None:
+        client = self._clients[endpoint.name]
+        incarnation = 0
+        after = 0
+        while True:
+            outcome = await client.cache_events(after)
+            if isinstance(outcome, OpenFailed):
+                await trio.sleep(EVENTS_RETRY_S)
+                continue
+            seen_incarnation, events = outcome
+            if seen_incarnation != incarnation:
+                incarnation, after = seen_incarnation, 0
+                if events and events[0].seq != 1:
+                    continue
+            for event in events:
+                self._feed_event(endpoint.name, incarnation, event)
+                after = event.seq
+
+    def _feed_event(self, name: str, incarnation: int, event: CacheEvent) -> None:
+        self._driver.feed(
+            CacheChanged(name, incarnation, event.seq, event.seq, event.stored, event.evicted)
+        )
+
+    async def _watch_instance_list(self) -> None:
+        while True:
+            states = await self._platform.list_instances()
+            if not isinstance(states, Unavailable):
+                for name, state in states.items():
+                    if state == "leaving":
+                        self.mark_leaving(name, "instance_list")
+            await trio.sleep(INSTANCE_LIST_INTERVAL_S)
--- /dev/null
+++ b/rattangate/entry.py
@@ -0,0 +1,234 @@
+"""The entry instance: the object that wires all parts and owns their life."""
+
+from __future__ import annotations
+
+import signal
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+import rattangate
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
+from rattangate.driver import Driver
+from rattangate.endpoints.client import EndpointClient, open_clients
+from rattangate.endpoints.monitor import Monitor
+from rattangate.http.admin import make_admin_app
+from rattangate.http.auth import Keyring
+from rattangate.http.caller import make_caller_app
+from rattangate.http.services import Services
+from rattangate.http.serving import serve_app
+from rattangate.log_events import LogEvent, log
+from rattangate.metrics import Metrics
+from rattangate.peers.codec import PeerNews, news_of
+from rattangate.peers.link import PeerIdentity, PeerLinks
+from rattangate.platform.client import PlatformClient
+
+if TYPE_CHECKING:
+    from rattangate.config.model import InstanceCfg, Settings
+    from rattangate.core.messages import SendNews
+
+TICK_S = 0.02
+METRICS_WINDOW_S = 60.0
+NS_PER_MS = 1_000_000
+
+
+@dataclass(slots=True)
+class KnownPeer:
+    """Hold what this instance knows of a peer."""
+
+    incarnation: int = 0
+    config_version: int = 0
+    heard_at: float = 0.0
+    is_live: bool = False
+    is_leaving: bool = False
+
+
+class Entry:
+    """Run one entry instance."""
+
+    def __init__(self, settings: Settings, name: str, secret: bytes) -> None:
+        self.settings = settings
+        self.instance = _find_instance(settings, name)
+        self.incarnation = time.time_ns() // NS_PER_MS
+        self.metrics = Metrics()
+        self.keyring = Keyring(settings.workspaces, settings.admin_keys)
+        self.models = {model.name: model for model in settings.models}
+        self.ready = False
+        self.leaving = False
+        self.open_streams = 0
+        self.config_version = 0
+        self.clients: dict[str, EndpointClient] = {}
+        self.peers = {peer.name: KnownPeer() for peer in settings.instances if peer.name != name}
+        placement = settings.placement
+        cfg = GatewayCfg(placement.piece_tokens, placement.recompute_weight)
+        self.driver = Driver(Gateway(cfg, seed=self.incarnation), self.metrics, self._send_news)
+        identity = PeerIdentity(name, self.incarnation, secret)
+        addresses = {
+            peer.name: peer.peer_address for peer in settings.instances if peer.name != name
+        }
+        self.links = PeerLinks(identity, addresses, self._receive_news)
+        self.services = Services(self)
+        self._stop = trio.Event()
+        self._monitor: Monitor | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what runs."""
+        async with AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(
+                PlatformClient(self.settings.platform.address)
+            )
+            addresses = {item.name: item.address for item in self.settings.endpoints}
+            self.clients = await stack.enter_async_context(open_clients(addresses))
+            self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(self._monitor.run)
+            nursery.start_soon(self.links.run, self.instance.peer_address)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._rotate_metrics)
+            nursery.start_soon(self._serve_admin)
+            nursery.start_soon(self._stop_on_signal)
+            await self._serve_callers()
+            log(LogEvent.INSTANCE_STOPPED, instance=self.instance.name, streams_cut=0)
+            nursery.cancel_scope.cancel()
+
+    def endpoint_state(self, name: str) -> EndpointState:
+        """Return the state of an endpoint as seen from here."""
+        if self._monitor is None:
+            return EndpointState.DOWN
+        return self._monitor.watched[name].state
+
+    def describe_instances(self) -> list[dict[str, Any]]:
+        """Describe this instance and its peers."""
+        own = {
+            "name": self.instance.name,
+            "data_centre": self.instance.data_centre,
+            "incarnation": self.incarnation,
+            "state": "leaving" if self.leaving else "live",
+            "config_version": self.config_version,
+        }
+        others = [peer for peer in self.settings.instances if peer.name != self.instance.name]
+        return [own, *(self._describe_peer(peer) for peer in others)]
+
+    def describe_endpoints(self) -> list[dict[str, Any]]:
+        """Describe all endpoints as seen from here."""
+        watched = self._monitor.watched if self._monitor is not None else {}
+        return [
+            {
+                "name": endpoint.name,
+                "kind": endpoint.kind.value,
+                "data_centre": endpoint.data_centre,
+                "serves": endpoint.serves,
+                "state": watched[endpoint.name].state.value,
+                "incarnation": watched[endpoint.name].incarnation,
+                "weights_version": watched[endpoint.name].weights_version,
+                "checks_orders": endpoint.checks_orders,
+            }
+            for endpoint in self.settings.endpoints
+            if endpoint.name in watched
+        ]
+
+    async def _serve_callers(self) -> None:
+        app = make_caller_app(self)
+        self.ready = True
+        log(
+            LogEvent.INSTANCE_STARTED,
+            instance=self.instance.name,
+            version=rattangate.__version__,
+            address=self.instance.caller_address,
+        )
+        await serve_app(app, self.instance.caller_address, self.settings.limits, self._stop.wait)
+
+    async def _serve_admin(self) -> None:
+        app = make_admin_app(self)
+        address = self.instance.admin_address
+        await serve_app(app, address, self.settings.limits, trio.sleep_forever)
+
+    async def _stop_on_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        self.ready = False
+        self.leaving = True
+        log(LogEvent.INSTANCE_DRAINING, instance=self.instance.name, streams=self.open_streams)
+        await trio.sleep(self.settings.shutdown.balancer_notice_s)
+        self._stop.set()
+
+    async def _tick(self) -> None:
+        next_news_at = trio.current_time()
+        while True:
+            await trio.sleep(TICK_S)
+            now = trio.current_time()
+            self.driver.feed(Tick())
+            if now >= next_news_at:
+                self.links.send(self._wrap(None))
+                next_news_at = now + self.settings.peers.heartbeat_interval_s
+            self._find_lost_peers(now)
+
+    async def _rotate_metrics(self) -> None:
+        while True:
+            await trio.sleep(METRICS_WINDOW_S)
+            self.metrics.rotate()
+
+    def _send_news(self, sent: SendNews) -> None:
+        self.links.send(self._wrap(sent))
+
+    def _wrap(self, sent: SendNews | None) -> PeerNews:
+        return news_of(
+            sent, self.instance.name, self.incarnation, self.config_version, self.leaving
+        )
+
+    def _receive_news(self, news: PeerNews) -> None:
+        peer = self.peers[news.instance]
+        if news.incarnation < peer.incarnation:
+            return
+        if not peer.is_live:
+            log(
+                LogEvent.PEER_FOUND,
+                instance=news.instance,
+                incarnation=news.incarnation,
+                data_centre=_find_instance(self.settings, news.instance).data_centre,
+            )
+        peer.incarnation = news.incarnation
+        peer.config_version = news.config_version
+        peer.heard_at = trio.current_time()
+        peer.is_live = True
+        peer.is_leaving = news.leaving
+        self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
+        if news.seq:
+            self.driver.feed(
+                NewsReceived(
+                    news.instance, news.incarnation, news.seq, news.placements, news.departures
+                )
+            )
+
+    def _find_lost_peers(self, now: float) -> None:
+        for name, peer in self.peers.items():
+            if peer.is_live and now > peer.heard_at + self.settings.peers.lost_after_s:
+                peer.is_live = False
+                log(LogEvent.PEER_LOST, instance=name, incarnation=peer.incarnation)
+                self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
+                self.driver.feed(PeerLost(name))
+
+    def _describe_peer(self, peer: InstanceCfg) -> dict[str, Any]:
+        known = self.peers[peer.name]
+        state = "lost"
+        if known.is_live:
+            state = "leaving" if known.is_leaving else "live"
+        return {
+            "name": peer.name,
+            "data_centre": peer.data_centre,
+            "incarnation": known.incarnation,
+            "state": state,
+            "config_version": known.config_version,
+        }
+
+
+def _find_instance(settings: Settings, name: str) -> InstanceCfg:
+    for instance in settings.instances:
+        if instance.name == name:
+            return instance
+    raise LookupError(f"no instance {name!r} in the settings")
--- /dev/null
+++ b/rattangate/http/answers.py
@@ -0,0 +1,70 @@
+"""The HTTP answers for failures and for whole model answers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from quart import Response
+
+if TYPE_CHECKING:
+    from rattangate.core.streams import StreamChecker
+    from rattangate.errors import Failure
+    from rattangate.http.relay import ModelCall
+
+JSON = "application/json"
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(msgspec.json.encode(value), status, content_type=JSON)
+
+
+def error_body(failure: Failure) -> dict[str, Any]:
+    """Return the body that describes a failure."""
+    return {
+        "error": {
+            "type": failure.kind.value,
+            "message": failure.answer.message,
+            "detail": failure.detail,
+            "run_state": failure.answer.run_state.value,
+            "retry_after_s": failure.advised_wait_s,
+        }
+    }
+
+
+def error_response(failure: Failure, request_id: str) -> Response:
+    """Return the answer that describes a failure."""
+    resp = json_response(error_body(failure), failure.answer.status)
+    resp.headers["X-Request-Id"] = request_id
+    if failure.advised_wait_s is not None:
+        resp.headers["Retry-After"] = str(math.ceil(failure.advised_wait_s))
+    return resp
+
+
+def error_event(failure: Failure) -> bytes:
+    """Return the server-sent event that ends a broken stream."""
+    return b"event: error\ndata: " + msgspec.json.encode(error_body(failure)) + b"\n\n"
+
+
+def whole_answer(call: ModelCall, checker: StreamChecker) -> dict[str, Any]:
+    """Return the body of a completion that is not streamed."""
+    is_chat = "messages" in call.body
+    choice: dict[str, Any] = {"index": 0, "finish_reason": checker.finish_reason}
+    if is_chat:
+        choice["message"] = {"role": "assistant", "content": checker.text}
+    else:
+        choice["text"] = checker.text
+    return {
+        "id": call.request_id,
+        "object": "chat.completion" if is_chat else "text_completion",
+        "model": call.req.scope.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": call.req.prompt_tokens,
+            "completion_tokens": checker.next_offset,
+            "total_tokens": call.req.prompt_tokens + checker.next_offset,
+            "prompt_tokens_details": {"cached_tokens": checker.cached_tokens},
+        },
+    }
--- /dev/null
+++ b/rattangate/http/caller.py
@@ -0,0 +1,227 @@
+"""The API that callers use: completions, models and the plain services."""
+
+from __future__ import annotations
+
+import uuid
+from contextlib import aclosing, contextmanager
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from rattangate.core.messages import RequestArrived
+from rattangate.core.prefix import Scope, count_tokens, hash_pieces
+from rattangate.core.prompts import PromptFault, prompt_bytes
+from rattangate.errors import ErrorKind, Failure
+from rattangate.http.answers import error_event, error_response, json_response, whole_answer
+from rattangate.http.relay import ModelCall, Relay, RelayFailed
+from rattangate.log_events import LogEvent, log
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from rattangate.config.model import WorkspaceCfg
+    from rattangate.entry import Entry
+
+DEFAULT_MAX_TOKENS = 256
+MAX_OUTPUT_TOKENS = 32_768
+DEFAULT_PRIORITY = 0
+LOWEST_PRIORITY = 9
+
+
+def make_caller_app(entry: Entry) -> QuartTrio:
+    """Create the application that callers reach."""
+    app = QuartTrio("rattangate")
+    limits = entry.settings.limits
+    app.config["RESPONSE_TIMEOUT"] = None
+    app.config["BODY_TIMEOUT"] = limits.body_timeout_s
+    app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
+
+    @app.post("/v1/completions")
+    @app.post("/v1/chat/completions")
+    async def complete() -> Response:
+        return await _complete(entry)
+
+    @app.get("/v1/models")
+    async def models() -> Response:
+        if entry.keyring.workspace(_authorization()) is None:
+            return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), "", "")
+        listed = [{"id": model.name, "object": "model"} for model in entry.settings.models]
+        return json_response({"object": "list", "data": listed})
+
+    @app.get("/readyz")
+    async def ready() -> Response:
+        return json_response({"ready": entry.ready}, 200 if entry.ready else 503)
+
+    @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
+    async def service(path: str) -> Response:
+        return await entry.services.forward(f"/{path}")
+
+    return app
+
+
+async def _complete(entry: Entry) -> Response:
+    arrived_at = trio.current_time()
+    request_id = f"req-{uuid.uuid4().hex}"
+    workspace = entry.keyring.workspace(_authorization())
+    if workspace is None:
+        return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
+    entry.metrics.count_request("model")
+    call = _parse_call(entry, workspace, await request.get_data(), request_id, arrived_at)
+    if isinstance(call, Failure):
+        return _refuse(entry, call, request_id, workspace.name)
+    if entry.open_streams >= entry.settings.limits.max_streams:
+        return _refuse(entry, Failure(ErrorKind.OVERLOADED), request_id, workspace.name)
+    relay = Relay(call, entry.driver, entry.clients, entry.metrics)
+    if call.body.get("stream"):
+        return await _stream(entry, relay)
+    return await _answer_whole(entry, relay)
+
+
+async def _stream(entry: Entry, relay: Relay) -> Response:
+    events = relay.events()
+    try:
+        first = await anext(events)
+    except RelayFailed as exc:
+        await events.aclose()
+        return _refuse_relay(entry, relay, exc.failure)
+    except BaseException:
+        with trio.CancelScope(shield=True):
+            await events.aclose()
+        raise
+    headers = {"Content-Type": "text/event-stream", "X-Request-Id": relay.call.request_id}
+    return Response(_stream_body(entry, relay, first, events), headers=headers)
+
+
+async def _stream_body(
+    entry: Entry, relay: Relay, first: bytes, events: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    with _counted_stream(entry):
+        async with aclosing(events):
+            try:
+                yield first
+                async for data in events:
+                    yield data
+                yield b"data: [DONE]\n\n"
+                _log_done(entry, relay)
+            except RelayFailed as exc:
+                _count_refusal(entry, exc.failure, relay.call.request_id, _workspace_of(relay))
+                yield error_event(exc.failure)
+
+
+async def _answer_whole(entry: Entry, relay: Relay) -> Response:
+    with _counted_stream(entry):
+        async with aclosing(relay.events()) as events:
+            try:
+                async for _ in events:
+                    pass
+            except RelayFailed as exc:
+                return _refuse_relay(entry, relay, exc.failure)
+    _log_done(entry, relay)
+    resp = json_response(whole_answer(relay.call, relay.checker))
+    resp.headers["X-Request-Id"] = relay.call.request_id
+    return resp
+
+
+@contextmanager
+def _counted_stream(entry: Entry) -> Iterator[None]:
+    entry.open_streams += 1
+    entry.metrics.streams.set(entry.open_streams)
+    try:
+        yield
+    finally:
+        entry.open_streams -= 1
+        entry.metrics.streams.set(entry.open_streams)
+
+
+def _parse_call(
+    entry: Entry, workspace: WorkspaceCfg, raw: bytes, request_id: str, arrived_at: float
+) -> ModelCall | Failure:
+    try:
+        body = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Failure(ErrorKind.BAD_REQUEST, f"body: {exc}")
+    if not isinstance(body, dict):
+        return Failure(ErrorKind.BAD_REQUEST, "body: must be a JSON object")
+    model = entry.models.get(body.get("model", ""))
+    if model is None:
+        return Failure(ErrorKind.NOT_FOUND, "model: unknown, see GET /v1/models")
+    prompt = prompt_bytes(body)
+    if isinstance(prompt, PromptFault):
+        return Failure(ErrorKind.BAD_REQUEST, f"{prompt.key}: {prompt.problem}")
+    numbers = _numbers(body)
+    if isinstance(numbers, Failure):
+        return numbers
+    max_tokens, priority = numbers
+    limits = entry.settings.limits
+    if count_tokens(prompt) > limits.max_prompt_tokens:
+        return Failure(ErrorKind.TOO_LARGE, f"prompt: over {limits.max_prompt_tokens} tokens")
+    scope = Scope(workspace.name, model.name, str(body.get("adapter", "")), model.weights_version)
+    req = RequestArrived(
+        entry.driver.next_req_id(),
+        scope,
+        hash_pieces(scope.salt, prompt, entry.settings.placement.piece_tokens),
+        count_tokens(prompt),
+        max_tokens,
+        blake2b(scope.salt.encode() + prompt, digest_size=16).digest(),
+        priority,
+        arrived_at + limits.request_timeout_s,
+    )
+    return ModelCall(req, request.path, body, request_id, arrived_at)
+
+
+def _numbers(body: dict[str, Any]) -> tuple[int, int] | Failure:
+    max_tokens = body.get("max_tokens", body.get("max_completion_tokens", DEFAULT_MAX_TOKENS))
+    if not isinstance(max_tokens, int) or not 1 <= max_tokens <= MAX_OUTPUT_TOKENS:
+        return Failure(ErrorKind.BAD_REQUEST, f"max_tokens: must be 1 to {MAX_OUTPUT_TOKENS}")
+    priority = body.get("priority", DEFAULT_PRIORITY)
+    if not isinstance(priority, int) or not 0 <= priority <= LOWEST_PRIORITY:
+        return Failure(ErrorKind.BAD_REQUEST, f"priority: must be 0 to {LOWEST_PRIORITY}")
+    return max_tokens, priority
+
+
+def _authorization() -> str:
+    return request.headers.get("Authorization", "")
+
+
+def _workspace_of(relay: Relay) -> str:
+    return relay.call.req.scope.workspace
+
+
+def _refuse_relay(entry: Entry, relay: Relay, failure: Failure) -> Response:
+    return _refuse(entry, failure, relay.call.request_id, _workspace_of(relay))
+
+
+def _refuse(entry: Entry, failure: Failure, request_id: str, workspace: str) -> Response:
+    _count_refusal(entry, failure, request_id, workspace)
+    return error_response(failure, request_id)
+
+
+def _count_refusal(entry: Entry, failure: Failure, request_id: str, workspace: str) -> None:
+    entry.metrics.count_refusal(failure.kind)
+    log(
+        LogEvent.REQUEST_REFUSED,
+        request_id=request_id,
+        workspace=workspace,
+        kind=failure.kind.value,
+        run_state=failure.answer.run_state.value,
+        detail=failure.detail,
+    )
+
+
+def _log_done(entry: Entry, relay: Relay) -> None:
+    entry.metrics.prompt_tokens.inc(relay.call.req.prompt_tokens)
+    entry.metrics.cache_hit_tokens.inc(relay.cached_tokens)
+    log(
+        LogEvent.REQUEST_DONE,
+        request_id=relay.call.request_id,
+        workspace=_workspace_of(relay),
+        endpoint=relay.endpoint,
+        attempts=relay.attempts,
+        prompt=relay.call.req.prompt_tokens,
+        cached=relay.cached_tokens,
+        completion=relay.checker.next_offset,
+    )
--- /dev/null
+++ b/rattangate/http/relay.py
@@ -0,0 +1,216 @@
+"""The relay of one model answer from the endpoints to its caller."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import msgspec
+import trio
+
+from rattangate.core.messages import AttemptResult, Dispatch, Refuse
+from rattangate.core.streams import StreamChecker, StreamFault
+from rattangate.endpoints.client import EngineCall, OpenFailed, StreamOpened
+from rattangate.errors import ErrorKind, Failure
+from rattangate.log_events import LogEvent, log
+from rattangate.metrics import RetryReason
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from rattangate.core.messages import RequestArrived
+    from rattangate.core.prefix import Scope
+    from rattangate.driver import Driver, Exchange
+    from rattangate.endpoints.client import EndpointClient
+    from rattangate.metrics import Metrics
+
+STREAM_IDLE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelCall:
+    """Hold one caller's request to a model."""
+
+    req: RequestArrived
+    path: str
+    body: dict[str, Any]
+    request_id: str
+    arrived_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptStatus:
+    """Report the end of an attempt to the relay."""
+
+    result: AttemptResult
+    reason: RetryReason
+    detail: str = ""
+
+
+class RelayFailed(Exception):  # noqa: N818
+    """Carry the failure that ends a relayed answer."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.kind.value)
+        self.failure = failure
+
+
+class Relay:
+    """Relay one answer, continued at another endpoint when one is lost."""
+
+    def __init__(
+        self,
+        call: ModelCall,
+        driver: Driver,
+        clients: dict[str, EndpointClient],
+        metrics: Metrics,
+    ) -> None:
+        self.call = call
+        self.checker = StreamChecker()
+        self.attempts = 0
+        self.cached_tokens = 0
+        self.endpoint = ""
+        self._driver = driver
+        self._clients = clients
+        self._metrics = metrics
+        self._last_chunk_at = 0.0
+        self._status: AttemptStatus | None = None
+
+    async def events(self) -> AsyncIterator[bytes]:
+        """Yield the answer's events; raise RelayFailed when it cannot be completed."""
+        with self._driver.exchange(self.call.req) as exchange:
+            while True:
+                effect = await exchange.next_effect()
+                if isinstance(effect, Refuse):
+                    raise RelayFailed(self._final_failure(effect.failure))
+                self._status = None
+                async for data in self._attempt(exchange, effect):
+                    yield data
+                status = self._status or AttemptStatus(AttemptResult.LOST, RetryReason.LOST)
+                if status.result is AttemptResult.COMPLETED:
+                    return
+                self._metrics.count_retry(status.reason)
+                log(
+                    LogEvent.REQUEST_RETRIED,
+                    request_id=self.call.request_id,
+                    reason=status.reason.value,
+                )
+
+    async def _attempt(self, exchange: Exchange, dispatch: Dispatch) -> AsyncIterator[bytes]:
+        self.attempts += 1
+        self.endpoint = dispatch.endpoint
+        client = self._clients[dispatch.endpoint]
+        async with AsyncExitStack() as stack:
+            opened = await self._open(exchange, dispatch, client, stack)
+            if isinstance(opened, OpenFailed):
+                self._end(exchange, dispatch, _status_of(opened))
+                return
+            self.cached_tokens = max(self.cached_tokens, opened.cached_tokens)
+            exchange.first_token(dispatch.attempt, opened.cached_tokens)
+            self.checker.begin_attempt(opened.fingerprint)
+            chunks = opened.resp.aiter_raw()
+            while True:
+                data = await self._next_chunk(exchange, chunks)
+                if data is None:
+                    self._end(exchange, dispatch, _LOST)
+                    return
+                step = self.checker.feed(data)
+                if step.forward:
+                    self._record_chunk(step.tokens)
+                    yield step.forward
+                if step.done:
+                    await opened.resp.aclose()
+                    self._end(exchange, dispatch, _COMPLETED)
+                    return
+                if step.fault is not None:
+                    self._end(exchange, dispatch, self._fault_status(dispatch, step.fault))
+                    return
+
+    async def _open(
+        self,
+        exchange: Exchange,
+        dispatch: Dispatch,
+        client: EndpointClient,
+        stack: AsyncExitStack,
+    ) -> StreamOpened | OpenFailed:
+        call = EngineCall(
+            self.call.path,
+            self._engine_body(dispatch),
+            self.call.request_id,
+            dispatch.incarnation,
+            dispatch.weights_version,
+        )
+        with exchange.attempt_scope(self.call.req.deadline):
+            return await client.open_stream(call, stack)
+        return OpenFailed(AttemptResult.LOST, "endpoint went down or deadline passed")
+
+    async def _next_chunk(self, exchange: Exchange, chunks: AsyncIterator[bytes]) -> bytes | None:
+        with exchange.attempt_scope(trio.current_time() + STREAM_IDLE_S):
+            try:
+                return await anext(chunks)
+            except (httpx.HTTPError, httpx.StreamError, StopAsyncIteration):
+                return None
+        return None
+
+    def _engine_body(self, dispatch: Dispatch) -> bytes:
+        req = self.call.req
+        scope: Scope = replace(req.scope, weights_version=dispatch.weights_version)
+        body = dict(self.call.body)
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
+        body["cache_salt"] = scope.salt
+        body["priority"] = req.priority
+        body["max_tokens"] = req.max_tokens
+        if self.checker.next_offset:
+            body["resume_offset"] = self.checker.next_offset
+            body["resume_text"] = self.checker.text
+            log(
+                LogEvent.STREAM_CONTINUED,
+                request_id=self.call.request_id,
+                endpoint=dispatch.endpoint,
+                offset=self.checker.next_offset,
+            )
+        return msgspec.json.encode(body)
+
+    def _record_chunk(self, tokens: int) -> None:
+        now = trio.current_time()
+        if self._last_chunk_at:
+            self._metrics.between_tokens.observe(now - self._last_chunk_at)
+        else:
+            self._metrics.first_token.observe(now - self.call.arrived_at)
+        self._last_chunk_at = now
+        self._metrics.completion_tokens.inc(tokens)
+
+    def _fault_status(self, dispatch: Dispatch, fault: StreamFault) -> AttemptStatus:
+        log(
+            LogEvent.ANSWER_MISMATCHED,
+            request_id=self.call.request_id,
+            endpoint=dispatch.endpoint,
+            detail=fault.value,
+        )
+        return AttemptStatus(AttemptResult.LOST, RetryReason.ANSWER_MISMATCHED, fault.value)
+
+    def _end(self, exchange: Exchange, dispatch: Dispatch, status: AttemptStatus) -> None:
+        self._status = status
+        exchange.end_attempt(dispatch.attempt, status.result, self.checker.next_offset)
+
+    def _final_failure(self, failure: Failure) -> Failure:
+        if not self.checker.next_offset:
+            return failure
+        return Failure(ErrorKind.STREAM_BROKEN, failure.kind.value, failure.advised_wait_s)
+
+
+_LOST = AttemptStatus(AttemptResult.LOST, RetryReason.LOST, "stream ended early")
+_COMPLETED = AttemptStatus(AttemptResult.COMPLETED, RetryReason.LOST)
+
+_REASONS = {
+    AttemptResult.NOT_SENT: RetryReason.NOT_SENT,
+    AttemptResult.REFUSED: RetryReason.REFUSED,
+}
+
+
+def _status_of(failed: OpenFailed) -> AttemptStatus:
+    reason = _REASONS.get(failed.result, RetryReason.LOST)
+    return AttemptStatus(failed.result, reason, failed.detail)
--- /dev/null
+++ b/rattangate/http/services.py
@@ -0,0 +1,126 @@
+"""The forwarding of calls to plain services."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+import httpx
+from quart import Response, request
+
+from rattangate.core.messages import EndpointState
+from rattangate.errors import ErrorKind, Failure
+from rattangate.http.answers import error_response
+from rattangate.log_events import LogEvent, log
+
+if TYPE_CHECKING:
+    from rattangate.config.model import EndpointCfg, RouteCfg
+    from rattangate.entry import Entry
+
+CALL_TIMEOUT_S = 30.0
+MAX_ATTEMPTS = 3
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
+
+
+class Services:
+    """Forward calls to the endpoints of plain services."""
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._outstanding: dict[str, int] = {}
+
+    async def forward(self, path: str) -> Response:
+        """Answer one call to a plain service."""
+        entry = self._entry
+        request_id = f"req-{uuid.uuid4().hex}"
+        workspace = entry.keyring.workspace(request.headers.get("Authorization", ""))
+        if workspace is None:
+            return self._refuse(Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
+        route = self._route(path)
+        if route is None:
+            return self._refuse(Failure(ErrorKind.NOT_FOUND), request_id, workspace.name)
+        entry.metrics.count_request("service")
+        outcome = await self._call(route, path, request_id, workspace.name)
+        if isinstance(outcome, Failure):
+            return self._refuse(outcome, request_id, workspace.name)
+        return outcome
+
+    async def _call(
+        self, route: RouteCfg, path: str, request_id: str, workspace: str
+    ) -> Response | Failure:
+        body = await request.get_data()
+        is_repeatable = route.repeatable or request.method in SAFE_METHODS
+        headers = {
+            name: request.headers[name] for name in FORWARDED_HEADERS if name in request.headers
+        }
+        headers["X-Request-Id"] = request_id
+        headers["X-Workspace"] = workspace
+        tried: set[str] = set()
+        failure = Failure(ErrorKind.NO_ENDPOINT)
+        for _ in range(MAX_ATTEMPTS):
+            endpoint = self._choose(route.service, tried)
+            if endpoint is None:
+                return failure
+            tried.add(endpoint.name)
+            outcome = await self._send(endpoint, path, headers, body)
+            if isinstance(outcome, Response):
+                return outcome
+            failure = outcome
+            if failure.kind is not ErrorKind.NO_ENDPOINT and not is_repeatable:
+                return failure
+        return failure
+
+    async def _send(
+        self, endpoint: EndpointCfg, path: str, headers: dict[str, str], body: bytes
+    ) -> Response | Failure:
+        client = self._entry.clients[endpoint.name]
+        self._outstanding[endpoint.name] = self._outstanding.get(endpoint.name, 0) + 1
+        try:
+            resp = await client.http.request(
+                request.method,
+                path,
+                params=request.query_string.decode(),
+                content=body,
+                headers=headers,
+                timeout=CALL_TIMEOUT_S,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            return Failure(ErrorKind.NO_ENDPOINT, "endpoint does not accept connections")
+        except httpx.HTTPError as exc:
+            return Failure(ErrorKind.OUTCOME_UNKNOWN, type(exc).__name__)
+        finally:
+            self._outstanding[endpoint.name] -= 1
+        if resp.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+            return Failure(ErrorKind.NO_ENDPOINT, "endpoint refused before running")
+        answer = Response(resp.content, resp.status_code)
+        answer.headers["Content-Type"] = resp.headers.get("Content-Type", "text/plain")
+        answer.headers["X-Request-Id"] = headers["X-Request-Id"]
+        return answer
+
+    def _route(self, path: str) -> RouteCfg | None:
+        for route in self._entry.settings.routes:
+            if path == route.path_prefix or path.startswith(route.path_prefix + "/"):
+                return route
+        return None
+
+    def _choose(self, service: str, tried: set[str]) -> EndpointCfg | None:
+        live = [
+            endpoint
+            for endpoint in self._entry.settings.endpoints
+            if endpoint.serves == service and endpoint.name not in tried
+            if self._entry.endpoint_state(endpoint.name) is EndpointState.LIVE
+        ]
+        return min(live, key=lambda item: self._outstanding.get(item.name, 0), default=None)
+
+    def _refuse(self, failure: Failure, request_id: str, workspace: str) -> Response:
+        self._entry.metrics.count_refusal(failure.kind)
+        log(
+            LogEvent.REQUEST_REFUSED,
+            request_id=request_id,
+            workspace=workspace,
+            kind=failure.kind.value,
+            run_state=failure.answer.run_state.value,
+            detail=failure.detail,
+        )
+        return error_response(failure, request_id)
--- /dev/null
+++ b/rattangate/peers/codec.py
@@ -0,0 +1,139 @@
+"""The thrift encoding of the messages between entry instances."""
+
+from __future__ import annotations
+
+import io
+import struct
+from dataclasses import dataclass
+from importlib import resources
+from typing import TYPE_CHECKING, Any
+
+import thriftpy2
+from thriftpy2.protocol import TBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from rattangate.core.messages import Departure, Placement
+
+if TYPE_CHECKING:
+    from rattangate.core.messages import SendNews
+
+MODULE_NAME = "rattangate_peers_thrift"
+PIECE = struct.Struct(">Q")
+
+_source = resources.files("rattangate.peers").joinpath("peers.thrift").read_text()
+idl: Any = thriftpy2.load_fp(io.StringIO(_source), MODULE_NAME)
+_factory = TBinaryProtocolFactory()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    """Hold what one instance tells its peers.
+
+    `leaving_endpoints` maps the names of leaving endpoints to their incarnations.
+    """
+
+    instance: str
+    incarnation: int
+    seq: int
+    config_version: int
+    leaving: bool
+    placements: tuple[Placement, ...]
+    departures: tuple[Departure, ...]
+    leaving_endpoints: tuple[tuple[str, int], ...]
+
+
+def encode_message(message: object) -> bytes:
+    """Encode a thrift struct."""
+    data: bytes = serialize(message, _factory)
+    return data
+
+
+def decode_hello(data: bytes) -> Any:
+    """Decode a Hello."""
+    return deserialize(idl.Hello(), data, _factory)
+
+
+def decode_proof(data: bytes) -> Any:
+    """Decode a Proof."""
+    return deserialize(idl.Proof(), data, _factory)
+
+
+def encode_news(news: PeerNews) -> bytes:
+    """Encode an instance's news."""
+    return encode_message(
+        idl.News(
+            instance=news.instance,
+            incarnation=news.incarnation,
+            seq=news.seq,
+            config_version=news.config_version,
+            leaving=news.leaving,
+            placed=[_placed(placement) for placement in news.placements],
+            departed=[_departed(departure) for departure in news.departures],
+            leaving_endpoints=dict(news.leaving_endpoints),
+        )
+    )
+
+
+def decode_news(data: bytes) -> PeerNews:
+    """Decode an instance's news."""
+    raw = deserialize(idl.News(), data, _factory)
+    return PeerNews(
+        raw.instance,
+        raw.incarnation,
+        raw.seq,
+        raw.config_version,
+        bool(raw.leaving),
+        tuple(_placement(placed) for placed in raw.placed or ()),
+        tuple(_departure(departed) for departed in raw.departed or ()),
+        tuple((raw.leaving_endpoints or {}).items()),
+    )
+
+
+def news_of(
+    sent: SendNews | None, instance: str, incarnation: int, config_version: int, leaving: bool
+) -> PeerNews:
+    """Wrap the core's news, or a bare heartbeat."""
+    placements = sent.placements if sent is not None else ()
+    departures = sent.departures if sent is not None else ()
+    seq = sent.seq if sent is not None else 0
+    return PeerNews(instance, incarnation, seq, config_version, leaving, placements, departures, ())
+
+
+def _placed(placement: Placement) -> Any:
+    return idl.Placed(
+        endpoint=placement.endpoint,
+        incarnation=placement.incarnation,
+        workspace=placement.workspace,
+        pieces=b"".join(map(PIECE.pack, placement.pieces)),
+        prompt_tokens=placement.prompt_tokens,
+        max_tokens=placement.max_tokens,
+        priority=placement.priority,
+    )
+
+
+def _placement(placed: Any) -> Placement:
+    pieces = tuple(piece for (piece,) in PIECE.iter_unpack(placed.pieces))
+    return Placement(
+        placed.endpoint,
+        placed.incarnation,
+        placed.workspace,
+        pieces,
+        placed.prompt_tokens,
+        placed.max_tokens,
+        placed.priority,
+    )
+
+
+def _departed(departure: Departure) -> Any:
+    return idl.Departed(
+        endpoint=departure.endpoint,
+        incarnation=departure.incarnation,
+        prompt_tokens=departure.prompt_tokens,
+        max_tokens=departure.max_tokens,
+    )
+
+
+def _departure(departed: Any) -> Departure:
+    return Departure(
+        departed.endpoint, departed.incarnation, departed.prompt_tokens, departed.max_tokens
+    )
--- /dev/null
+++ b/rattangate/peers/link.py
@@ -0,0 +1,201 @@
+"""The connections between entry instances: framing, authentication and sending of news."""
+
+from __future__ import annotations
+
+import hmac
+import secrets
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.log_events import LogEvent, log
+from rattangate.peers.codec import (
+    decode_hello,
+    decode_news,
+    decode_proof,
+    encode_message,
+    encode_news,
+    idl,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rattangate.peers.codec import PeerNews
+
+FRAME_HEAD = struct.Struct(">I")
+MAX_FRAME_BYTES = 1_000_000
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT_S = 2.0
+SEND_TIMEOUT_S = 2.0
+RECONNECT_S = 0.25
+MAX_QUEUED_NEWS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Identify this instance to its peers."""
+
+    instance: str
+    incarnation: int
+    secret: bytes
+
+
+class PeerProtocolError(Exception):
+    """Report a frame or a proof that is not acceptable."""
+
+
+class PeerLinks:
+    """Send news to all peers and receive theirs."""
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        peers: dict[str, str],
+        receive_news: Callable[[PeerNews], None],
+    ) -> None:
+        self._identity = identity
+        self._peers = peers
+        self._receive_news = receive_news
+        self._senders: dict[str, trio.MemorySendChannel[bytes]] = {}
+
+    def send(self, news: PeerNews) -> None:
+        """Queue news for every peer; a peer that is behind loses the newest."""
+        frame = encode_news(news)
+        for sender in self._senders.values():
+            try:
+                sender.send_nowait(frame)
+            except trio.WouldBlock:
+                continue
+
+    async def run(self, address: str) -> None:
+        """Serve and connect until cancelled."""
+        host, port = address.rsplit(":", 1)
+        async with trio.open_nursery() as nursery:
+            for name, peer_address in self._peers.items():
+                sender, receiver = trio.open_memory_channel[bytes](MAX_QUEUED_NEWS)
+                self._senders[name] = sender
+                nursery.start_soon(self._keep_sending, peer_address, receiver)
+            await trio.serve_tcp(self._serve_peer, int(port), host=host)
+
+    async def _keep_sending(self, address: str, frames: trio.MemoryReceiveChannel[bytes]) -> None:
+        host, port = address.rsplit(":", 1)
+        while True:
+            try:
+                async with await trio.open_tcp_stream(host, int(port)) as stream:
+                    await self._send_all(stream, frames)
+            except (OSError, trio.BrokenResourceError, trio.TooSlowError, PeerProtocolError):
+                _drain(frames)
+                await trio.sleep(RECONNECT_S)
+
+    async def _send_all(
+        self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
+    ) -> None:
+        with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+            await self._introduce(_FrameReader(stream), stream)
+        async for frame in frames:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                await _send_frame(stream, frame)
+
+    async def _introduce(self, reader: _FrameReader, stream: trio.SocketStream) -> None:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await _send_frame(stream, encode_message(self._hello(nonce, b"")))
+        answer = decode_hello(await reader.read())
+        self._verify(b"server", answer.instance, nonce + answer.nonce, answer.proof)
+        proof = self._prove(b"client", self._identity.instance, answer.nonce + nonce)
+        await _send_frame(stream, encode_message(idl.Proof(proof=proof)))
+
+    async def _serve_peer(self, stream: trio.SocketStream) -> None:
+        reader = _FrameReader(stream)
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                name = await self._check_client(reader, stream)
+            while True:
+                self._receive(name, await reader.read())
+        except (PeerProtocolError, trio.TooSlowError) as exc:
+            log(LogEvent.PEER_REFUSED, address=f"{_remote(stream)} {exc}")
+        except (OSError, trio.BrokenResourceError, EOFError):
+            return
+
+    async def _check_client(self, reader: _FrameReader, stream: trio.SocketStream) -> str:
+        hello = decode_hello(await reader.read())
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        proof = self._prove(b"server", self._identity.instance, hello.nonce + nonce)
+        await _send_frame(stream, encode_message(self._hello(nonce, proof)))
+        client_proof = decode_proof(await reader.read()).proof
+        self._verify(b"client", hello.instance, nonce + hello.nonce, client_proof)
+        if hello.instance not in self._peers:
+            raise PeerProtocolError(f"unknown instance {hello.instance!r}")
+        name: str = hello.instance
+        return name
+
+    def _receive(self, name: str, frame: bytes) -> None:
+        try:
+            news = decode_news(frame)
+        except Exception as exc:  # noqa: BLE001 - the codec raises many types on bad input
+            raise PeerProtocolError(f"bad news: {type(exc).__name__}") from exc
+        if news.instance != name:
+            raise PeerProtocolError(f"news of {news.instance!r} from {name!r}")
+        self._receive_news(news)
+
+    def _hello(self, nonce: bytes, proof: bytes) -> object:
+        return idl.Hello(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            nonce=nonce,
+            proof=proof,
+        )
+
+    def _prove(self, role: bytes, instance: str, nonces: bytes) -> bytes:
+        text = role + b"\x00" + instance.encode() + b"\x00" + nonces
+        return hmac.digest(self._identity.secret, text, "sha256")
+
+    def _verify(self, role: bytes, instance: str, nonces: bytes, proof: bytes) -> None:
+        if not hmac.compare_digest(self._prove(role, instance, nonces), proof or b""):
+            raise PeerProtocolError("wrong proof")
+
+
+class _FrameReader:
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self) -> bytes:
+        await self._fill(FRAME_HEAD.size)
+        (size,) = FRAME_HEAD.unpack_from(self._buffer)
+        if size > MAX_FRAME_BYTES:
+            raise PeerProtocolError(f"frame of {size} bytes")
+        end = FRAME_HEAD.size + size
+        await self._fill(end)
+        frame = bytes(self._buffer[FRAME_HEAD.size : end])
+        del self._buffer[:end]
+        return frame
+
+    async def _fill(self, size: int) -> None:
+        while len(self._buffer) < size:
+            data = await self._stream.receive_some()
+            if not data:
+                raise EOFError
+            self._buffer += data
+
+
+async def _send_frame(stream: trio.SocketStream, frame: bytes) -> None:
+    await stream.send_all(FRAME_HEAD.pack(len(frame)) + frame)
+
+
+def _drain(frames: trio.MemoryReceiveChannel[bytes]) -> None:
+    while True:
+        try:
+            frames.receive_nowait()
+        except trio.WouldBlock:
+            return
+
+
+def _remote(stream: trio.SocketStream) -> str:
+    try:
+        host, port, *_ = stream.socket.getpeername()
+    except OSError:
+        return "unknown"
+    return f"{host}:{port}"
