--- a/rattangate/config/model.py
+++ b/rattangate/config/model.py
@@ -21,6 +21,14 @@
     WORKSPACE_OWNER = "workspace_owner"
 
 
+@dataclass(frozen=True, slots=True)
+class DataCentreCfg:
+    """Describe one data centre."""
+
+    name: str
+    region: str = "main"
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceCfg:
     """Describe one entry instance; addresses are `IP:port`."""
@@ -131,7 +139,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Hold all settings of one site."""
+    """Hold all settings of one site; `site` is its data centre, or empty for the base alone."""
 
     deployment: str
     platform: PlatformCfg
@@ -145,3 +153,5 @@
     limits: LimitsCfg = LimitsCfg()
     peers: PeersCfg = PeersCfg()
     shutdown: ShutdownCfg = ShutdownCfg()
+    data_centres: tuple[DataCentreCfg, ...] = ()
+    site: str = ""
