Add the config commands, the settings reference and their tests

Cause: operators need to see every fault of all sites before they apply. An overlay may set only what is local; what all sites must agree on (instances, keys, models, routes, the size of a piece) is refused in an overlay, so agreement needs no check across sites.

Ruled out: comparing the merged sites with each other after the fact, which finds the difference but not the line that caused it.

Conclusion: check, show, diff and schema stand; docs/reference/settings.md comes of the table.

--- /dev/null
+++ b/rattangate/cmd/config.py
@@ -0,0 +1,112 @@
+"""The `config` commands: check, show, diff and schema."""
+
+from __future__ import annotations
+
+from pathlib import Path  # noqa: TC003
+from typing import TYPE_CHECKING, Annotated, NoReturn
+
+import typer
+import yaml
+
+from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
+from rattangate.config.faults import ConfigError
+from rattangate.config.load import check_sources, load_settings, load_sources
+from rattangate.config.schema import render_reference, render_schema
+from rattangate.config.view import diff_settings, view_settings
+
+if TYPE_CHECKING:
+    from rattangate.config.model import Settings
+
+app = typer.Typer(help="Check, show, compare and apply the settings.", no_args_is_help=True)
+
+BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
+OverlayPath = Annotated[Path | None, typer.Option("--overlay", "-o", help="Overlay of one site.")]
+OverlayPaths = Annotated[
+    list[Path] | None,
+    typer.Option("--overlay", "-o", help="Overlay of a site; give it once for each."),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
+
+
+@app.command()
+def check(config: BasePath, overlay: OverlayPaths = None, as_json: AsJson = False) -> None:
+    """Check the base and every site; report all faults at once.
+
+    Exit codes: 0 no fault, 3 faults were found.
+    """
+    try:
+        sites = check_sources(load_sources(config, overlay or []))
+    except ConfigError as exc:
+        _exit_invalid(exc, as_json)
+    names = sorted(site for site in sites if site)
+    if as_json:
+        print_json({"faults": [], "sites": names})
+        return
+    print_line(f"no fault found in the base and {len(names)} overlays")
+
+
+@app.command()
+def show(config: BasePath, overlay: OverlayPath = None, as_json: AsJson = False) -> None:
+    """Show the settings of a site with all defaults; hashes of secrets are masked.
+
+    Exit codes: 0 shown, 3 the settings have faults.
+    """
+    view = view_settings(_load(config, overlay, as_json))
+    if as_json:
+        print_json(view)
+    else:
+        print(yaml.safe_dump(view, sort_keys=False, allow_unicode=True), end="")
+
+
+@app.command()
+def diff(
+    config: BasePath,
+    to_config: Annotated[Path, typer.Option("--to-config", help="Base file to compare with.")],
+    overlay: OverlayPath = None,
+    to_overlay: Annotated[
+        Path | None, typer.Option("--to-overlay", help="Overlay to compare with.")
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Compare the settings that come of two pairs of files.
+
+    Exit codes: 0 no difference, 6 there are differences, 3 the settings have faults.
+    """
+    before = _load(config, overlay, as_json)
+    after = _load(to_config, to_overlay, as_json)
+    changes = diff_settings(before, after)
+    if as_json:
+        rows = [{"path": c.path, "before": c.before, "after": c.after} for c in changes]
+        print_json({"changes": rows})
+    elif changes:
+        print_table(("setting", "before", "after"), ((c.path, c.before, c.after) for c in changes))
+    if changes:
+        raise typer.Exit(ExitCode.DIFFERENT)
+
+
+@app.command()
+def schema(
+    markdown: Annotated[
+        bool, typer.Option("--markdown", help="Print the reference page instead.")
+    ] = False,
+) -> None:
+    """Print the JSON schema of a base file.
+
+    Exit codes: 0 printed.
+    """
+    if markdown:
+        print(render_reference(), end="")
+    else:
+        print_json(render_schema())
+
+
+def _load(config: Path, overlay: Path | None, as_json: bool) -> Settings:
+    try:
+        return load_settings(config, overlay)
+    except ConfigError as exc:
+        _exit_invalid(exc, as_json)
+
+
+def _exit_invalid(exc: ConfigError, as_json: bool) -> NoReturn:
+    print_faults(exc.faults, as_json)
+    raise typer.Exit(ExitCode.CONFIG_INVALID)
--- /dev/null
+++ b/rattangate/cmd/output.py
@@ -0,0 +1,75 @@
+"""Prints results as tables for people or as JSON for scripts, and names the exit codes."""
+
+from __future__ import annotations
+
+import json
+from enum import IntEnum
+from typing import TYPE_CHECKING, Any
+
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from rattangate.config.faults import Fault
+
+
+class ExitCode(IntEnum):
+    """Name the exit codes of all commands."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFIG_INVALID = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    DIFFERENT = 6
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON."""
+    print(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def print_line(text: str) -> None:
+    """Print a line for people, without interpreting markup."""
+    _console().print(text, markup=False, highlight=False, soft_wrap=True)
+
+
+def print_table(columns: Sequence[str], rows: Iterable[Sequence[Any]], title: str = "") -> None:
+    """Print rows as a table."""
+    table = Table(title=title or None, title_justify="left")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*(_cell(value) for value in row))
+    _console().print(table, markup=False)
+
+
+def print_faults(faults: Iterable[Fault], as_json: bool) -> None:
+    """Print the faults of settings."""
+    if as_json:
+        print_json({"faults": [_fault_fields(fault) for fault in faults]})
+        return
+    for fault in faults:
+        print_line(str(fault))
+
+
+def _fault_fields(fault: Fault) -> dict[str, Any]:
+    return {
+        "file": fault.file,
+        "line": fault.line,
+        "key": fault.key,
+        "problem": fault.problem,
+        "mend": fault.mend,
+    }
+
+
+def _cell(value: Any) -> Any:
+    return Text("" if value is None else str(value))
+
+
+def _console() -> Console:
+    return Console()
--- a/rattangate/config/declarations.py
+++ b/rattangate/config/declarations.py
@@ -42,6 +42,7 @@
     from rattangate.config.kinds import Kind
 
 REQUIRED = dataclasses.MISSING
+SITE_KEY = "site"
 ENDPOINT_KIND = choice(EndpointKind)
 ROLE = choice(Role)
 
@@ -56,7 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Declaration:
-    """Declare one setting; the default is that of the dataclass field."""
+    """Declare one setting; the default is that of the dataclass field.
+
+    Only the base may set a `shared` one, also in a section that is local.
+    """
 
     section: str
     key: str
@@ -64,6 +68,7 @@
     doc: str
     unit: str = ""
     check: Range | None = None
+    shared: bool = False
 
     @property
     def field(self) -> str:
@@ -79,28 +84,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Section:
-    """Describe a mapping, or with `identity` a list of mappings that are told apart by that key."""
+    """Describe a mapping, or with `identity` a list of mappings that are told apart by that key.
+
+    Only the base may set a section that is not `local`, so that all sites agree on it.
+    """
 
     name: str
     cls: type
     doc: str
     identity: str = ""
+    local: bool = False
 
 
 _SECTION_TABLE = (
     Section("", Settings, "Settings of the whole site."),
-    Section("platform", PlatformCfg, "The platform's services."),
+    Section("platform", PlatformCfg, "The platform's services.", local=True),
     Section("data_centres", DataCentreCfg, "The data centres of the deployment.", "name"),
     Section("instances", InstanceCfg, "All entry instances, of every data centre.", "name"),
-    Section("endpoints", EndpointCfg, "The model engines and plain services.", "name"),
+    Section("endpoints", EndpointCfg, "The model engines and plain services.", "name", local=True),
     Section("models", ModelCfg, "The models that are served.", "name"),
     Section("routes", RouteCfg, "The paths that lead to plain services.", "path_prefix"),
     Section("workspaces", WorkspaceCfg, "The teams that share the deployment.", "name"),
     Section("admin_keys", AdminKeyCfg, "The keys of the administration API.", "name"),
-    Section("placement", PlacementCfg, "The choice of an endpoint for each request."),
-    Section("limits", LimitsCfg, "The bounds on what one caller may ask for."),
+    Section("placement", PlacementCfg, "The choice of an endpoint for each request.", local=True),
+    Section("limits", LimitsCfg, "The bounds on what one caller may ask for.", local=True),
     Section("peers", PeersCfg, "The exchange of news between entry instances."),
-    Section("shutdown", ShutdownCfg, "The steps of a graceful shutdown."),
+    Section("shutdown", ShutdownCfg, "The steps of a graceful shutdown.", local=True),
 )
 SECTIONS: dict[str, Section] = {section.name: section for section in _SECTION_TABLE}
 
@@ -109,7 +118,7 @@
 
 DECLARATIONS: tuple[Declaration, ...] = (
     Declaration("", "deployment", NAME, "Name of the deployment."),
-    Declaration("", "site", NAME, "Data centre that an overlay is for; belongs in overlays."),
+    Declaration("", SITE_KEY, NAME, "Data centre that an overlay is for; belongs in overlays."),
     Declaration("platform", "address", ADDRESS, "Address of the platform's services."),
     Declaration("data_centres", "name", NAME, "Name of the data centre."),
     Declaration("data_centres", "region", NAME, "Region that the data centre lies in."),
@@ -176,9 +185,10 @@
         "placement",
         "piece_tokens",
         INTEGER,
-        "Size of one cached piece of a prompt.",
+        "Size of one cached piece of a prompt; base only.",
         "tokens",
         Range(1, 1_000_000),
+        shared=True,
     ),
     Declaration(
         "placement",
@@ -235,8 +245,9 @@
         "limits",
         "idempotency_retention",
         DURATION,
-        "How long the answer to a request that must not be repeated is kept.",
+        "How long the answer to a request that must not be repeated is kept; base only.",
         check=_DURATION,
+        shared=True,
     ),
     Declaration("peers", "secret_hash", HASH, "SHA-256 hash of the secret that peers share."),
     Declaration(
--- a/rattangate/config/merge.py
+++ b/rattangate/config/merge.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from rattangate.config.declarations import SECTIONS, declarations_of, subsections
+from rattangate.config.declarations import SECTIONS, SITE_KEY, declarations_of, subsections
 from rattangate.config.faults import make_fault
 from rattangate.config.tree import Mapping, Scalar, Sequence
 
@@ -17,32 +17,46 @@
     from rattangate.config.tree import Tree
 
 REMOVE_KEY = "remove"
+_SHARED = ("all sites share this", "set it in the base")
 
 
 def merge_overlay(base: Mapping, overlay: Mapping, faults: list[Fault]) -> Mapping:
     """Return the base with the overlay merged in."""
+    if SITE_KEY in base.entries:
+        mark = base.key_marks[SITE_KEY]
+        faults.append(make_fault(mark, SITE_KEY, "a base has no site", "set it in the overlay"))
+    if SITE_KEY not in overlay.entries:
+        mend = "add `site:` with the data centre that the overlay is for"
+        faults.append(make_fault(overlay.mark, SITE_KEY, "the value is missing", mend))
     merged = Mapping(dict(base.entries), dict(base.key_marks), base.mark)
     known = declarations_of("")
     for key, value in overlay.entries.items():
         section = subsections().get(key)
         below = base.entries.get(key)
+        if _is_shared(key):
+            mark = overlay.key_marks[key]
+            faults.append(make_fault(mark, key, *_SHARED))
         if _is_null(value) and (section or key in known):
             merged.entries.pop(key, None)
             continue
-        if section and isinstance(value, Mapping) and isinstance(below, Mapping):
-            value = _merge_values(below, value, key)
+        if section and not section.identity and isinstance(value, Mapping):
+            lower = below if isinstance(below, Mapping) else Mapping({}, {}, value.mark)
+            value = _merge_values(lower, value, key, faults)
         elif section and isinstance(value, Sequence) and section.identity:
-            lower = below if isinstance(below, Sequence) else Sequence((), value.mark)
-            value = _merge_named(lower, value, key, faults)
+            items = below if isinstance(below, Sequence) else Sequence((), value.mark)
+            value = _merge_named(items, value, key, faults)
         merged.entries[key] = value
         merged.key_marks[key] = overlay.key_marks[key]
     return merged
 
 
-def _merge_values(base: Mapping, overlay: Mapping, section: str) -> Mapping:
+def _merge_values(base: Mapping, overlay: Mapping, section: str, faults: list[Fault]) -> Mapping:
     merged = Mapping(dict(base.entries), dict(base.key_marks), base.mark)
     known = declarations_of(section)
     for key, value in overlay.entries.items():
+        if key in known and known[key].shared:
+            mark = overlay.key_marks[key]
+            faults.append(make_fault(mark, f"{section}.{key}", *_SHARED))
         if _is_null(value) and key in known:
             merged.entries.pop(key, None)
             continue
@@ -78,11 +92,18 @@
             continue
         lower = items[place]
         assert isinstance(lower, Mapping)
-        items[place] = _merge_values(lower, item, section)
+        items[place] = _merge_values(lower, item, section, faults)
     kept = [item for place, item in enumerate(items) if place not in removed]
     return Sequence(tuple(kept), base.mark)
 
 
+def _is_shared(key: str) -> bool:
+    section = subsections().get(key)
+    if section is not None:
+        return not section.local
+    return key in declarations_of("") and key != SITE_KEY
+
+
 def _identify(item: Tree, identity: str) -> str | None:
     if not isinstance(item, Mapping):
         return None
--- /dev/null
+++ b/tests/config/test_declarations.py
@@ -0,0 +1,38 @@
+"""The table of settings, the schema and the reference page that come of it."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+
+from rattangate.config.declarations import DECLARATIONS, SECTIONS, declarations_of, subsections
+from rattangate.config.schema import render_reference, render_schema
+
+REFERENCE = Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
+
+
+def test_every_field_is_declared_once():
+    for section in SECTIONS.values():
+        fields = {field.name for field in dataclasses.fields(section.cls)}
+        declared = [decl.field for decl in DECLARATIONS if decl.section == section.name]
+        if not section.name:
+            fields -= subsections().keys()
+        assert sorted(declared) == sorted(fields), section.name
+
+
+def test_defaults_pass_their_own_checks():
+    for decl in DECLARATIONS:
+        if decl.check is not None and decl.default is not dataclasses.MISSING:
+            assert decl.check.low <= decl.default <= decl.check.high, decl.key
+
+
+def test_reference_page_is_up_to_date():
+    assert REFERENCE.read_text() == render_reference()
+
+
+def test_schema_names_every_key():
+    properties = render_schema()["properties"]
+    assert properties.keys() == declarations_of("").keys() | subsections().keys()
+    for name, section in subsections().items():
+        part = properties[name]["items"] if section.identity else properties[name]
+        assert part["properties"].keys() == declarations_of(name).keys()
