--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,172 @@
+"""Runs the whole path with both deployments and checks that every answer arrives whole."""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import dataclass
+
+import httpx
+import msgspec
+import trio
+
+from bench.processes import ROOT, Deployment, EngineShape
+from rattangate.standins.text import expected_text
+
+REQUESTS = 60
+BOOKINGS = 20
+CONCURRENCY = 8
+PIECE_BYTES = 16_000
+MAX_TOKENS = 12
+PREFILL_RATES = (60_000.0, 40_000.0, 80_000.0, 25_000.0, 50_000.0, 30_000.0)
+SEED = 7
+
+
+@dataclass
+class Tally:
+    """Count what was sent and what came back."""
+
+    sent: int = 0
+    whole: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Site:
+    """Describe one deployment of the demo."""
+
+    name: str
+    booking_path: str
+    instances: int
+
+
+SITES = (Site("magnolia-bend", "/passes", 3), Site("sadaf", "/bookings", 4))
+
+
+def main() -> int:
+    """Run both deployments; return the exit status."""
+    total = Tally()
+    for site in SITES:
+        tally = run_site(site)
+        print(f"{site.name}: {tally.sent} sent, {tally.whole} whole", flush=True)
+        total.sent += tally.sent
+        total.whole += tally.whole
+        total.prompt_tokens += tally.prompt_tokens
+        total.cached_tokens += tally.cached_tokens
+    lost = total.sent - total.whole
+    hit_rate = total.cached_tokens / max(1, total.prompt_tokens)
+    print(f"demo: {total.sent} sent, {total.whole} whole, {lost} lost, hit rate {hit_rate:.2f}")
+    return 1 if lost else 0
+
+
+def run_site(site: Site) -> Tally:
+    """Run one deployment and send it requests and bookings."""
+    with open_site(site) as deployment:
+        return trio.run(_send_all, site, deployment)
+
+
+def open_site(site: Site) -> Deployment:
+    """Prepare the processes of one deployment."""
+    folder = ROOT / "deploy" / site.name
+    overlays = {path.stem: path for path in folder.glob("*.yaml") if path.stem != "base"}
+    shapes = {
+        f"engine-{number}": EngineShape(prefill_rate=rate)
+        for number, rate in enumerate(PREFILL_RATES, start=1)
+    }
+    return Deployment(folder / "base.yaml", overlays, site.instances, shapes)
+
+
+async def _send_all(site: Site, deployment: Deployment) -> Tally:
+    tally = Tally()
+    rng = random.Random(SEED)
+    limiter = trio.CapacityLimiter(CONCURRENCY)
+    urls = deployment.caller_urls()
+    workspaces = [workspace.name for workspace in deployment.settings.workspaces]
+    model = deployment.settings.models[0]
+    prompts = _Prompts(workspaces)
+    async with httpx.AsyncClient(timeout=60.0, trust_env=False) as client:
+        async with trio.open_nursery() as nursery:
+            for number in range(REQUESTS):
+                workspace = rng.choice(workspaces[:3])
+                prompt = prompts.make(workspace, rng.randrange(3), number)
+                call = _Call(client, urls[number % len(urls)], workspace, tally, limiter)
+                nursery.start_soon(call.stream, model.name, model.weights_version, prompt)
+            for number in range(BOOKINGS):
+                call = _Call(client, urls[number % len(urls)], workspaces[0], tally, limiter)
+                nursery.start_soon(call.book, site.booking_path, number)
+    return tally
+
+
+class _Prompts:
+    """Build prompts nested in three levels: system, tenant and bulletin."""
+
+    def __init__(self, workspaces: list[str]) -> None:
+        self._tenants = {name: f"Preamble of {name}. " for name in workspaces}
+
+    def make(self, workspace: str, bulletin: int, number: int) -> str:
+        parts = (
+            _fill("System preamble. "),
+            _fill(self._tenants[workspace]),
+            _fill(f"Bulletin {bulletin} of {workspace}. ") * 2,
+            f"Question {number}?",
+        )
+        return "".join(parts)
+
+
+@dataclass
+class _Call:
+    client: httpx.AsyncClient
+    url: str
+    workspace: str
+    tally: Tally
+    limiter: trio.CapacityLimiter
+
+    async def stream(self, model: str, version: str, prompt: str) -> None:
+        body = {"model": model, "prompt": prompt, "max_tokens": MAX_TOKENS, "stream": True}
+        self.tally.sent += 1
+        async with self.limiter:
+            text, usage = await self._read_stream(body)
+        wanted = expected_text(model, version, prompt.encode(), MAX_TOKENS)
+        if text != wanted:
+            print(f"not whole: {text!r} instead of {wanted!r}", file=sys.stderr)
+            return
+        self.tally.whole += 1
+        self.tally.prompt_tokens += usage["prompt_tokens"]
+        self.tally.cached_tokens += usage["prompt_tokens_details"]["cached_tokens"]
+
+    async def book(self, path: str, number: int) -> None:
+        self.tally.sent += 1
+        headers = {**self._headers(), "Idempotency-Key": f"booking-{number}"}
+        async with self.limiter:
+            resp = await self.client.post(self.url + path, json={"number": number}, headers=headers)
+        if resp.status_code == 200:
+            self.tally.whole += 1
+        else:
+            print(f"booking failed: {resp.status_code} {resp.text}", file=sys.stderr)
+
+    async def _read_stream(self, body: dict[str, object]) -> tuple[str, dict[str, int]]:
+        text = ""
+        usage: dict[str, int] = {}
+        url = f"{self.url}/v1/completions"
+        async with self.client.stream("POST", url, json=body, headers=self._headers()) as resp:
+            async for line in resp.aiter_lines():
+                if not line.startswith("data: ") or line == "data: [DONE]":
+                    continue
+                chunk = msgspec.json.decode(line[len("data: ") :])
+                if "error" in chunk:
+                    return f"{text} {chunk}", usage
+                text += chunk["choices"][0]["text"]
+                usage = chunk.get("usage", usage)
+        return text, usage
+
+    def _headers(self) -> dict[str, str]:
+        return {"Authorization": f"Bearer demo-{self.workspace}"}
+
+
+def _fill(sentence: str) -> str:
+    return (sentence * (PIECE_BYTES // len(sentence) + 1))[:PIECE_BYTES]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,233 @@
+"""Starts the product's own processes on loopback, for the demo, the tests and the benches."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import httpx
+
+from rattangate.config.load import load_settings
+from rattangate.config.model import EndpointKind
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from rattangate.config.model import EndpointCfg, InstanceCfg, Settings
+
+ROOT = Path(__file__).resolve().parent.parent
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+DEMO_PEER_SECRET = "demo-peers"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineShape:
+    """Describe the speed and size of an engine process."""
+
+    prefill_rate: float = 40_000.0
+    decode_rate: float = 60.0
+    piece_tokens: int = 4000
+    eviction: str = "lru"
+    max_running: int = 64
+
+
+@dataclass
+class Process:
+    """Own one process of the product."""
+
+    name: str
+    args: list[str]
+    ready_url: str
+    log_path: Path | None = None
+    popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process without waiting for it to be ready."""
+        env = {**os.environ, "RATTANGATE_PEER_SECRET": DEMO_PEER_SECRET}
+        output: Any = subprocess.DEVNULL
+        if self.log_path is not None:
+            output = self.log_path.open("ab")
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "rattangate", *self.args],
+            cwd=ROOT,
+            env=env,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+        )
+
+    def wait_ready(self) -> None:
+        """Wait until the process answers; raise RuntimeError when it does not."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if self.popen is not None and self.popen.poll() is not None:
+                raise RuntimeError(f"{self.name} ended with {self.popen.returncode}")
+            try:
+                if httpx.get(self.ready_url, timeout=1.0, trust_env=False).status_code == 200:
+                    return
+            except httpx.HTTPError:
+                pass
+            time.sleep(POLL_S)
+        raise RuntimeError(f"{self.name} is not ready")
+
+    def kill(self) -> None:
+        """Kill the process at once."""
+        if self.popen is not None:
+            self.popen.kill()
+            self.popen.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to shut down gracefully."""
+        if self.popen is not None:
+            self.popen.terminate()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        if self.popen is not None:
+            self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        if self.popen is not None:
+            self.popen.send_signal(signal.SIGCONT)
+
+
+@dataclass
+class Deployment:
+    """Own the processes of one deployment: platform, endpoints and entry instances."""
+
+    base: Path
+    overlays: dict[str, Path]
+    instances: int = 2
+    shapes: dict[str, EngineShape] = field(default_factory=dict)
+    log_dir: Path | None = None
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.settings: Settings = load_settings(self.base, None)
+        self._add_platform()
+        for endpoint in self.settings.endpoints:
+            self._add_endpoint(endpoint)
+        for instance in self.settings.instances[: self.instances]:
+            self._add_instance(instance)
+
+    def __enter__(self) -> Deployment:
+        try:
+            for process in self.processes.values():
+                process.start()
+            for process in self.processes.values():
+                process.wait_ready()
+            self.wait_endpoints_live()
+        except BaseException:
+            self._kill_all()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        self._kill_all()
+
+    def caller_urls(self) -> list[str]:
+        """Return the addresses where callers reach the started instances."""
+        return [
+            f"http://{instance.caller_address}"
+            for instance in self.settings.instances[: self.instances]
+        ]
+
+    def endpoint_url(self, name: str) -> str:
+        """Return the address of an endpoint."""
+        for endpoint in self.settings.endpoints:
+            if endpoint.name == name:
+                return f"http://{endpoint.address}"
+        raise KeyError(name)
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Ask a stand-in for faults; `platform` names the platform."""
+        url = f"http://{self.settings.platform.address}"
+        if name != "platform":
+            url = self.endpoint_url(name)
+        httpx.post(f"{url}/faults", json=faults, trust_env=False).raise_for_status()
+
+    def ledger(self, name: str) -> dict[str, Any]:
+        """Return the journal of an endpoint."""
+        url = f"{self.endpoint_url(name)}/ledger"
+        ledger: dict[str, Any] = httpx.get(url, trust_env=False).json()
+        return ledger
+
+    def admin_get(self, instance: InstanceCfg, path: str) -> Any:
+        """Read from the administration API of an instance."""
+        return httpx.get(
+            f"http://{instance.admin_address}{path}",
+            headers={"Authorization": "Bearer demo-admin"},
+            trust_env=False,
+        ).json()
+
+    def wait_endpoints_live(self) -> None:
+        """Wait until every instance sees every endpoint live."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for instance in self.settings.instances[: self.instances]:
+            while True:
+                seen = self.admin_get(instance, "/v1/endpoints")["endpoints"]
+                if all(endpoint["state"] == "live" for endpoint in seen):
+                    break
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{instance.name} does not see all endpoints live")
+                time.sleep(POLL_S)
+
+    def _add_platform(self) -> None:
+        address = self.settings.platform.address
+        self._add("platform", ["standin", "platform", "--address", address], address, "/stats")
+
+    def _add_endpoint(self, endpoint: EndpointCfg) -> None:
+        address = endpoint.address
+        if endpoint.kind is EndpointKind.SERVICE:
+            args = ["standin", "service", "--address", address, "--name", endpoint.serves]
+        else:
+            args = self._engine_args(endpoint)
+        self._add(endpoint.name, args, address, "/load")
+
+    def _engine_args(self, endpoint: EndpointCfg) -> list[str]:
+        shape = self.shapes.get(endpoint.name, EngineShape())
+        models = {model.name: model for model in self.settings.models}
+        return [
+            "standin",
+            "engine",
+            f"--address={endpoint.address}",
+            f"--model={endpoint.serves}",
+            f"--weights-version={models[endpoint.serves].weights_version}",
+            f"--platform={self.settings.platform.address}",
+            "--checks-orders" if endpoint.checks_orders else "--no-checks-orders",
+            f"--piece-tokens={shape.piece_tokens}",
+            f"--cache-pieces={endpoint.cache_pieces or 64}",
+            f"--prefill-rate={shape.prefill_rate}",
+            f"--decode-rate={shape.decode_rate}",
+            f"--max-running={shape.max_running}",
+            f"--eviction={shape.eviction}",
+        ]
+
+    def _add_instance(self, instance: InstanceCfg) -> None:
+        args = ["serve", f"--config={self.base}", f"--instance={instance.name}"]
+        overlay = self.overlays.get(instance.data_centre)
+        if overlay is not None:
+            args.append(f"--overlay={overlay}")
+        self._add(instance.name, args, instance.admin_address, "/readyz")
+
+    def _add(self, name: str, args: list[str], address: str, path: str) -> None:
+        log_path = self.log_dir / f"{name}.log" if self.log_dir is not None else None
+        self.processes[name] = Process(name, args, f"http://{address}{path}", log_path)
+
+    def _kill_all(self) -> None:
+        for process in self.processes.values():
+            if process.popen is not None and process.popen.poll() is None:
+                process.thaw()
+                process.kill()
--- a/rattangate/cmd/serve.py
+++ b/rattangate/cmd/serve.py
@@ -8,6 +8,8 @@
 import trio
 import typer
 
+from rattangate.cmd.output import ExitCode, print_faults
+from rattangate.config.faults import ConfigError
 from rattangate.config.load import load_settings
 from rattangate.entry import Entry
 from rattangate.log_events import open_log
@@ -21,11 +23,18 @@
     instance: str = typer.Option(..., help="Name of this instance in the settings."),
 ) -> None:
     """Run one entry instance until SIGTERM."""
-    settings = load_settings(config, overlay)
-    secret = os.environ.get(PEER_SECRET_VARIABLE, "").encode()
-    entry = Entry(settings, instance, secret)
+    try:
+        settings = load_settings(config, overlay)
+        entry = Entry(settings, instance, _peer_secret())
+    except ConfigError as exc:
+        print_faults(exc.faults, as_json=False)
+        raise typer.Exit(ExitCode.CONFIG_INVALID) from exc
     _, close_log = open_log(instance)
     try:
         trio.run(entry.run)
     finally:
         close_log()
+
+
+def _peer_secret() -> bytes:
+    return os.environ.get(PEER_SECRET_VARIABLE, "").encode()
