--- a/rattangate/core/streams.py
+++ b/rattangate/core/streams.py
@@ -88,7 +88,7 @@
         *events, self._buffer = (self._buffer + data).split(EVENT_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
             return StreamStep(b"", 0, fault=StreamFault.EVENT_TOO_LARGE)
-        forward = []
+        forward: list[bytes] = []
         tokens = 0
         for event in events:
             outcome = self._check(event)
