Wire the measured placement into the daemon and pin a begun answer to its weights version

Cause: a stream that is continued elsewhere must not mix weights versions; the gateway offered any live endpoint. Ruled out: refusing in the relay after the attempt, since it spends a retry. Conclusion: the version is pinned in the core; the test refuses where it was dispatched before.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -55,8 +55,15 @@
     number: int = 0
     placed_on: Endpoint | None = None
     first_token: bool = False
+    pinned_version: str | None = None
     tried: set[tuple[str, int]] = field(default_factory=set)
 
+    def may_try(self, endpoint: Endpoint) -> bool:
+        """Tell whether an attempt there is new and would continue the same weights version."""
+        if _incarnation(endpoint) in self.tried:
+            return False
+        return self.pinned_version in (None, endpoint.seen.weights_version)
+
 
 class Gateway:
     """Decide where each request runs; take messages, return effects, do no I/O."""
@@ -117,6 +124,8 @@
         run = self._running.get(msg.req_id)
         if run is None or run.attempt != msg.attempt:
             return []
+        if msg.completion_tokens and run.placed_on is not None:
+            run.pinned_version = run.placed_on.seen.weights_version
         self._release(run, now)
         if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
             del self._running[msg.req_id]
@@ -197,7 +206,7 @@
             return self._refuse(req_id, ErrorKind.RETRIES_EXHAUSTED)
         weight = self.cfg.recompute_weight
         candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
-        untried = [c for c in candidates if _incarnation(c.endpoint) not in run.tried]
+        untried = [c for c in candidates if run.may_try(c.endpoint)]
         if not untried:
             kind = ErrorKind.RETRIES_EXHAUSTED if run.attempt else ErrorKind.NO_ENDPOINT
             return self._refuse(req_id, kind)
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -54,7 +54,7 @@
         driver: Driver,
     ) -> None:
         self.watched = {endpoint.name: Watched() for endpoint in endpoints}
-        self._endpoints = endpoints
+        self._endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         self._clients = clients
         self._platform = platform
         self._driver = driver
@@ -62,7 +62,7 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
-            for endpoint in self._endpoints:
+            for endpoint in self._endpoints.values():
                 nursery.start_soon(self._watch_load, endpoint)
                 if endpoint.kind is EndpointKind.ENGINE:
                     nursery.start_soon(self._follow_cache, endpoint)
@@ -126,7 +126,10 @@
             log(LogEvent.ENDPOINT_LIVE, endpoint=name, incarnation=incarnation, weights=version)
         if state is EndpointState.LEAVING:
             log(LogEvent.ENDPOINT_LEAVING, endpoint=name, incarnation=incarnation, source=source)
-        self._driver.feed(EndpointSeen(name, incarnation, version, state))
+        endpoint = self._endpoints[name]
+        self._driver.feed(
+            EndpointSeen(name, incarnation, version, state, endpoint.serves, endpoint.cache_pieces)
+        )
         if replaced:
             self._driver.drop_endpoint(name, replaced)
 
--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -4,6 +4,7 @@
 
 import uuid
 from contextlib import aclosing, contextmanager
+from dataclasses import replace
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +13,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from rattangate.core.messages import RequestArrived
+from rattangate.core.messages import RequestArrived, VersionedPieces
 from rattangate.core.prefix import Scope, count_tokens, hash_pieces
 from rattangate.core.prompts import PromptFault, prompt_bytes
 from rattangate.errors import ErrorKind, Failure
@@ -169,10 +170,25 @@
         blake2b(scope.salt.encode() + prompt, digest_size=16).digest(),
         priority,
         arrived_at + limits.request_timeout_s,
+        _other_versions(entry, scope, prompt),
     )
     return ModelCall(req, request.path, body, request_id, arrived_at)
 
 
+def _other_versions(entry: Entry, scope: Scope, prompt: bytes) -> tuple[VersionedPieces, ...]:
+    """Hash the prompt under each version that a rollout has not replaced yet."""
+    piece_tokens = entry.settings.placement.piece_tokens
+    running = entry.driver.gateway.weights_versions(scope.model)
+    return tuple(
+        VersionedPieces(
+            version,
+            hash_pieces(replace(scope, weights_version=version).salt, prompt, piece_tokens),
+        )
+        for version in running
+        if version != scope.weights_version
+    )
+
+
 def _numbers(body: dict[str, Any]) -> tuple[int, int] | Failure:
     max_tokens = body.get("max_tokens", body.get("max_completion_tokens", DEFAULT_MAX_TOKENS))
     if not isinstance(max_tokens, int) or not 1 <= max_tokens <= MAX_OUTPUT_TOKENS:
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -19,6 +19,7 @@
 
 MODULE_NAME = "rattangate_peers_thrift"
 PIECE = struct.Struct(">Q")
+MS_PER_S = 1000
 
 _source = resources.files("rattangate.peers").joinpath("peers.thrift").read_text()
 idl: Any = thriftpy2.load_fp(io.StringIO(_source), MODULE_NAME)
@@ -108,6 +109,8 @@
         prompt_tokens=placement.prompt_tokens,
         max_tokens=placement.max_tokens,
         priority=placement.priority,
+        number=placement.number,
+        age_ms=int(placement.age_s * MS_PER_S),
     )
 
 
@@ -121,6 +124,8 @@
         placed.prompt_tokens,
         placed.max_tokens,
         placed.priority,
+        placed.number,
+        placed.age_ms / MS_PER_S,
     )
 
 
@@ -130,10 +135,19 @@
         incarnation=departure.incarnation,
         prompt_tokens=departure.prompt_tokens,
         max_tokens=departure.max_tokens,
+        number=departure.number,
+        cached_tokens=departure.cached_tokens,
+        age_ms=int(departure.age_s * MS_PER_S),
     )
 
 
 def _departure(departed: Any) -> Departure:
     return Departure(
-        departed.endpoint, departed.incarnation, departed.prompt_tokens, departed.max_tokens
+        departed.endpoint,
+        departed.incarnation,
+        departed.prompt_tokens,
+        departed.max_tokens,
+        departed.number,
+        departed.cached_tokens,
+        departed.age_ms / MS_PER_S,
     )
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -22,14 +22,19 @@
   5: i32 prompt_tokens
   6: i32 max_tokens
   7: i32 priority
+  8: i64 number
+  9: i32 age_ms
 }
 
-/** The end of one placed request. */
+/** The first token or the loss of a placed request; no cached_tokens when no token came. */
 struct Departed {
   1: string endpoint
   2: i64 incarnation
   3: i32 prompt_tokens
   4: i32 max_tokens
+  5: i64 number
+  6: optional i32 cached_tokens
+  7: i32 age_ms
 }
 
 /** What an instance tells its peers; it is the heartbeat too. */
--- a/tests/core/test_gateway.py
+++ b/tests/core/test_gateway.py
@@ -191,3 +191,16 @@
     for picture in gateway.pictures():
         restarted.handle(picture, 5.0)
     assert _place(restarted, 1, pieces, 5.1).endpoint == name
+
+
+def test_a_begun_answer_continues_only_on_the_same_weights_version(gateway):
+    gateway.handle(_seen("b", incarnation=2, version="v2"), 0.0)
+    gateway.handle(_seen("c", incarnation=2, version="v2"), 0.0)
+    request = _request(1, (1,), (VersionedPieces("v2", (2,)),))
+    (first,) = gateway.handle(request, 1.0)
+    while first.weights_version != "v1":
+        lost = AttemptEnded(1, first.attempt, AttemptResult.LOST)
+        (first,) = gateway.handle(lost, 1.0)
+    begun = AttemptEnded(1, first.attempt, AttemptResult.LOST, completion_tokens=3)
+    (effect,) = gateway.handle(begun, 2.0)
+    assert isinstance(effect, Refuse)
