--- a/bench/policy_workload.py
+++ b/bench/policy_workload.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass
+from functools import cache
 from hashlib import blake2b
 from itertools import accumulate
 
@@ -83,10 +84,7 @@
 
     def hashes(self, version: str) -> tuple[int, ...]:
         """Return the hashes of the pieces under a weights version."""
-        levels = [("s", i) for i in range(SYSTEM_PIECES)]
-        levels += [(f"t{self.tenant}", i) for i in range(TENANT_PIECES)]
-        levels += [(f"d{self.number}", i) for i in range(self.pieces)]
-        return tuple(_hash(f"{version}/{self.workspace}/{name}/{i}") for name, i in levels)
+        return _hash_levels(version, self.workspace, self.tenant, self.number, self.pieces)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,5 +179,15 @@
     return [Document(workspace, n % TENANTS, n, size) for n, size in enumerate(sizes)]
 
 
+@cache
+def _hash_levels(
+    version: str, workspace: int, tenant: int, number: int, pieces: int
+) -> tuple[int, ...]:
+    levels = [("s", i) for i in range(SYSTEM_PIECES)]
+    levels += [(f"t{tenant}", i) for i in range(TENANT_PIECES)]
+    levels += [(f"d{number}", i) for i in range(pieces)]
+    return tuple(_hash(f"{version}/{workspace}/{name}/{i}") for name, i in levels)
+
+
 def _hash(text: str) -> int:
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from bench.policy_rules import EngineFuture
+from rattangate.core.gateway import Gateway
 from rattangate.core.messages import (
     AttemptEnded,
     AttemptResult,
@@ -136,9 +137,10 @@
         for index in range(len(self.engines)):
             self._announce(index, EndpointState.LIVE)
             self._at(REPORT_INTERVAL_S, partial(self._report_load, index))
-        for entry in range(len(self.routers)):
-            self._at(TICK_S * (entry + 1) / len(self.routers), partial(self._tick, entry))
-        self._at(SNAPSHOT_INTERVAL_S, self._take_snapshot)
+        if isinstance(self.routers[0], Gateway):
+            for entry in range(len(self.routers)):
+                self._at(TICK_S * (entry + 1) / len(self.routers), partial(self._tick, entry))
+            self._at(SNAPSHOT_INTERVAL_S, self._take_snapshot)
         for arrival in arrivals:
             self._arrivals[arrival.req_id] = arrival
             self._at(arrival.at + self.deployment.caller_delay_s, partial(self._arrive, arrival))
@@ -219,9 +221,9 @@
         self._later(TICK_S, partial(self._tick, entry))
 
     def _take_snapshot(self) -> None:
-        pictures = getattr(self.routers[0], "pictures", None)
-        if pictures is not None:
-            self.snapshot = pictures()
+        router = self.routers[0]
+        if isinstance(router, Gateway):
+            self.snapshot = router.pictures()
         self._later(SNAPSHOT_INTERVAL_S, self._take_snapshot)
 
     # Engines
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -32,6 +32,8 @@
 from rattangate.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattangate.core.messages import Message
     from rattangate.core.placement import Candidate
 
@@ -77,10 +79,12 @@
         self._number = 0
         self._seq = 0
         self._peers: dict[str, tuple[int, int]] = {}
+        # Binding a singledispatchmethod wraps its function anew at each access.
+        self._apply: Callable[[Message, float], list[Effect]] = self._handle
 
     def handle(self, msg: Message, now: float) -> list[Effect]:
         """Apply one message and return the effects to carry out."""
-        return self._handle(msg, now)
+        return self._apply(msg, now)
 
     def weights_versions(self, model: str) -> tuple[str, ...]:
         """Return the weights versions of a model that live endpoints run."""
