--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 test: check
 	$(PY) -m pytest
+
+bench-policy: setup
+	$(PY) -m bench.policy
--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -31,6 +31,7 @@
 CHANGE_S = 150.0
 DURATION_S = 240.0
 DRAIN_S = 120.0
+OVERLOAD_S = 60.0
 WINDOW_S = 2.0
 LOSS = 0.05
 ORACLE_WEIGHTS = (0.0, 1.0, 3.0)
@@ -60,6 +61,8 @@
     Scenario("steady-1.0", _steady(1.0)),
     Scenario("not-lru-fifo", _steady(0.8), Conditions(eviction=Eviction.FIFO)),
     Scenario("not-lru-random", _steady(0.8), Conditions(eviction=Eviction.RANDOM)),
+    Scenario("not-lru-fifo-0.5", _steady(0.5), Conditions(eviction=Eviction.FIFO)),
+    Scenario("not-lru-random-0.3", _steady(0.3), Conditions(eviction=Eviction.RANDOM)),
     Scenario("capacity-under", _steady(0.8), Conditions(declared_capacity=0.75)),
     Scenario("capacity-over", _steady(0.8), Conditions(declared_capacity=1.25)),
     Scenario("capacity-unknown", _steady(0.8), Conditions(declared_capacity=0.0)),
@@ -95,8 +98,9 @@
     ),
     Scenario(
         "overload-1.5",
-        (Demand(0.0, 0.8), Demand(CHANGE_S, 1.5), Demand(CHANGE_S + 60.0, 0.6)),
+        (Demand(0.0, 0.8), Demand(CHANGE_S, 1.5), Demand(CHANGE_S + OVERLOAD_S, 0.6)),
         change_s=CHANGE_S,
+        settle_s=OVERLOAD_S + 15.0,
     ),
     Scenario("weight-rollout", _steady(0.6), faults=_ROLLOUT, change_s=CHANGE_S, settle_s=15.0),
     Scenario(
@@ -223,7 +227,7 @@
 def _served_of_capacity(world: World, scenario: Scenario) -> float:
     """Return the rate served within the deadline in the overload, as a share of capacity."""
     peak = max(scenario.demands, key=lambda demand: demand.load)
-    end = peak.start + 60.0 if peak.start else DURATION_S
+    end = peak.start + OVERLOAD_S if peak.start else DURATION_S
     start = max(peak.start, WARM_UP_S)
     offered = [o for o in world.outcomes.values() if start <= o.at < end]
     good = sum(0 <= o.first_token_s <= DEADLINE_S for o in offered)
