End an attempt whose endpoint was lost before its task began it

Cause: tests/promises/test_stream_whole.py hung once (freeze of two engines 0.1 s into nine streams): an attempt moved from the first frozen engine to the second was dispatched, and the second went down before the request's task picked the dispatch up, so drop_endpoint did not see it and the attempt waited for the request's deadline of 120 s. Ruled out: httpx timeouts (the load poll timed out and marked both engines down in the log); the gateway (no dispatch to a down endpoint). Conclusion: the exchange counts a dispatch as running from the moment the gateway makes it.

--- a/rattangate/cmd/serve.py
+++ b/rattangate/cmd/serve.py
@@ -19,7 +19,7 @@
 
 def serve(
     config: Path = typer.Option(..., help="Base settings file, shared by all sites."),
-    overlay: Path = typer.Option(..., help="Overlay settings file of this site."),
+    overlay: Path | None = typer.Option(None, help="Overlay settings file of this site."),
     instance: str = typer.Option(..., help="Name of this instance in the settings."),
 ) -> None:
     """Run one entry instance until SIGTERM."""
--- a/rattangate/cmd/standin.py
+++ b/rattangate/cmd/standin.py
@@ -7,10 +7,7 @@
 import trio
 import typer
 
-from rattangate.standins.engine import EngineCfg, run_engine
 from rattangate.standins.engine_model import EngineSpec, Eviction
-from rattangate.standins.platform import run_platform
-from rattangate.standins.service import run_service
 
 app = typer.Typer(help="Run a stand-in of an outside system, for tests and trials.")
 
@@ -31,6 +28,9 @@
     seed: int = typer.Option(1, help="Seed of the random number generator."),
 ) -> None:
     """Run a model engine."""
+    # Imported here because an entry instance must start without the stand-ins.
+    from rattangate.standins.engine import EngineCfg, run_engine
+
     spec = EngineSpec(
         piece_tokens=piece_tokens,
         cache_pieces=cache_pieces,
@@ -49,6 +49,8 @@
     name: str = typer.Option(..., help="Name of the service."),
 ) -> None:
     """Run a plain service whose runs can be counted."""
+    from rattangate.standins.service import run_service
+
     trio.run(run_service, address, name)
 
 
@@ -57,4 +59,6 @@
     address: str = typer.Option(..., help="Address to serve, as IP:port."),
 ) -> None:
     """Run the platform's table, objects, weights, kept KV and instance list."""
+    from rattangate.standins.platform import run_platform
+
     trio.run(functools.partial(run_platform, address))
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -109,6 +109,9 @@
 
     def put(self, effect: Dispatch | Refuse) -> None:
         """Hand an effect to the request's task."""
+        if isinstance(effect, Dispatch):
+            self.running = effect
+            self.attempt_lost = False
         self._sender.send_nowait(effect)
 
     async def next_effect(self) -> Dispatch | Refuse:
@@ -116,9 +119,6 @@
         effect = await self._receiver.receive()
         if isinstance(effect, Refuse):
             self.closed = True
-        else:
-            self.running = effect
-            self.attempt_lost = False
         return effect
 
     @contextmanager
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,65 @@
+"""Check the link between the gateway core and the tasks of requests."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+import trio
+
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.messages import Dispatch, EndpointSeen, EndpointState, RequestArrived
+from rattangate.core.prefix import Scope
+from rattangate.driver import Driver
+from rattangate.metrics import Metrics
+
+REQUEST = RequestArrived(1, Scope("w", "m", "", "v1"), (1,), 4000, 8, b"", 0, math.inf)
+
+
+@pytest.fixture
+def driver():
+    gateway = Gateway(GatewayCfg(piece_tokens=4000, recompute_weight=1.0), seed=1)
+    driver = Driver(gateway, Metrics(), lambda news: None)
+
+    async def see_endpoint():
+        driver.feed(EndpointSeen("a", 7, "v1", EndpointState.LIVE))
+
+    trio.run(see_endpoint)
+    return driver
+
+
+def test_an_endpoint_lost_before_its_attempt_begins_ends_the_attempt_at_once(driver):
+    async def main():
+        with driver.exchange(REQUEST) as exchange:
+            driver.drop_endpoint("a", 7)
+            effect = await exchange.next_effect()
+            assert isinstance(effect, Dispatch)
+            with exchange.attempt_scope(math.inf) as scope:
+                await trio.lowlevel.checkpoint()
+            return scope.cancelled_caught
+
+    assert trio.run(main)
+
+
+def test_a_running_attempt_ends_when_its_endpoint_is_lost(driver):
+    async def main():
+        with driver.exchange(REQUEST) as exchange:
+            await exchange.next_effect()
+            with exchange.attempt_scope(math.inf) as scope:
+                driver.drop_endpoint("a", 7)
+                await trio.sleep_forever()
+            return scope.cancelled_caught
+
+    assert trio.run(main)
+
+
+def test_another_incarnation_of_the_endpoint_is_left_alone(driver):
+    async def main():
+        with driver.exchange(REQUEST) as exchange:
+            await exchange.next_effect()
+            driver.drop_endpoint("a", 6)
+            with exchange.attempt_scope(math.inf) as scope:
+                await trio.lowlevel.checkpoint()
+            return scope.cancelled_caught
+
+    assert not trio.run(main)
