Check whose answer a stream is, and read each answer to its end

Cause: an engine may answer with another caller's stream; the relay checked only the incarnation and version. Besides, each finished answer closed its connection, because its last bytes were never read.

--- a/rattangate/cmd/serve.py
+++ b/rattangate/cmd/serve.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import hmac
 import os
 from pathlib import Path
 
 import trio
 import typer
 
-from rattangate.cmd.output import ExitCode, print_faults
-from rattangate.config.faults import ConfigError
+from rattangate.cmd.output import ExitCode, print_faults, print_line
+from rattangate.config.faults import ConfigError, Fault
 from rattangate.config.load import load_settings
+from rattangate.config.model import Settings
 from rattangate.entry import Entry
+from rattangate.http.auth import hash_key
 from rattangate.log_events import open_log
 
 PEER_SECRET_VARIABLE = "RATTANGATE_PEER_SECRET"
@@ -25,16 +28,42 @@
     """Run one entry instance until SIGTERM."""
     try:
         settings = load_settings(config, overlay)
-        entry = Entry(settings, instance, _peer_secret())
+        _check_instance(settings, instance, config)
+        secret = _peer_secret(settings, config)
     except ConfigError as exc:
         print_faults(exc.faults, as_json=False)
         raise typer.Exit(ExitCode.CONFIG_INVALID) from exc
+    entry = Entry(settings, instance, secret)
     _, close_log = open_log(instance)
     try:
         trio.run(entry.run)
+    except* OSError as group:
+        print_line(f"cannot serve: {_first_error(group)}; free the address or change the settings")
+        raise typer.Exit(ExitCode.UNAVAILABLE) from group
     finally:
         close_log()
 
 
-def _peer_secret() -> bytes:
-    return os.environ.get(PEER_SECRET_VARIABLE, "").encode()
+def _check_instance(settings: Settings, name: str, config: Path) -> None:
+    names = [instance.name for instance in settings.instances]
+    if name in names:
+        return
+    mend = f"name one of {', '.join(names)} with --instance"
+    raise ConfigError((Fault(str(config), 0, "instances", f"no instance {name!r}", mend),))
+
+
+def _first_error(group: BaseException) -> BaseException:
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
+
+
+def _peer_secret(settings: Settings, config: Path) -> bytes:
+    """Read the peers' secret from the environment and compare it with the hash in the settings."""
+    secret = os.environ.get(PEER_SECRET_VARIABLE, "")
+    wanted = settings.peers.secret_hash
+    if wanted and not hmac.compare_digest(hash_key(secret), wanted):
+        problem = f"the environment variable {PEER_SECRET_VARIABLE} does not hold this secret"
+        mend = "set the variable to the secret whose hash stands here"
+        raise ConfigError((Fault(str(config), 0, "peers.secret_hash", problem, mend),))
+    return secret.encode()
--- a/rattangate/core/streams.py
+++ b/rattangate/core/streams.py
@@ -18,6 +18,7 @@
 
     GAP = "gap"
     OTHER_SOURCE = "other_source"
+    OTHER_REQUEST = "other_request"
     MALFORMED = "malformed"
     EVENT_TOO_LARGE = "event_too_large"
 
@@ -53,6 +54,7 @@
 
 
 class _Chunk(msgspec.Struct):
+    id: str = ""
     choices: list[_Choice] = []
     offset: int | None = None
     system_fingerprint: str | None = None
@@ -63,12 +65,16 @@
 
 
 class StreamChecker:
-    """Follow one answer over all its attempts; offsets count tokens from 0."""
+    """Follow one answer over all its attempts; offsets count tokens from 0.
 
-    def __init__(self) -> None:
+    Each chunk's identifier must end with the request's, which engines may prefix.
+    """
+
+    def __init__(self, request_id: str = "") -> None:
         self.next_offset = 0
         self.finish_reason: str | None = None
         self.cached_tokens = 0
+        self._request_id = request_id
         self._texts: list[str] = []
         self._buffer = b""
         self._fingerprint = ""
@@ -113,6 +119,8 @@
             return StreamFault.MALFORMED
         if chunk.system_fingerprint not in (None, self._fingerprint):
             return StreamFault.OTHER_SOURCE
+        if not chunk.id.endswith(self._request_id):
+            return StreamFault.OTHER_REQUEST
         offset = self.next_offset if chunk.offset is None else chunk.offset
         if offset < self.next_offset:
             return _Verdict.DROP
--- a/rattangate/http/relay.py
+++ b/rattangate/http/relay.py
@@ -27,6 +27,7 @@
     from rattangate.metrics import Metrics
 
 STREAM_IDLE_S = 10.0
+END_TIMEOUT_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +69,7 @@
         metrics: Metrics,
     ) -> None:
         self.call = call
-        self.checker = StreamChecker()
+        self.checker = StreamChecker(call.request_id)
         self.attempts = 0
         self.cached_tokens = 0
         self.endpoint = ""
@@ -121,7 +122,7 @@
                     self._record_chunk(step.tokens)
                     yield step.forward
                 if step.done:
-                    await opened.resp.aclose()
+                    await _finish_reading(chunks)
                     self._end(exchange, dispatch, _COMPLETED)
                     return
                 if step.fault is not None:
@@ -202,6 +203,16 @@
         return Failure(ErrorKind.STREAM_BROKEN, failure.kind.value, failure.advised_wait_s)
 
 
+async def _finish_reading(chunks: AsyncIterator[bytes]) -> None:
+    """Read the end of an answer, so that its connection can be used again."""
+    with trio.move_on_after(END_TIMEOUT_S):
+        try:
+            async for _ in chunks:
+                pass
+        except (httpx.HTTPError, httpx.StreamError):
+            return
+
+
 _LOST = AttemptStatus(AttemptResult.LOST, RetryReason.LOST, "stream ended early")
 _COMPLETED = AttemptStatus(AttemptResult.COMPLETED, RetryReason.LOST)
 
--- a/rattangate/standins/engine.py
+++ b/rattangate/standins/engine.py
@@ -55,6 +55,7 @@
     poison: str = ""
     ignore_expected: bool = False
     stall_s: float = 0.0
+    crossed_answers: int = 0
 
 
 @dataclass(slots=True)
@@ -309,6 +310,9 @@
     except BaseException:
         engine.cancel(job.job_id)
         raise
+    if engine.faults.crossed_answers > 0:
+        engine.faults.crossed_answers -= 1
+        request_id, prompt = "req-of-another-caller", b"another prompt"
     chunks = _generate(engine, job, stream, _Reply(request_id, prompt, "messages" in body))
     return Response(
         chunks,
--- a/rattangate/standins/service.py
+++ b/rattangate/standins/service.py
@@ -114,4 +114,11 @@
         await trio.sleep(faults.answer_delay_s)
     finally:
         service.running -= 1
-    return json_response({"service": service.name, "run": number, "path": path})
+    return json_response(
+        {
+            "service": service.name,
+            "run": number,
+            "path": path,
+            "body": body.decode(errors="replace"),
+        }
+    )
--- a/tests/core/test_streams.py
+++ b/tests/core/test_streams.py
@@ -7,10 +7,10 @@
 from rattangate.core.streams import StreamChecker, StreamFault
 
 
-def _event(offset, text="café ", finish=None, source="1.v1"):
+def _event(offset, text="café ", finish=None, source="1.v1", answer_id="cmpl-req-1"):
     finish_reason = f'"{finish}"' if finish else "null"
     chunk = (
-        f'{{"offset":{offset},"system_fingerprint":"{source}",'
+        f'{{"id":"{answer_id}","offset":{offset},"system_fingerprint":"{source}",'
         f'"choices":[{{"index":0,"text":"{text}","finish_reason":{finish_reason}}}]}}'
     )
     return f"data: {chunk}\n\n".encode()
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def checker():
-    checker = StreamChecker()
+    checker = StreamChecker("req-1")
     checker.begin_attempt("1.v1")
     return checker
 
@@ -55,6 +55,11 @@
     assert checker.feed(_event(0, source="2.v1")).fault is StreamFault.OTHER_SOURCE
 
 
+def test_the_answer_to_another_request_is_refused(checker):
+    step = checker.feed(_event(0, answer_id="cmpl-req-2"))
+    assert (step.forward, step.fault) == (b"", StreamFault.OTHER_REQUEST)
+
+
 def test_a_new_attempt_continues_and_forgets_a_torn_event(checker):
     checker.feed(_event(0) + _event(1)[:20])
     checker.begin_attempt("9.v1")
--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -9,7 +9,7 @@
 import msgspec
 import yaml
 
-from bench.processes import Deployment, EngineShape
+from bench.processes import DEMO_PEER_SECRET, Deployment, EngineShape
 from rattangate.http.auth import hash_key
 from rattangate.standins.text import expected_text
 
@@ -110,6 +110,7 @@
         ],
         "admin_keys": [{"name": "admin", "key_hash": hash_key("demo-admin"), "role": "operator"}],
         "placement": {"piece_tokens": PIECE_TOKENS},
+        "peers": {"secret_hash": hash_key(DEMO_PEER_SECRET)},
         "shutdown": {"balancer_notice": "300ms"},
     }
     if not shape.services:
