Apply configuration versions and take them into force without a restart

Cause: a change of settings needed a restart of every instance. config apply, status and pull reach the platform; ConfigWatch carries out the follower's effects; reconfigure replaces workspaces, keys, models, limits, endpoints and peers of a running instance; peers hand the record and content over when asked.

Ruled out: waiting for the platform at a start (a router that restarts serves at once): 0.5 s at most.

--- a/rattangate/cmd/config.py
+++ b/rattangate/cmd/config.py
@@ -1,4 +1,4 @@
-"""The `config` commands: check, show, diff and schema."""
+"""The `config` commands: check, show, diff, schema, and those that reach the platform."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 import typer
 import yaml
 
+from rattangate.cmd import config_versions
+from rattangate.cmd.config_versions import AsJson, BasePath, OverlayPaths  # noqa: TC001
 from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
 from rattangate.config.faults import ConfigError
 from rattangate.config.load import check_sources, load_settings, load_sources
@@ -18,14 +20,11 @@
     from rattangate.config.model import Settings
 
 app = typer.Typer(help="Check, show, compare and apply the settings.", no_args_is_help=True)
+app.command()(config_versions.apply)
+app.command()(config_versions.status)
+app.command()(config_versions.pull)
 
-BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
 OverlayPath = Annotated[Path | None, typer.Option("--overlay", "-o", help="Overlay of one site.")]
-OverlayPaths = Annotated[
-    list[Path] | None,
-    typer.Option("--overlay", "-o", help="Overlay of a site; give it once for each."),
-]
-AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
 
 
 @app.command()
--- a/rattangate/cmd/output.py
+++ b/rattangate/cmd/output.py
@@ -26,6 +26,7 @@
     CONFLICT = 4
     UNAVAILABLE = 5
     DIFFERENT = 6
+    OUTCOME_UNKNOWN = 7
 
 
 def print_json(value: Any) -> None:
--- a/rattangate/core/config_follower.py
+++ b/rattangate/core/config_follower.py
@@ -163,7 +163,10 @@
         if msg.version <= self._wanted:
             return []
         self._wanted = msg.version
-        return [] if self._is_reading else self._poll()
+        effects: list[FollowerEffect] = [] if self._is_reading else self._poll()
+        if not self.is_settled:
+            effects.append(AskPeer(msg.instance))
+        return effects
 
     @_handle.register
     def _on_newest(self, msg: NewestRead, now: float) -> list[FollowerEffect]:
--- a/rattangate/core/config_versions.py
+++ b/rattangate/core/config_versions.py
@@ -186,6 +186,7 @@
         self._proposal = proposal
         self._record = proposal.record
         self._deadline = deadline
+        self._is_swapping = False
         self._swap_may_stand = False
         self._swapped = False
 
@@ -214,6 +215,7 @@
 
     @_handle.register
     def _on_content_stored(self, msg: ContentStored, now: float) -> ChangeEffect:
+        self._is_swapping = True
         return SwapVersion(self._record)
 
     @_handle.register
@@ -233,7 +235,8 @@
     def _on_step_failed(self, msg: StepFailed, now: float) -> ChangeEffect:
         if self._swapped:
             return Accepted(self._record, is_repeat=False)
-        self._swap_may_stand |= msg.may_have_applied
+        self._swap_may_stand |= self._is_swapping and msg.may_have_applied
+        self._is_swapping = False
         if now + RETRY_S < self._deadline:
             return RetryAt(now + RETRY_S)
         if self._swap_may_stand:
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -58,15 +58,49 @@
         self._clients = clients
         self._platform = platform
         self._driver = driver
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             for endpoint in self._endpoints.values():
+                self._start_watch(endpoint)
+            nursery.start_soon(self._watch_instance_list)
+
+    def set_endpoints(self, endpoints: tuple[EndpointCfg, ...]) -> None:
+        """Watch new and changed endpoints, and give no more work to those that are gone."""
+        before, self._endpoints = self._endpoints, {item.name: item for item in endpoints}
+        for name, endpoint in before.items():
+            if self._endpoints.get(name) != endpoint:
+                self._end_watch(name)
+        for name, endpoint in self._endpoints.items():
+            if name not in self.watched:
+                self.watched[name] = Watched()
+                self._start_watch(endpoint)
+
+    def _start_watch(self, endpoint: EndpointCfg) -> None:
+        if self._nursery is None:
+            return
+        self._scopes[endpoint.name] = scope = trio.CancelScope()
+        self._nursery.start_soon(self._watch, endpoint, scope)
+
+    def _end_watch(self, name: str) -> None:
+        seen = self.watched.pop(name)
+        if name in self._scopes:
+            self._scopes.pop(name).cancel()
+        if seen.incarnation:
+            self._driver.feed(
+                EndpointSeen(name, seen.incarnation, seen.weights_version, EndpointState.DOWN)
+            )
+
+    async def _watch(self, endpoint: EndpointCfg, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_load, endpoint)
                 if endpoint.kind is EndpointKind.ENGINE:
                     nursery.start_soon(self._follow_cache, endpoint)
-            nursery.start_soon(self._watch_instance_list)
 
     def mark_leaving(self, name: str, source: str) -> None:
         """Mark the present incarnation of an endpoint as leaving, for good."""
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -4,13 +4,22 @@
 
 import signal
 import time
-from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import trio
 
 import rattangate
+from rattangate.config.content import decode_content
+from rattangate.config.faults import ConfigError
+from rattangate.core.config_follower import (
+    ConfigFollower,
+    ConfigSource,
+    ContentRead,
+    VersionHeard,
+)
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
 from rattangate.driver import Driver
@@ -23,16 +32,23 @@
 from rattangate.http.serving import serve_app
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import Metrics
-from rattangate.peers.codec import PeerNews, news_of
+from rattangate.peers.codec import HeldConfig, PeerNews, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
 from rattangate.platform.client import PlatformClient
+from rattangate.platform.config_store import ConfigStore, decode_record, encode_record
+from rattangate.platform.config_watch import ConfigWatch
+from rattangate.reconfigure import reconfigure
 
 if TYPE_CHECKING:
+    from quart_trio import QuartTrio
+
     from rattangate.config.model import InstanceCfg, Settings
+    from rattangate.core.config_follower import Enforce
     from rattangate.core.messages import SendNews
 
 TICK_S = 0.02
 METRICS_WINDOW_S = 60.0
+CONFIG_GRACE_S = 0.5
 NS_PER_MS = 1_000_000
 
 
@@ -60,7 +76,7 @@
         self.ready = False
         self.leaving = False
         self.open_streams = 0
-        self.config_version = 0
+        self.follower = ConfigFollower(name, [item.name for item in settings.instances])
         self.clients: dict[str, EndpointClient] = {}
         self.peers = {peer.name: KnownPeer() for peer in settings.instances if peer.name != name}
         placement = settings.placement
@@ -70,10 +86,17 @@
         addresses = {
             peer.name: peer.peer_address for peer in settings.instances if peer.name != name
         }
-        self.links = PeerLinks(identity, addresses, self._receive_news)
+        self.links = PeerLinks(identity, addresses, self._receive_news, lambda: self._wrap(None))
         self.services = Services(self)
         self._stop = trio.Event()
         self._monitor: Monitor | None = None
+        self.config_watch: ConfigWatch | None = None
+        self._caller_app: QuartTrio | None = None
+
+    @property
+    def config_version(self) -> int:
+        """Return the configuration version in force; 0 stands for the files of the start."""
+        return self.follower.in_force
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what runs."""
@@ -85,12 +108,16 @@
             self.clients = await stack.enter_async_context(open_clients(addresses))
             self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            store = ConfigStore(platform)
+            self.config_watch = ConfigWatch(self.follower, store, self._enforce, self._ask_config)
+            nursery.start_soon(self.config_watch.run)
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self.links.run, self.instance.peer_address)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._rotate_metrics)
             nursery.start_soon(self._serve_admin)
             nursery.start_soon(self._stop_on_signal)
+            await self.config_watch.wait_settled(CONFIG_GRACE_S)
             await self._serve_callers()
             log(LogEvent.INSTANCE_STOPPED, instance=self.instance.name, streams_cut=0)
             nursery.cancel_scope.cancel()
@@ -99,7 +126,8 @@
         """Return the state of an endpoint as seen from here."""
         if self._monitor is None:
             return EndpointState.DOWN
-        return self._monitor.watched[name].state
+        seen = self._monitor.watched.get(name)
+        return seen.state if seen is not None else EndpointState.DOWN
 
     def describe_instances(self) -> list[dict[str, Any]]:
         """Describe this instance and its peers."""
@@ -131,8 +159,58 @@
             if endpoint.name in watched
         ]
 
+    def watch_endpoints(self) -> None:
+        """Watch the endpoints of the present settings."""
+        if self._monitor is not None:
+            self._monitor.set_endpoints(self.settings.endpoints)
+
+    def connect_peers(self) -> None:
+        """Connect to the peers of the present settings."""
+        others = [item for item in self.settings.instances if item.name != self.instance.name]
+        self.peers = {peer.name: self.peers.get(peer.name, KnownPeer()) for peer in others}
+        self.links.set_peers({peer.name: peer.peer_address for peer in others})
+
+    def apply_limits(self) -> None:
+        """Apply the limits of the present settings to the caller API."""
+        if self._caller_app is not None:
+            limits = self.settings.limits
+            self._caller_app.config["BODY_TIMEOUT"] = limits.body_timeout_s
+            self._caller_app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
+
+    def _enforce(self, effect: Enforce) -> bool:
+        version = effect.record.version
+        try:
+            content = decode_content(effect.content)
+            settings = content.settings_of(self.instance.data_centre)
+        except ConfigError as exc:
+            log(LogEvent.CONFIG_INVALID, version=version, faults=len(exc.faults))
+            return False
+        reconfigure(self, settings)
+        log(LogEvent.CONFIG_IN_FORCE, version=version, source=effect.source.value)
+        return True
+
+    def _ask_config(self, peer: str) -> None:
+        self.links.send_to(peer, replace(self._wrap(None), wants_config=True))
+
+    def _give_config(self, peer: str) -> None:
+        held = self.config_watch.held if self.config_watch is not None else None
+        if held is not None:
+            config = HeldConfig(encode_record(held.record), held.content)
+            self.links.send_to(peer, replace(self._wrap(None), config=config))
+
+    def _receive_config(self, news: PeerNews) -> None:
+        if self.config_watch is None:
+            return
+        self.config_watch.feed(VersionHeard(news.instance, news.config_version))
+        if news.wants_config:
+            self._give_config(news.instance)
+        if news.config is not None:
+            with suppress(msgspec.MsgspecError):
+                record = decode_record(news.config.record)
+                self.config_watch.feed(ContentRead(record, news.config.content, ConfigSource.PEER))
+
     async def _serve_callers(self) -> None:
-        app = make_caller_app(self)
+        app = self._caller_app = make_caller_app(self)
         self.ready = True
         log(
             LogEvent.INSTANCE_STARTED,
@@ -198,6 +276,7 @@
         peer.is_live = True
         peer.is_leaving = news.leaving
         self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
+        self._receive_config(news)
         if news.seq:
             self.driver.feed(
                 NewsReceived(
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -26,6 +26,14 @@
 _factory = TBinaryProtocolFactory()
 
 
+@dataclass(frozen=True, slots=True)
+class HeldConfig:
+    """Hold the encoded record and content of a configuration version."""
+
+    record: bytes
+    content: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class PeerNews:
     """Hold what one instance tells its peers.
@@ -41,6 +49,8 @@
     placements: tuple[Placement, ...]
     departures: tuple[Departure, ...]
     leaving_endpoints: tuple[tuple[str, int], ...]
+    wants_config: bool = False
+    config: HeldConfig | None = None
 
 
 def encode_message(message: object) -> bytes:
@@ -71,6 +81,9 @@
             placed=[_placed(placement) for placement in news.placements],
             departed=[_departed(departure) for departure in news.departures],
             leaving_endpoints=dict(news.leaving_endpoints),
+            wants_config=news.wants_config or None,
+            config_record=news.config.record if news.config is not None else None,
+            config_content=news.config.content if news.config is not None else None,
         )
     )
 
@@ -87,6 +100,8 @@
         tuple(_placement(placed) for placed in raw.placed or ()),
         tuple(_departure(departed) for departed in raw.departed or ()),
         tuple((raw.leaving_endpoints or {}).items()),
+        bool(raw.wants_config),
+        _held_config(raw),
     )
 
 
@@ -100,6 +115,12 @@
     return PeerNews(instance, incarnation, seq, config_version, leaving, placements, departures, ())
 
 
+def _held_config(raw: Any) -> HeldConfig | None:
+    if raw.config_record is None or raw.config_content is None:
+        return None
+    return HeldConfig(raw.config_record, raw.config_content)
+
+
 def _placed(placement: Placement) -> Any:
     return idl.Placed(
         endpoint=placement.endpoint,
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -5,6 +5,7 @@
 import hmac
 import secrets
 import struct
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -55,11 +56,15 @@
         identity: PeerIdentity,
         peers: dict[str, str],
         receive_news: Callable[[PeerNews], None],
+        greet: Callable[[], PeerNews],
     ) -> None:
         self._identity = identity
         self._peers = peers
         self._receive_news = receive_news
+        self._greet = greet
         self._senders: dict[str, trio.MemorySendChannel[bytes]] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
 
     def send(self, news: PeerNews) -> None:
         """Queue news for every peer; a peer that is behind loses the newest."""
@@ -70,17 +75,51 @@
             except trio.WouldBlock:
                 continue
 
+    def send_to(self, name: str, news: PeerNews) -> None:
+        """Queue news for one peer; a peer that is behind or unknown gets none."""
+        sender = self._senders.get(name)
+        if sender is not None:
+            with suppress(trio.WouldBlock):
+                sender.send_nowait(encode_news(news))
+
+    def set_peers(self, peers: dict[str, str]) -> None:
+        """Connect to new and moved peers and drop the others."""
+        before, self._peers = self._peers, peers
+        for name, address in before.items():
+            if peers.get(name) != address and name in self._scopes:
+                self._scopes.pop(name).cancel()
+                del self._senders[name]
+        for name in peers:
+            if name not in self._senders:
+                self._connect(name)
+
     async def run(self, address: str) -> None:
         """Serve and connect until cancelled."""
         host, port = address.rsplit(":", 1)
         async with trio.open_nursery() as nursery:
-            for name, peer_address in self._peers.items():
-                sender, receiver = trio.open_memory_channel[bytes](MAX_QUEUED_NEWS)
-                self._senders[name] = sender
-                nursery.start_soon(self._keep_sending, peer_address, receiver)
+            self._nursery = nursery
+            for name in self._peers:
+                self._connect(name)
             await trio.serve_tcp(self._serve_peer, int(port), host=host)
 
-    async def _keep_sending(self, address: str, frames: trio.MemoryReceiveChannel[bytes]) -> None:
+    def _connect(self, name: str) -> None:
+        if self._nursery is None:
+            return
+        sender, receiver = trio.open_memory_channel[bytes](MAX_QUEUED_NEWS)
+        self._senders[name] = sender
+        self._scopes[name] = scope = trio.CancelScope()
+        self._nursery.start_soon(self._keep_sending, self._peers[name], receiver, scope)
+
+    async def _keep_sending(
+        self,
+        address: str,
+        frames: trio.MemoryReceiveChannel[bytes],
+        scope: trio.CancelScope,
+    ) -> None:
+        with scope:
+            await self._reconnect(address, frames)
+
+    async def _reconnect(self, address: str, frames: trio.MemoryReceiveChannel[bytes]) -> None:
         host, port = address.rsplit(":", 1)
         while True:
             try:
@@ -95,6 +134,7 @@
     ) -> None:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await self._introduce(_FrameReader(stream), stream)
+            await _send_frame(stream, encode_news(self._greet()))
         async for frame in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
                 await _send_frame(stream, frame)
@@ -136,6 +176,8 @@
             news = decode_news(frame)
         except Exception as exc:  # noqa: BLE001 - the codec raises many types on bad input
             raise PeerProtocolError(f"bad news: {type(exc).__name__}") from exc
+        if name not in self._peers:
+            raise PeerProtocolError(f"{name!r} left the settings")
         if news.instance != name:
             raise PeerProtocolError(f"news of {news.instance!r} from {name!r}")
         self._receive_news(news)
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -47,4 +47,9 @@
   6: list<Placed> placed
   7: list<Departed> departed
   8: map<string, i64> leaving_endpoints
+  /** Asks the receiver for the configuration that it has in force. */
+  9: optional bool wants_config
+  /** A configuration record and its content, on request. */
+  10: optional binary config_record
+  11: optional binary config_content
 }
--- /dev/null
+++ b/rattangate/platform/config_store.py
@@ -0,0 +1,171 @@
+"""The configuration versions in the platform's table service and object store.
+
+The table's row `config/newest` holds the newest record; its row version is the configuration version.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from rattangate.core.config_follower import ConfigSource, NewestRead, ReadFailed
+from rattangate.core.config_versions import (
+    ChangeMessage,
+    ChangeOutcome,
+    ConfigChange,
+    ConfigRecord,
+    ContentStored,
+    ReadTable,
+    RecordStored,
+    RetryAt,
+    RetryDue,
+    StepFailed,
+    StoreContent,
+    StoreRecord,
+    Swapped,
+    SwapRefused,
+    SwapVersion,
+    TableRead,
+)
+from rattangate.platform.client import Conflict, Found, Rows, Unavailable
+
+if TYPE_CHECKING:
+    from rattangate.core.config_versions import ChangeEffect, Proposal
+    from rattangate.platform.client import PlatformClient, Row
+
+NEWEST_KEY = "config/newest"
+CHANGE_PREFIX = "config/changes/"
+VERSION_PREFIX = "config/versions/"
+CONTENT_PREFIX = "config/contents/"
+RECORD_PREFIX = "config/records/"
+VERSION_DIGITS = 12
+
+
+class ConfigStore:
+    """Read and write configuration versions."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def propose(self, proposal: Proposal, timeout_s: float) -> ChangeOutcome:
+        """Carry a proposal to its outcome; may last the timeout and one request more."""
+        change = ConfigChange(proposal, trio.current_time() + timeout_s)
+        effect = change.start()
+        while not isinstance(effect, ChangeOutcome):
+            msg = await self._carry_out(effect)
+            effect = change.handle(msg, trio.current_time())
+        return effect
+
+    async def read_newest(self) -> NewestRead | ReadFailed:
+        """Read the newest record from the table."""
+        outcome = await self._platform.get_rows([NEWEST_KEY])
+        if isinstance(outcome, Unavailable):
+            return ReadFailed(ConfigSource.TABLE)
+        try:
+            return NewestRead(_record_of(outcome.rows[0]), ConfigSource.TABLE)
+        except msgspec.MsgspecError:
+            return ReadFailed(ConfigSource.TABLE)
+
+    async def read_newest_object(self) -> NewestRead | ReadFailed:
+        """Read the newest record from the object store."""
+        keys = await self._platform.list_objects(RECORD_PREFIX)
+        if isinstance(keys, Unavailable):
+            return ReadFailed(ConfigSource.OBJECT)
+        if not keys:
+            return NewestRead(None, ConfigSource.OBJECT)
+        found = await self._platform.get_object(max(keys))
+        if isinstance(found, Unavailable) or found.body is None:
+            return ReadFailed(ConfigSource.OBJECT)
+        try:
+            return NewestRead(decode_record(found.body), ConfigSource.OBJECT)
+        except msgspec.MsgspecError:
+            return ReadFailed(ConfigSource.OBJECT)
+
+    async def read_content(self, record: ConfigRecord) -> bytes | None:
+        """Read the content of a version, or None when it can't be had."""
+        found = await self._platform.get_object(CONTENT_PREFIX + record.digest)
+        return found.body if isinstance(found, Found) else None
+
+    async def read_history(self, newest: int, count: int) -> tuple[ConfigRecord, ...] | Unavailable:
+        """Read the last records up to a version, newest first."""
+        versions = range(newest, max(0, newest - count), -1)
+        outcome = await self._platform.get_rows(map(_version_key, versions))
+        if isinstance(outcome, Unavailable):
+            return outcome
+        records = (_record_of(row) for row in outcome.rows)
+        return tuple(record for record in records if record is not None)
+
+    async def store_record(self, record: ConfigRecord) -> bool:
+        """Write the record of an accepted version; an existing one stays."""
+        key = f"{RECORD_PREFIX}{record.version:0{VERSION_DIGITS}}"
+        outcome = await self._platform.put_object(key, encode_record(record))
+        return not isinstance(outcome, Unavailable)
+
+    @singledispatchmethod
+    async def _carry_out(self, effect: ChangeEffect) -> ChangeMessage:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_carry_out.register
+    async def _read_table(self, effect: ReadTable) -> ChangeMessage:
+        keys = [NEWEST_KEY, CHANGE_PREFIX + effect.change_id]
+        outcome = await self._platform.get_rows(keys)
+        if isinstance(outcome, Unavailable):
+            return StepFailed(outcome.detail, outcome.may_have_applied)
+        newest, own = outcome.rows
+        return TableRead(_record_of(newest), _record_of(own))
+
+    @_carry_out.register
+    async def _store_content(self, effect: StoreContent) -> ChangeMessage:
+        outcome = await self._platform.put_object(CONTENT_PREFIX + effect.digest, effect.content)
+        if isinstance(outcome, Unavailable):
+            return StepFailed(outcome.detail, outcome.may_have_applied)
+        return ContentStored()
+
+    @_carry_out.register
+    async def _swap(self, effect: SwapVersion) -> ChangeMessage:
+        record = effect.record
+        change_key = CHANGE_PREFIX + record.change_id
+        value = msgspec.to_builtins(record)
+        keys = (NEWEST_KEY, change_key, _version_key(record.version))
+        outcome = await self._platform.transact(
+            [(NEWEST_KEY, record.version - 1), (change_key, 0)], [(key, value) for key in keys]
+        )
+        if isinstance(outcome, Rows):
+            return Swapped()
+        if isinstance(outcome, Conflict):
+            return SwapRefused()
+        return StepFailed(outcome.detail, outcome.may_have_applied)
+
+    @_carry_out.register
+    async def _store_record(self, effect: StoreRecord) -> ChangeMessage:
+        if await self.store_record(effect.record):
+            return RecordStored()
+        return StepFailed("the record could not be stored", may_have_applied=True)
+
+    @_carry_out.register
+    async def _wait(self, effect: RetryAt) -> ChangeMessage:
+        await trio.sleep_until(effect.at)
+        return RetryDue()
+
+
+def encode_record(record: ConfigRecord) -> bytes:
+    """Encode a record."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data: bytes) -> ConfigRecord:
+    """Decode a record."""
+    return msgspec.json.decode(data, type=ConfigRecord)
+
+
+def _record_of(row: Row) -> ConfigRecord | None:
+    if row.value is None:
+        return None
+    return msgspec.convert(row.value, ConfigRecord)
+
+
+def _version_key(version: int) -> str:
+    return f"{VERSION_PREFIX}{version:0{VERSION_DIGITS}}"
--- a/tests/core/test_config_versions.py
+++ b/tests/core/test_config_versions.py
@@ -294,6 +294,8 @@
 def test_outcome_is_unknown_only_after_a_swap_that_may_stand():
     change = propose()
     assert change.handle(StepFailed("down", False), 2.0) == NotAccepted("down")
+    assert change.handle(StepFailed("cut", True), 2.0) == NotAccepted("cut")
+    change.handle(ContentStored(), 2.0)
     assert change.handle(StepFailed("cut", True), 2.0) == OutcomeUnknown("id-1", "cut")
 
 
