--- a/rattangate/core/config_follower.py
+++ b/rattangate/core/config_follower.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-POLL_S = 2.0
+POLL_S = 1.5
 RETRY_S = 0.5
 RECORD_KEEPERS = 3
 
@@ -137,6 +137,7 @@
         self._heard: dict[str, int] = {}
         self._is_reading = False
         self._poll_at = 0.0
+        self._polls = 0
 
     def handle(self, msg: FollowerMessage, now: float) -> list[FollowerEffect]:
         """Apply one message and return the effects to carry out."""
@@ -195,7 +196,7 @@
         self._wanted = max(self._wanted, record.version)
         if msg.source is not ConfigSource.PEER:
             self._is_reading = False
-            self._poll_at = now + POLL_S
+            self._poll_at = now + self._poll_interval()
         return [Enforce(record, msg.content, msg.source)]
 
     @_handle.register
@@ -215,13 +216,19 @@
 
     def _end_read(self, now: float, source: ConfigSource) -> list[FollowerEffect]:
         self._is_reading = False
-        self._poll_at = now + (RETRY_S if self.is_behind else POLL_S)
+        self._poll_at = now + (RETRY_S if self.is_behind else self._poll_interval())
         self.is_settled |= source is ConfigSource.TABLE and not self.is_behind
         if not self.is_behind:
             return []
         ahead = [name for name, version in self._heard.items() if version > self.in_force]
         return [AskPeer(max(ahead, key=lambda name: self._score(name, 0)))] if ahead else []
 
+    def _poll_interval(self) -> float:
+        # Instances that learned a version together must not poll together ever after.
+        self._polls += 1
+        spread = self._score(self._instance, self._polls)[0] / 255
+        return POLL_S * (0.5 + spread)
+
     def _keeps_record(self, version: int) -> bool:
         ranked = sorted(self._instances, key=lambda name: self._score(name, version))
         return self._instance in ranked[:RECORD_KEEPERS]
--- /dev/null
+++ b/tests/config/test_content.py
@@ -0,0 +1,27 @@
+"""The content of a configuration version."""
+
+from __future__ import annotations
+
+import pytest
+
+from rattangate.config.content import content_of, decode_content, encode_content
+from rattangate.config.faults import ConfigError
+from rattangate.config.load import Sources
+from rattangate.config.tree import Source
+from tests.config.test_load import BASE
+
+EAST = "site: east\nplacement:\n  recompute_weight: 2.5\n"
+
+
+def test_content_gives_each_site_its_settings():
+    sources = Sources(Source("any.yaml", BASE.encode()), (Source("some.yaml", EAST.encode()),))
+    content = decode_content(encode_content(content_of(sources)))
+    assert content.overlays == {"east": EAST}
+    assert content.settings_of("east").placement.recompute_weight == 2.5
+    assert content.settings_of("elsewhere").placement.recompute_weight == 1.0
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"\xff", b'{"base": 1, "overlays": {}}'])
+def test_malformed_content_is_a_fault(data: bytes):
+    with pytest.raises(ConfigError):
+        decode_content(data)
