--- /dev/null
+++ b/tests/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the single file, on the running process."""
--- /dev/null
+++ b/tools/onefile/__init__.py
@@ -0,0 +1,1 @@
+"""The modules that the build puts at the top of the single file."""
