Add intake: late binding, fair queue, limits, retry budget and quarantine

Cause: the gateway placed each request at once, retried without a budget and let a request that crashes endpoints run on as many as three per copy. Ruled out: a verdict after two crashes (two kills in a row would condemn an innocent); an ask of an owner instance before each first attempt (a round trip for every request). Before: no queue, limits or quarantine. Conclusion: wired into the gateway; deadlines, fairness and limits get their own tests next.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 from rattangate.core.endpoint_state import Endpoint
+from rattangate.core.intake import Intake, IntakeCfg
 from rattangate.core.messages import (
     AttemptEnded,
-    AttemptResult,
     CacheChanged,
     Departure,
     Dispatch,
@@ -17,26 +17,27 @@
     EndpointSeen,
     EndpointState,
     FirstTokenSeen,
+    LimitsNews,
     LoadReported,
     NewsReceived,
     PeerLost,
     PictureReceived,
     Placement,
-    Refuse,
+    QuarantineReleased,
     RequestAbandoned,
     RequestArrived,
     SendNews,
     Tick,
 )
-from rattangate.core.placement import choose, find_candidates
-from rattangate.errors import ErrorKind, Failure
+from rattangate.core.placement import find_candidates
 
 if TYPE_CHECKING:
     from rattangate.core.messages import Message
     from rattangate.core.placement import Candidate
+    from rattangate.core.runs import Run
 
-MAX_ATTEMPTS = 3
 OWN = ""
+RESEND_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,16 +47,7 @@
     piece_tokens: int
     recompute_weight: float
     learn_caches: bool = True
-
-
-@dataclass(slots=True)
-class _Running:
-    req: RequestArrived
-    attempt: int = 0
-    number: int = 0
-    placed_on: Endpoint | None = None
-    first_token: bool = False
-    tried: set[tuple[str, int]] = field(default_factory=set)
+    intake: IntakeCfg = IntakeCfg()
 
 
 class Gateway:
@@ -64,11 +56,13 @@
     def __init__(self, cfg: GatewayCfg, seed: int) -> None:
         self.cfg = cfg
         self.endpoints: dict[str, Endpoint] = {}
-        self._running: dict[int, _Running] = {}
+        self.intake = Intake(cfg.intake, seed, self)
         self._placements: list[tuple[float, Placement]] = []
         self._departures: list[tuple[float, Departure]] = []
         self._number = 0
         self._seq = 0
+        self._told = LimitsNews()
+        self._tell_at = 0.0
         self._peers: dict[str, tuple[int, int]] = {}
 
     def handle(self, msg: Message, now: float) -> list[Effect]:
@@ -99,39 +93,37 @@
 
     @_handle.register
     def _on_request(self, msg: RequestArrived, now: float) -> list[Effect]:
-        self._running[msg.req_id] = _Running(msg)
-        return self._place(msg.req_id, now)
+        return self.intake.arrive(msg, now)
 
     @_handle.register
     def _on_first_token(self, msg: FirstTokenSeen, now: float) -> list[Effect]:
-        run = self._running.get(msg.req_id)
-        if run is None or run.attempt != msg.attempt or run.placed_on is None or run.first_token:
+        run = self._find_run(msg.req_id, msg.attempt)
+        if run is None or run.placed_on is None or run.first_token_at is not None:
             return []
-        run.first_token = True
         run.placed_on.first_token((OWN, run.number), msg.cached_tokens, now)
         self._depart(run, msg.cached_tokens, now)
-        return []
+        return self.intake.note_first_token(run, now)
 
     @_handle.register
     def _on_attempt_ended(self, msg: AttemptEnded, now: float) -> list[Effect]:
-        run = self._running.get(msg.req_id)
-        if run is None or run.attempt != msg.attempt:
-            return []
-        self._release(run, now)
-        if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
-            del self._running[msg.req_id]
+        run = self._find_run(msg.req_id, msg.attempt)
+        if run is None or run.placed_on is None:
             return []
-        return self._place(msg.req_id, now)
+        return self.intake.end_attempt(run, msg, now)
 
     @_handle.register
     def _on_abandoned(self, msg: RequestAbandoned, now: float) -> list[Effect]:
-        run = self._running.pop(msg.req_id, None)
-        if run is not None:
-            self._release(run, now)
+        run = self.intake.runs.get(msg.req_id)
+        return [] if run is None else self.intake.abandon(run, now)
+
+    @_handle.register
+    def _on_released(self, msg: QuarantineReleased, now: float) -> list[Effect]:
+        self.intake.suspects.quarantine.clear(msg.digest)
         return []
 
     @_handle.register
     def _on_endpoint(self, msg: EndpointSeen, now: float) -> list[Effect]:
+        self.intake.suspects.quarantine.note_endpoint(msg.endpoint, msg.incarnation, msg.state)
         known = self.endpoints.get(msg.endpoint)
         if known is None or msg.incarnation > known.seen.incarnation:
             self.endpoints[msg.endpoint] = self._new_endpoint(msg, now)
@@ -166,6 +158,8 @@
             self._apply_placement(msg.instance, placement, now)
         for departure in msg.departures:
             self._apply_departure(msg.instance, departure, now)
+        if msg.limits is not None:
+            return self.intake.take_news(msg.instance, msg.limits, now)
         return []
 
     @_handle.register
@@ -182,35 +176,23 @@
 
     @_handle.register
     def _on_tick(self, msg: Tick, now: float) -> list[Effect]:
-        if not self._placements and not self._departures:
-            return []
-        self._seq += 1
-        placements = tuple(replace(sent, age_s=now - at) for at, sent in self._placements)
-        departures = tuple(replace(sent, age_s=now - at) for at, sent in self._departures)
-        self._placements.clear()
-        self._departures.clear()
-        return [SendNews(self._seq, placements, departures)]
+        return [*self.intake.tick(now), *self._send_news(now)]
+
+    # What the intake needs of the endpoints
 
-    def _place(self, req_id: int, now: float) -> list[Effect]:
-        run = self._running[req_id]
-        if run.attempt >= MAX_ATTEMPTS:
-            return self._refuse(req_id, ErrorKind.RETRIES_EXHAUSTED)
+    def candidates(self, run: Run, now: float) -> list[Candidate]:
+        """Return the endpoints that may run a request."""
         weight = self.cfg.recompute_weight
-        candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
-        untried = [c for c in candidates if _incarnation(c.endpoint) not in run.tried]
-        if not untried:
-            kind = ErrorKind.RETRIES_EXHAUSTED if run.attempt else ErrorKind.NO_ENDPOINT
-            return self._refuse(req_id, kind)
-        return [self._dispatch(run, choose(untried), now)]
-
-    def _dispatch(self, run: _Running, chosen: Candidate, now: float) -> Dispatch:
+        return find_candidates(self.endpoints.values(), run.req, weight, now)
+
+    def dispatch(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
+        """Place a request on an endpoint."""
         req = run.req
         endpoint = chosen.endpoint
         self._number += 1
         run.attempt += 1
         run.number = self._number
         run.placed_on = endpoint
-        run.tried.add(_incarnation(endpoint))
         endpoint.place((OWN, run.number), chosen.pieces, req.prompt_tokens, req.priority, now)
         placement = Placement(
             endpoint.name,
@@ -221,6 +203,7 @@
             req.max_tokens,
             req.priority,
             run.number,
+            digest=run.digest,
         )
         self._placements.append((now, placement))
         return Dispatch(
@@ -229,20 +212,35 @@
             endpoint.name,
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
+            run.retry_reason,
         )
 
-    def _refuse(self, req_id: int, kind: ErrorKind) -> list[Effect]:
-        del self._running[req_id]
-        return [Refuse(req_id, Failure(kind))]
-
-    def _release(self, run: _Running, now: float) -> None:
-        if run.placed_on is not None and not run.first_token:
+    def release(self, run: Run, now: float) -> None:
+        """Take a request off its endpoint."""
+        if run.placed_on is not None and run.first_token_at is None:
             run.placed_on.drop((OWN, run.number), now)
             self._depart(run, None, now)
         run.placed_on = None
-        run.first_token = False
 
-    def _depart(self, run: _Running, cached_tokens: int | None, now: float) -> None:
+    def _find_run(self, req_id: int, attempt: int) -> Run | None:
+        run = self.intake.runs.get(req_id)
+        return run if run is not None and run.attempt == attempt else None
+
+    def _send_news(self, now: float) -> list[Effect]:
+        limits = self.intake.news(now)
+        unchanged = limits == self._told and now < self._tell_at
+        if not self._placements and not self._departures and unchanged:
+            return []
+        self._told = limits
+        self._tell_at = now + RESEND_S
+        self._seq += 1
+        placements = tuple(replace(sent, age_s=now - at) for at, sent in self._placements)
+        departures = tuple(replace(sent, age_s=now - at) for at, sent in self._departures)
+        self._placements.clear()
+        self._departures.clear()
+        return [SendNews(self._seq, placements, departures, limits)]
+
+    def _depart(self, run: Run, cached_tokens: int | None, now: float) -> None:
         assert run.placed_on is not None
         seen = run.placed_on.seen
         req = run.req
@@ -257,6 +255,7 @@
         self._departures.append((now, departure))
 
     def _apply_placement(self, peer: str, placement: Placement, now: float) -> None:
+        self.intake.take_placement(placement, now)
         endpoint = self._current(placement.endpoint, placement.incarnation)
         if endpoint is None:
             return
@@ -280,6 +279,7 @@
             endpoint.first_token(key, departure.cached_tokens, at)
 
     def _drop_peer(self, peer: str, now: float) -> None:
+        self.intake.drop_peer(peer)
         for endpoint in self.endpoints.values():
             endpoint.drop_owner(peer, now)
 
@@ -301,7 +301,3 @@
             self.endpoints[seen.endpoint] = fresh
             return
         known.update(seen)
-
-
-def _incarnation(endpoint: Endpoint) -> tuple[str, int]:
-    return (endpoint.name, endpoint.seen.incarnation)
--- /dev/null
+++ b/rattangate/core/intake.py
@@ -0,0 +1,348 @@
+"""Take requests in, keep them within limits, and decide when each attempt starts or ends."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING, Protocol
+
+from rattangate.core.admission import Admission, Reject, Start
+from rattangate.core.fairness import FairQueue, QueueItem, UsageMeter
+from rattangate.core.flights import Flights
+from rattangate.core.limits import WorkspaceLimits
+from rattangate.core.messages import (
+    AttemptResult,
+    LimitsNews,
+    Refuse,
+    Withdraw,
+)
+from rattangate.core.quarantine import Verdict
+from rattangate.core.refusals import RefusalReason, make_failure
+from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
+from rattangate.core.runs import Run
+from rattangate.core.suspects import Absolve, Condemn, Probe, Suspects
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rattangate.core.limits import WorkspaceLimit
+    from rattangate.core.messages import (
+        AttemptEnded,
+        Dispatch,
+        Effect,
+        Placement,
+        RequestArrived,
+    )
+    from rattangate.core.placement import Candidate
+    from rattangate.core.suspects import Step
+
+MAX_FAILURES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeCfg:
+    """Hold the settings of limits, queue and retries of one instance.
+
+    `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work.
+    """
+
+    instance: str = ""
+    instances: int = 1
+    workspaces: tuple[WorkspaceLimit, ...] = ()
+    queue_bound: int = 64
+    bind_wait_s: float = 0.5
+    retry_ratio: float = 0.1
+
+
+class Pool(Protocol):
+    """Reach the endpoints that the gateway follows."""
+
+    def candidates(self, run: Run, now: float) -> list[Candidate]:
+        """Return the endpoints that may run a request."""
+
+    def dispatch(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
+        """Place a request on an endpoint."""
+
+    def release(self, run: Run, now: float) -> None:
+        """Take a request off its endpoint."""
+
+
+class Intake:
+    """Own all requests of one instance between arrival and end."""
+
+    def __init__(self, cfg: IntakeCfg, seed: int, pool: Pool) -> None:
+        self.runs: dict[int, Run] = {}
+        self.limits = WorkspaceLimits(cfg.instances, cfg.workspaces)
+        self.meter = UsageMeter(self.limits.shares())
+        self.queue = FairQueue(self.meter, cfg.queue_bound)
+        self.budget = RetryBudget(cfg.retry_ratio)
+        self.suspects = Suspects(cfg.instance)
+        self.flights = Flights()
+        self._admission = Admission(self.queue, cfg.bind_wait_s, random.Random(seed))
+        self._pool = pool
+        self._peer_queues: dict[str, int] = {}
+
+    def configure(self, instances: int, workspaces: Iterable[WorkspaceLimit]) -> None:
+        """Take new limits and the number of entry instances."""
+        self.limits.configure(instances, workspaces)
+        self.meter.configure(self.limits.shares())
+
+    def arrive(self, req: RequestArrived, now: float) -> list[Effect]:
+        """Take a request in, or refuse it at once."""
+        self.budget.count_arrival(now)
+        run = Run(req, now, req.deadline)
+        verdict = self.suspects.quarantine.judge(run.digest, now)
+        if verdict is Verdict.GUILTY:
+            wait_s = self.suspects.quarantine.remaining_s(run.digest, now)
+            return [_refuse(req.req_id, RefusalReason.QUARANTINED, wait_s)]
+        denial = self.limits.admit(req.scope.workspace, req.prompt_tokens, now)
+        if denial is not None:
+            wait_s = self._admission.retry_after_s(denial.retry_after_s)
+            return [_refuse(req.req_id, denial.reason, wait_s)]
+        self.runs[req.req_id] = run
+        if verdict is Verdict.SUSPECT:
+            self.suspects.hold(run, now)
+            return []
+        displaced = self.queue.push(_queue_item(run), now)
+        effects = self._pump(now)
+        if displaced is not None:
+            wait_s = self._admission.retry_after_s(self._admission.longest_wait_s / 2)
+            effects.extend(self._drop(self.runs[displaced], RefusalReason.QUEUE_FULL, now, wait_s))
+        return effects
+
+    def note_first_token(self, run: Run, now: float) -> list[Effect]:
+        """Use the room that the end of a prefill leaves."""
+        run.first_token_at = now
+        return self._pump(now)
+
+    def end_attempt(self, run: Run, msg: AttemptEnded, now: float) -> list[Effect]:
+        """Finish a request or decide on its next attempt."""
+        if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
+            if msg.result is AttemptResult.COMPLETED:
+                self._note_completed(run)
+            self._forget(run, now)
+            return self._pump(now)
+        if msg.result is not AttemptResult.NOT_SENT:
+            run.failures += 1
+        if msg.result is AttemptResult.LOST:
+            return self._end_lost(run, now)
+        self._pool.release(run, now)
+        return self._retry(run, retry_reason(msg.result, run.req.repeatable), now)
+
+    def abandon(self, run: Run, now: float) -> list[Effect]:
+        """Forget a request that its caller gave up."""
+        self._forget(run, now)
+        return self._pump(now)
+
+    def take_news(self, instance: str, news: LimitsNews, now: float) -> list[Effect]:
+        """Learn a peer's use of limits, its queue and its suspects."""
+        if instance not in self._peer_queues:
+            self.suspects.quarantine.resend_soon()
+        self.limits.take_usage(instance, news.usages)
+        self._peer_queues[instance] = news.queued_tokens
+        effects: list[Effect] = []
+        for digest in self.suspects.take_news(instance, news, now):
+            effects.extend(self._withdraw(digest, now))
+        return effects
+
+    def take_placement(self, placement: Placement, now: float) -> None:
+        """Charge a peer's placement to its workspace."""
+        tokens = placement.prompt_tokens + placement.max_tokens
+        self.meter.charge(placement.workspace, tokens, now)
+        self.flights.note(placement.digest, (placement.endpoint, placement.incarnation), now)
+
+    def drop_peer(self, instance: str) -> None:
+        """Forget what a lost peer told."""
+        self.limits.drop_peer(instance)
+        self.suspects.drop_peer(instance)
+        self._peer_queues.pop(instance, None)
+
+    def news(self, now: float) -> LimitsNews:
+        """Return what peers should know."""
+        return LimitsNews(
+            self.limits.usage(now),
+            self.queue.queued_tokens,
+            self.suspects.quarantine.suspicions(now),
+            self.suspects.claims(),
+        )
+
+    def tick(self, now: float) -> list[Effect]:
+        """Refuse what has become late and start what has its turn."""
+        self.suspects.quarantine.expire(now)
+        self.flights.expire(now)
+        effects: list[Effect] = []
+        for step in self.suspects.steps(partial(self._live_names, now=now), now):
+            effects.extend(self._take_step(step, now))
+        effects.extend(self._pump(now))
+        return effects
+
+    # The plan's view of waiting requests
+
+    def candidates(self, req_id: int, now: float) -> list[Candidate]:
+        """Return the endpoints that may run a waiting request."""
+        run = self.runs[req_id]
+        found = self._pool.candidates(run, now)
+        untried = [one for one in found if _life(one) not in run.tried]
+        flight = self.flights.endpoint_of(run.digest, now)
+        return [one for one in untried if _life(one) == flight] or untried
+
+    def deadline(self, req_id: int) -> float:
+        """Return the deadline of the next first token of a request."""
+        return self.runs[req_id].deadline
+
+    def priority(self, req_id: int) -> int:
+        """Return the priority of a request."""
+        return self.runs[req_id].req.priority
+
+    def _pump(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        owing = 0
+        for decision in self._admission.plan(self, self._contention(), now):
+            run = self.runs[decision.req_id]
+            if isinstance(decision, Reject):
+                reason = _late_reason(run, now)
+                effects.extend(self._drop(run, reason, now, decision.retry_after_s))
+            elif not isinstance(decision, Start):
+                effects.extend(self._drop(run, _stranded_reason(run), now))
+            elif run.retry_reason is None or self.budget.take():
+                self.queue.remove(decision.req_id)
+                effects.append(self._start(run, decision.chosen, now))
+            elif now + (wait_s := self.budget.wait_s(owing, now)) > run.deadline:
+                reason = RefusalReason.RETRY_BUDGET_EMPTY
+                effects.extend(self._drop(run, reason, now, self._admission.retry_after_s(wait_s)))
+            else:
+                owing += 1
+        return effects
+
+    def _start(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
+        req = run.req
+        self.meter.charge(req.scope.workspace, req.prompt_tokens + req.max_tokens, now)
+        run.placed_at = now
+        run.first_token_at = None
+        run.tried.add(_life(chosen))
+        self.flights.note(run.digest, _life(chosen), now)
+        dispatch = self._pool.dispatch(run, chosen, now)
+        run.retry_reason = None
+        return dispatch
+
+    def _end_lost(self, run: Run, now: float) -> list[Effect]:
+        assert run.placed_on is not None
+        life = (run.placed_on.name, run.placed_on.seen.incarnation)
+        self._pool.release(run, now)
+        run.may_have_run = True
+        run.renew_deadline(now)
+        self.flights.note_lost(run.digest)
+        if not run.digest:
+            return self._retry(run, retry_reason(AttemptResult.LOST, run.req.repeatable), now)
+        ran_s = now - run.placed_at
+        self.suspects.quarantine.note_failure(run.digest, life, ran_s, now)
+        if not run.req.repeatable:
+            return self._drop(run, RefusalReason.NOT_REPEATABLE, now)
+        run.retry_reason = RetryReason.SUSPECT_PROBED
+        self.suspects.hold(run, now)
+        return self._withdraw(run.digest, now)
+
+    def _retry(self, run: Run, reason: RetryReason | None, now: float) -> list[Effect]:
+        if reason is None:
+            return self._drop(run, RefusalReason.NOT_REPEATABLE, now)
+        if run.failures >= MAX_FAILURES:
+            return self._drop(run, _stranded_reason(run), now)
+        run.retry_reason = reason
+        if self.suspects.is_probed(run):
+            self.suspects.hold(run, now)
+            return []
+        self.queue.push_first(_queue_item(run))
+        return self._pump(now)
+
+    def _withdraw(self, digest: bytes, now: float) -> list[Effect]:
+        """Stop the copies of a new suspect that run outside of a trial."""
+        effects: list[Effect] = []
+        for req_id, run in self.runs.items():
+            if run.digest != digest or self.suspects.holds(run):
+                continue
+            if run.placed_on is not None:
+                effects.append(Withdraw(req_id, run.attempt))
+                run.attempt += 1
+                run.may_have_run = True
+                run.retry_reason = RetryReason.SUSPECT_WITHDRAWN
+                run.renew_deadline(now)
+                self._pool.release(run, now)
+            self.queue.remove(req_id)
+            self.suspects.hold(run, now)
+        return effects
+
+    def _take_step(self, step: Step, now: float) -> list[Effect]:
+        run = step.run
+        if isinstance(step, Probe):
+            return self._probe(run, step.endpoint, now)
+        if isinstance(step, Condemn):
+            return self._drop(run, RefusalReason.QUARANTINED, now, step.retry_after_s)
+        if isinstance(step, Absolve):
+            return self._absolve(run, now)
+        return self._drop(run, _late_reason(run, now), now)
+
+    def _probe(self, run: Run, endpoint: str, now: float) -> list[Effect]:
+        chosen = [c for c in self._pool.candidates(run, now) if c.endpoint.name == endpoint]
+        if not chosen or (run.retry_reason is not None and not self.budget.take()):
+            return []
+        dispatch = self._start(run, chosen[0], now)
+        self.suspects.begin(run, now)
+        return [dispatch]
+
+    def _absolve(self, run: Run, now: float) -> list[Effect]:
+        self.suspects.discard(run, now)
+        run.failures = 0
+        self.queue.push_first(_queue_item(run))
+        return []
+
+    def _note_completed(self, run: Run) -> None:
+        self.suspects.quarantine.clear(run.digest)
+        if run.digest:
+            self.flights.note_completed(run.digest)
+
+    def _drop(
+        self, run: Run, reason: RefusalReason, now: float, retry_after_s: float | None = None
+    ) -> list[Effect]:
+        self._forget(run, now)
+        return [_refuse(run.req.req_id, reason, retry_after_s)]
+
+    def _forget(self, run: Run, now: float) -> None:
+        del self.runs[run.req.req_id]
+        self._pool.release(run, now)
+        self.queue.remove(run.req.req_id)
+        self.suspects.discard(run, now)
+        self.limits.release(run.req.scope.workspace)
+
+    def _contention(self) -> float:
+        own = max(1, self.queue.queued_tokens)
+        return (own + sum(self._peer_queues.values())) / own
+
+    def _live_names(self, run: Run, now: float) -> list[str]:
+        return [one.endpoint.name for one in self._pool.candidates(run, now)]
+
+
+def _queue_item(run: Run) -> QueueItem:
+    req = run.req
+    tokens = req.prompt_tokens + req.max_tokens
+    return QueueItem(req.req_id, req.scope.workspace, max(0, req.priority), tokens)
+
+
+def _life(candidate: Candidate) -> tuple[str, int]:
+    return (candidate.endpoint.name, candidate.endpoint.seen.incarnation)
+
+
+def _refuse(req_id: int, reason: RefusalReason, retry_after_s: float | None = None) -> Refuse:
+    return Refuse(req_id, make_failure(reason, retry_after_s), reason)
+
+
+def _late_reason(run: Run, now: float) -> RefusalReason:
+    if run.may_have_run:
+        return RefusalReason.DEADLINE_IN_RETRY
+    if now <= run.arrived_at:
+        return RefusalReason.DEADLINE_ON_ARRIVAL
+    return RefusalReason.DEADLINE_IN_QUEUE
+
+
+def _stranded_reason(run: Run) -> RefusalReason:
+    return RefusalReason.ATTEMPTS_USED if run.may_have_run else RefusalReason.NO_ENDPOINT
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -11,6 +11,8 @@
 
 if TYPE_CHECKING:
     from rattangate.core.prefix import Scope
+    from rattangate.core.refusals import RefusalReason
+    from rattangate.core.retries import RetryReason
     from rattangate.errors import Failure
 
 
@@ -60,6 +62,7 @@
     priority: int
     deadline: float
     other_versions: tuple[VersionedPieces, ...] = ()
+    repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +146,7 @@
     priority: int
     number: int = 0
     age_s: float = 0.0
+    digest: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +165,54 @@
     age_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceUsage:
+    """Give one instance's present use of a workspace's limits."""
+
+    workspace: str
+    streams: int
+    demand_tokens_per_s: int
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Record that a request was aboard an endpoint that failed, or that this is settled.
+
+    `ran_s` is how long the request had run; `confirmed` says that the endpoint came back as another
+    incarnation; `cleared` withdraws the suspicion for good.
+    """
+
+    digest: bytes
+    endpoint: str
+    incarnation: int
+    ran_s: float
+    expires_in_s: float
+    confirmed: bool = False
+    cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TrialClaim:
+    """Announce a suspect that an instance holds; `endpoint` is empty while it waits.
+
+    An `exclusive` trial admits no other trial to its endpoint.
+    """
+
+    digest: bytes
+    endpoint: str
+    exclusive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsNews:
+    """Hold what instances tell each other about limits, queues and suspects."""
+
+    usages: tuple[WorkspaceUsage, ...] = ()
+    queued_tokens: int = 0
+    suspicions: tuple[Suspicion, ...] = ()
+    claims: tuple[TrialClaim, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class NewsReceived:
     """Deliver the placements and departures of one peer, numbered by `seq`."""
@@ -170,6 +222,7 @@
     seq: int
     placements: tuple[Placement, ...]
     departures: tuple[Departure, ...]
+    limits: LimitsNews | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +243,13 @@
     capacity: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineReleased:
+    """Release a request from quarantine by order of an operator."""
+
+    digest: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Let the core act on the passing of time."""
@@ -206,6 +266,7 @@
     | NewsReceived
     | PeerLost
     | PictureReceived
+    | QuarantineReleased
     | Tick
 )
 
@@ -221,6 +282,15 @@
     endpoint: str
     incarnation: int
     weights_version: str
+    retry_reason: RetryReason | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Stop an attempt without an answer to the caller; another dispatch or a refusal follows."""
+
+    req_id: int
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,6 +299,7 @@
 
     req_id: int
     failure: Failure
+    reason: RefusalReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +309,7 @@
     seq: int
     placements: tuple[Placement, ...]
     departures: tuple[Departure, ...]
+    limits: LimitsNews | None = None
 
 
-Effect = Dispatch | Refuse | SendNews
+Effect = Dispatch | Withdraw | Refuse | SendNews
--- /dev/null
+++ b/rattangate/core/retries.py
@@ -0,0 +1,72 @@
+"""Decide which failed attempts may be repeated, from a budget that traffic fills."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from rattangate.core.messages import AttemptResult
+
+RATE_WINDOW_S = 10.0
+
+
+class RetryReason(Enum):
+    """Name why a request is sent again."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    STREAM_CONTINUED = "stream_continued"
+    ANSWER_MISMATCHED = "answer_mismatched"
+    SUSPECT_PROBED = "suspect_probed"
+    SUSPECT_WITHDRAWN = "suspect_withdrawn"
+
+
+_REASONS = {
+    AttemptResult.NOT_SENT: RetryReason.NOT_SENT,
+    AttemptResult.REFUSED: RetryReason.REFUSED,
+    AttemptResult.LOST: RetryReason.LOST,
+}
+
+
+def retry_reason(result: AttemptResult, repeatable: bool) -> RetryReason | None:
+    """Return why a failed attempt may be repeated, or None where it must not be."""
+    if result is AttemptResult.LOST and not repeatable:
+        return None
+    return _REASONS.get(result)
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Hold retry tokens; each arriving request adds `ratio` of one, up to `capacity`."""
+
+    ratio: float = 0.1
+    capacity: float = 200.0
+    tokens: float = 20.0
+    _arrivals: float = 0.0
+    _counted_at: float = -math.inf
+
+    def count_arrival(self, now: float) -> None:
+        """Add the share of one request."""
+        self.tokens = min(self.capacity, self.tokens + self.ratio)
+        self._arrivals = self._decayed_arrivals(now) + 1.0
+        self._counted_at = now
+
+    def take(self) -> bool:
+        """Spend one token if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def wait_s(self, waiting: int, now: float) -> float:
+        """Estimate the seconds until a token is left after `waiting` other retries."""
+        needed = waiting + 1 - self.tokens
+        if needed <= 0:
+            return 0.0
+        tokens_per_s = self.ratio * self._decayed_arrivals(now) / RATE_WINDOW_S
+        return needed / tokens_per_s if tokens_per_s > 0 else math.inf
+
+    def _decayed_arrivals(self, now: float) -> float:
+        return self._arrivals * math.exp((self._counted_at - now) / RATE_WINDOW_S)
--- /dev/null
+++ b/rattangate/core/runs.py
@@ -0,0 +1,40 @@
+"""The state of one request between its arrival and its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.core.endpoint_state import Endpoint
+    from rattangate.core.messages import RequestArrived
+    from rattangate.core.retries import RetryReason
+
+DIGEST_BYTES = 16
+
+
+@dataclass(slots=True)
+class Run:
+    """Follow one request; `deadline` is that of its next first token."""
+
+    req: RequestArrived
+    arrived_at: float
+    deadline: float
+    attempt: int = 0
+    failures: int = 0
+    number: int = 0
+    placed_on: Endpoint | None = None
+    placed_at: float = 0.0
+    first_token_at: float | None = None
+    retry_reason: RetryReason | None = None
+    may_have_run: bool = False
+    tried: set[tuple[str, int]] = field(default_factory=set)
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest by which copies of the request are known."""
+        return self.req.digest[:DIGEST_BYTES]
+
+    def renew_deadline(self, now: float) -> None:
+        """Allow a lost request as long again as it had on arrival."""
+        self.deadline = max(self.deadline, now + self.req.deadline - self.arrived_at)
--- /dev/null
+++ b/tests/virtual_site.py
@@ -0,0 +1,246 @@
+"""A few gateways, engine models and a delay of news on one virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from itertools import count
+
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.intake import IntakeCfg
+from rattangate.core.messages import (
+    AttemptEnded,
+    AttemptResult,
+    Dispatch,
+    EndpointSeen,
+    EndpointState,
+    FirstTokenSeen,
+    NewsReceived,
+    PeerLost,
+    Refuse,
+    RequestArrived,
+    SendNews,
+    Tick,
+    Withdraw,
+)
+from rattangate.core.prefix import Scope
+from rattangate.standins.engine_model import EngineModel, EngineSpec, Finished, FirstToken, Job
+
+TICK_S = 0.1
+NEWS_DELAY_S = 0.1
+HOP_S = 0.001
+DETECT_S = 0.3
+RESTART_S = 1.0
+
+
+@dataclass
+class Outcome:
+    """Tell what became of one request."""
+
+    digest: bytes
+    workspace: str
+    arrived_at: float
+    deadline: float
+    first_token_at: float | None = None
+    completed: bool = False
+    refusal: Refuse | None = None
+    refused_at: float | None = None
+    dispatches: list = field(default_factory=list)
+
+
+class VirtualSite:
+    """Drive gateways by an event heap; requests in `poison` crash the engine that starts them."""
+
+    def __init__(self, instances=3, engines=6, seed=1, specs=None, delay=NEWS_DELAY_S, **intake):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.poison = {}
+        self.crashes = []
+        self.outcomes = {}
+        self.retries = Counter()
+        self.cut = set()
+        self.delay = delay
+        self._events = []
+        self._order = count()
+        self._req_ids = count(1)
+        self._jobs = {}
+        self._wakes = {}
+        specs = specs or [EngineSpec(decode_tokens_per_s=100.0)] * engines
+        self.engines = {f"e{i}": EngineModel(s, self.rng) for i, s in enumerate(specs)}
+        self.incarnations = dict.fromkeys(self.engines, 1)
+        self.down = set()
+        self.gateways = {}
+        for index in range(instances):
+            name = f"g{index}"
+            cfg = IntakeCfg(instance=name, instances=instances, **intake)
+            self.gateways[name] = Gateway(GatewayCfg(4000, 1.0, intake=cfg), seed + index)
+            self.at(self.rng.random() * TICK_S, self._tick, name)
+        for endpoint in self.engines:
+            self._announce(endpoint, EndpointState.LIVE, 0.0)
+
+    def at(self, when, action, *args):
+        """Schedule an action."""
+        heapq.heappush(self._events, (when, next(self._order), action, args))
+
+    def run(self, until):
+        """Advance the clock."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        self.now = until
+
+    def send(
+        self,
+        instance,
+        digest,
+        pieces=(1,),
+        tokens=4000,
+        *,
+        workspace="w",
+        allowance=10.0,
+        max_tokens=100,
+        priority=0,
+    ):
+        """Let a request arrive at an instance now; return its id."""
+        req_id = next(self._req_ids)
+        deadline = self.now + allowance
+        self.outcomes[req_id] = Outcome(digest, workspace, self.now, deadline)
+        scope = Scope(workspace, "m", "", "v1")
+        req = RequestArrived(req_id, scope, pieces, tokens, max_tokens, digest, priority, deadline)
+        self.tell(instance, req)
+        return req_id
+
+    def tell(self, instance, msg):
+        """Give a message to a gateway and carry out its effects."""
+        for effect in self.gateways[instance].handle(msg, self.now):
+            self._carry_out(instance, effect)
+
+    def crash(self, endpoint):
+        """Kill an engine; it comes back empty."""
+        self.crashes.append((self.now, endpoint))
+        self.down.add(endpoint)
+        self.engines[endpoint].clear()
+        self._wakes[endpoint] = None
+        for (req_id, attempt), (where, instance, _) in list(self._jobs.items()):
+            if where == endpoint:
+                del self._jobs[req_id, attempt]
+                lost = AttemptEnded(req_id, attempt, AttemptResult.LOST)
+                self.at(self.now + HOP_S, self.tell, instance, lost)
+        self.at(self.now + DETECT_S, self._announce, endpoint, EndpointState.DOWN, DETECT_S)
+        self.at(self.now + RESTART_S, self._restart, endpoint)
+
+    def cut_off(self, instance):
+        """Part an instance from its peers."""
+        self.cut.add(instance)
+        for name in self.gateways:
+            if name != instance:
+                self.tell(instance, PeerLost(name))
+                self.tell(name, PeerLost(instance))
+
+    def refusals(self):
+        """Return the reasons of all refusals, counted."""
+        return Counter(o.refusal.reason for o in self.outcomes.values() if o.refusal)
+
+    def _tick(self, name):
+        self.tell(name, Tick())
+        self.at(self.now + TICK_S, self._tick, name)
+
+    def _carry_out(self, instance, effect):
+        if isinstance(effect, Dispatch):
+            if effect.attempt > 1:
+                self.retries[effect.retry_reason] += 1
+            self.at(self.now + HOP_S, self._submit, instance, effect)
+        elif isinstance(effect, Withdraw):
+            self.at(self.now + HOP_S, self._cancel, effect)
+        elif isinstance(effect, Refuse):
+            outcome = self.outcomes[effect.req_id]
+            assert outcome.refusal is None and not outcome.completed
+            outcome.refusal = effect
+            outcome.refused_at = self.now
+        elif isinstance(effect, SendNews):
+            news = NewsReceived(
+                instance, 1, effect.seq, effect.placements, effect.departures, effect.limits
+            )
+            for peer in self.gateways:
+                if peer != instance and not {peer, instance} & self.cut:
+                    self.at(self.now + self.delay, self.tell, peer, news)
+
+    def _submit(self, instance, sent):
+        key = (sent.req_id, sent.attempt)
+        endpoint = sent.endpoint
+        self.outcomes[sent.req_id].dispatches.append((self.now, endpoint))
+        if endpoint in self.down or self.incarnations[endpoint] != sent.incarnation:
+            refused = AttemptEnded(*key, AttemptResult.NOT_SENT)
+            self.at(self.now + HOP_S, self.tell, instance, refused)
+            return
+        req = self.gateways[instance].intake.runs[sent.req_id].req
+        self._jobs[key] = (endpoint, instance, req)
+        job = Job(key, req.pieces, req.prompt_tokens, req.max_tokens, req.priority)
+        self.engines[endpoint].submit(job, self.now)
+        if req.digest in self.poison:
+            self.at(self.now + self.poison[req.digest], self._blow, key)
+        self._wake(endpoint)
+
+    def _blow(self, key):
+        if key in self._jobs:
+            self.crash(self._jobs[key][0])
+
+    def _cancel(self, effect):
+        where = self._jobs.pop((effect.req_id, effect.attempt), None)
+        if where is not None:
+            self.engines[where[0]].cancel((effect.req_id, effect.attempt), self.now)
+            self._wake(where[0])
+
+    def _wake(self, endpoint):
+        due = self.engines[endpoint].next_change()
+        if due is not None and self._wakes.get(endpoint) != due:
+            self._wakes[endpoint] = due
+            self.at(max(due, self.now), self._advance, endpoint, due)
+
+    def _advance(self, endpoint, due):
+        if self._wakes.get(endpoint) != due:
+            return
+        self._wakes[endpoint] = None
+        for event in self.engines[endpoint].advance(self.now):
+            self._report(event)
+        self._wake(endpoint)
+
+    def _report(self, event):
+        if not isinstance(event, FirstToken | Finished) or event.job_id not in self._jobs:
+            return
+        _, instance, req = self._jobs[event.job_id]
+        outcome = self.outcomes[req.req_id]
+        if isinstance(event, FirstToken):
+            outcome.first_token_at = outcome.first_token_at or self.now
+            msg = FirstTokenSeen(*event.job_id, event.cached_tokens)
+        else:
+            del self._jobs[event.job_id]
+            outcome.completed = True
+            msg = AttemptEnded(*event.job_id, AttemptResult.COMPLETED)
+        self.at(self.now + HOP_S, self.tell, instance, msg)
+
+    def _restart(self, endpoint):
+        self.down.discard(endpoint)
+        self.incarnations[endpoint] += 1
+        self._announce(endpoint, EndpointState.LIVE, 0.2)
+
+    def _announce(self, endpoint, state, lag):
+        seen = EndpointSeen(endpoint, self.incarnations[endpoint], "v1", state, "m", 64)
+        for name in self.gateways:
+            self.at(self.now + lag * self.rng.random(), self.tell, name, seen)
+
+
+def percentile(values, share):
+    """Return a percentile of unsorted values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def by_workspace(outcomes):
+    """Group outcomes."""
+    groups = defaultdict(list)
+    for outcome in outcomes:
+        groups[outcome.workspace].append(outcome)
+    return groups
