--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -109,6 +109,8 @@
         run = self._find_run(msg.req_id, msg.attempt)
         if run is None or run.placed_on is None:
             return []
+        if msg.completion_tokens:
+            run.pinned_version = run.placed_on.seen.weights_version
         return self.intake.end_attempt(run, msg, now)
 
     @_handle.register
@@ -183,7 +185,8 @@
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
         weight = self.cfg.recompute_weight
-        return find_candidates(self.endpoints.values(), run.req, weight, now)
+        candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
+        return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
     def dispatch(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
         """Place a request on an endpoint."""
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
 from functools import partial
@@ -17,7 +18,7 @@
     Refuse,
     Withdraw,
 )
-from rattangate.core.quarantine import Verdict
+from rattangate.core.quarantine import SETTLE_S, Verdict
 from rattangate.core.refusals import RefusalReason, make_failure
 from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
 from rattangate.core.runs import Run
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from rattangate.core.endpoint_state import Endpoint
     from rattangate.core.limits import WorkspaceLimit
     from rattangate.core.messages import (
         AttemptEnded,
@@ -38,13 +40,16 @@
     from rattangate.core.suspects import Step
 
 MAX_FAILURES = 3
+DOUBT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class IntakeCfg:
     """Hold the settings of limits, queue and retries of one instance.
 
-    `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work.
+    `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work;
+    `first_token_s` bounds the deadline of the first token; `can_withdraw` says that running attempts
+    can be stopped.
     """
 
     instance: str = ""
@@ -53,6 +58,8 @@
     queue_bound: int = 64
     bind_wait_s: float = 0.5
     retry_ratio: float = 0.1
+    first_token_s: float = math.inf
+    can_withdraw: bool = False
 
 
 class Pool(Protocol):
@@ -77,11 +84,13 @@
         self.meter = UsageMeter(self.limits.shares())
         self.queue = FairQueue(self.meter, cfg.queue_bound)
         self.budget = RetryBudget(cfg.retry_ratio)
-        self.suspects = Suspects(cfg.instance)
+        self.suspects = Suspects(cfg.instance, SETTLE_S if cfg.instances > 1 else 0.0)
         self.flights = Flights()
         self._admission = Admission(self.queue, cfg.bind_wait_s, random.Random(seed))
+        self._cfg = cfg
         self._pool = pool
         self._peer_queues: dict[str, int] = {}
+        self._doubted: dict[tuple[str, int], float] = {}
 
     def configure(self, instances: int, workspaces: Iterable[WorkspaceLimit]) -> None:
         """Take new limits and the number of entry instances."""
@@ -91,7 +100,7 @@
     def arrive(self, req: RequestArrived, now: float) -> list[Effect]:
         """Take a request in, or refuse it at once."""
         self.budget.count_arrival(now)
-        run = Run(req, now, req.deadline)
+        run = Run(req, now, min(req.deadline, now + self._cfg.first_token_s))
         verdict = self.suspects.quarantine.judge(run.digest, now)
         if verdict is Verdict.GUILTY:
             wait_s = self.suspects.quarantine.remaining_s(run.digest, now)
@@ -103,7 +112,7 @@
         self.runs[req.req_id] = run
         if verdict is Verdict.SUSPECT:
             self.suspects.hold(run, now)
-            return []
+            return self._step_suspects(now)
         displaced = self.queue.push(_queue_item(run), now)
         effects = self._pump(now)
         if displaced is not None:
@@ -123,6 +132,9 @@
                 self._note_completed(run)
             self._forget(run, now)
             return self._pump(now)
+        assert run.placed_on is not None
+        if msg.result is not AttemptResult.REFUSED:
+            self._doubted[_life(run.placed_on)] = now + DOUBT_S
         if msg.result is not AttemptResult.NOT_SENT:
             run.failures += 1
         if msg.result is AttemptResult.LOST:
@@ -171,21 +183,18 @@
         """Refuse what has become late and start what has its turn."""
         self.suspects.quarantine.expire(now)
         self.flights.expire(now)
-        effects: list[Effect] = []
-        for step in self.suspects.steps(partial(self._live_names, now=now), now):
-            effects.extend(self._take_step(step, now))
-        effects.extend(self._pump(now))
-        return effects
+        self._doubted = {life: until for life, until in self._doubted.items() if until > now}
+        return [*self._step_suspects(now), *self._pump(now)]
 
     # The plan's view of waiting requests
 
     def candidates(self, req_id: int, now: float) -> list[Candidate]:
         """Return the endpoints that may run a waiting request."""
         run = self.runs[req_id]
-        found = self._pool.candidates(run, now)
-        untried = [one for one in found if _life(one) not in run.tried]
+        found = self._undoubted(self._pool.candidates(run, now), now)
+        untried = [one for one in found if _life(one.endpoint) not in run.tried]
         flight = self.flights.endpoint_of(run.digest, now)
-        return [one for one in untried if _life(one) == flight] or untried
+        return [one for one in untried if _life(one.endpoint) == flight] or untried
 
     def deadline(self, req_id: int) -> float:
         """Return the deadline of the next first token of a request."""
@@ -220,15 +229,15 @@
         self.meter.charge(req.scope.workspace, req.prompt_tokens + req.max_tokens, now)
         run.placed_at = now
         run.first_token_at = None
-        run.tried.add(_life(chosen))
-        self.flights.note(run.digest, _life(chosen), now)
+        run.tried.add(_life(chosen.endpoint))
+        self.flights.note(run.digest, _life(chosen.endpoint), now)
         dispatch = self._pool.dispatch(run, chosen, now)
         run.retry_reason = None
         return dispatch
 
     def _end_lost(self, run: Run, now: float) -> list[Effect]:
         assert run.placed_on is not None
-        life = (run.placed_on.name, run.placed_on.seen.incarnation)
+        life = _life(run.placed_on)
         self._pool.release(run, now)
         run.may_have_run = True
         run.renew_deadline(now)
@@ -241,7 +250,7 @@
             return self._drop(run, RefusalReason.NOT_REPEATABLE, now)
         run.retry_reason = RetryReason.SUSPECT_PROBED
         self.suspects.hold(run, now)
-        return self._withdraw(run.digest, now)
+        return [*self._withdraw(run.digest, now), *self._step_suspects(now)]
 
     def _retry(self, run: Run, reason: RetryReason | None, now: float) -> list[Effect]:
         if reason is None:
@@ -261,6 +270,8 @@
         for req_id, run in self.runs.items():
             if run.digest != digest or self.suspects.holds(run):
                 continue
+            if run.placed_on is not None and not self._cfg.can_withdraw:
+                continue
             if run.placed_on is not None:
                 effects.append(Withdraw(req_id, run.attempt))
                 run.attempt += 1
@@ -272,6 +283,12 @@
             self.suspects.hold(run, now)
         return effects
 
+    def _step_suspects(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for step in self.suspects.steps(partial(self._live_names, now=now), now):
+            effects.extend(self._take_step(step, now))
+        return effects
+
     def _take_step(self, step: Step, now: float) -> list[Effect]:
         run = step.run
         if isinstance(step, Probe):
@@ -319,7 +336,15 @@
         return (own + sum(self._peer_queues.values())) / own
 
     def _live_names(self, run: Run, now: float) -> list[str]:
-        return [one.endpoint.name for one in self._pool.candidates(run, now)]
+        found = self._undoubted(self._pool.candidates(run, now), now)
+        return [one.endpoint.name for one in found]
+
+    def _undoubted(self, found: list[Candidate], now: float) -> list[Candidate]:
+        """Leave out endpoints that lately lost an attempt, unless no other is left."""
+        if not self._doubted:
+            return found
+        sure = [c for c in found if self._doubted.get(_life(c.endpoint), now) <= now]
+        return sure or found
 
 
 def _queue_item(run: Run) -> QueueItem:
@@ -328,8 +353,8 @@
     return QueueItem(req.req_id, req.scope.workspace, max(0, req.priority), tokens)
 
 
-def _life(candidate: Candidate) -> tuple[str, int]:
-    return (candidate.endpoint.name, candidate.endpoint.seen.incarnation)
+def _life(endpoint: Endpoint) -> tuple[str, int]:
+    return (endpoint.name, endpoint.seen.incarnation)
 
 
 def _refuse(req_id: int, reason: RefusalReason, retry_after_s: float | None = None) -> Refuse:
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -16,7 +16,7 @@
     from collections.abc import Iterable, Iterator
 
 GUILTY_CRASHES = 3
-SETTLE_S = 0.5  # news from every instance arrives sooner
+SETTLE_S = 0.5
 CONFIRM_S = 3.0
 SUSPECT_S = 60.0
 QUARANTINE_S = 600.0
@@ -62,9 +62,13 @@
 
 
 class Quarantine:
-    """Keep the cases of one instance."""
+    """Keep the cases of one instance.
 
-    def __init__(self) -> None:
+    `settle_s` is the time in which news reaches every instance, in seconds.
+    """
+
+    def __init__(self, settle_s: float = SETTLE_S) -> None:
+        self.settle_s = settle_s
         self._cases: dict[bytes, _Case] = {}
         self._lives: dict[str, tuple[int, EndpointState]] = {}
         self._unsent: set[tuple[bytes, Life]] = set()
@@ -139,7 +143,7 @@
     def settled(self, digest: bytes, now: float) -> bool:
         """Tell whether all instances have heard of the last change."""
         case = self._cases.get(digest)
-        return case is None or now >= case.changed_at + SETTLE_S
+        return case is None or now >= case.changed_at + self.settle_s
 
     def awaits_verdict(self, digest: bytes, now: float) -> bool:
         """Tell whether a digest has failures enough, but not yet a verdict."""
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -55,8 +55,8 @@
 class Suspects:
     """Join the cases, the turns and the suspects that wait or run at this instance."""
 
-    def __init__(self, instance: str) -> None:
-        self.quarantine = Quarantine()
+    def __init__(self, instance: str, settle_s: float) -> None:
+        self.quarantine = Quarantine(settle_s)
         self._trials = Trials(instance, self.quarantine)
         self._waiting: dict[int, Run] = {}
         self._probed: dict[int, Run] = {}
--- a/rattangate/core/trials.py
+++ b/rattangate/core/trials.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from rattangate.core.messages import TrialClaim
-from rattangate.core.quarantine import GUILTY_CRASHES, SETTLE_S
+from rattangate.core.quarantine import GUILTY_CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -59,7 +59,9 @@
     def choose_endpoint(self, digest: bytes, live: Iterable[str], now: float) -> str | None:
         """Return where a held suspect may run now, or None while it has to wait."""
         held = self._held[digest]
-        ready = now >= held.since + SETTLE_S and self._quarantine.settled(digest, now)
+        ready = now >= held.since + self._quarantine.settle_s and self._quarantine.settled(
+            digest, now
+        )
         if not ready or not self._is_first_holder(digest):
             return None
         names = sorted(live)
--- a/tests/virtual_site.py
+++ b/tests/virtual_site.py
@@ -74,7 +74,7 @@
         self.gateways = {}
         for index in range(instances):
             name = f"g{index}"
-            cfg = IntakeCfg(instance=name, instances=instances, **intake)
+            cfg = IntakeCfg(instance=name, instances=instances, can_withdraw=True, **intake)
             self.gateways[name] = Gateway(GatewayCfg(4000, 1.0, intake=cfg), seed + index)
             self.at(self.rng.random() * TICK_S, self._tick, name)
         for endpoint in self.engines:
