Ask for one crash more while endpoints crash without the suspect

Ruled out: always four crashes, which breaks the bound of three where only the request crashes. A trial that waits for a retry token is now refused at once when none comes in time.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -125,7 +125,7 @@
 
     @_handle.register
     def _on_endpoint(self, msg: EndpointSeen, now: float) -> list[Effect]:
-        self.intake.suspects.quarantine.note_endpoint(msg.endpoint, msg.incarnation, msg.state)
+        self.intake.suspects.note_endpoint(msg, now)
         known = self.endpoints.get(msg.endpoint)
         if known is None or msg.incarnation > known.seen.incarnation:
             self.endpoints[msg.endpoint] = self._new_endpoint(msg, now)
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -217,13 +217,19 @@
             elif run.retry_reason is None or self.budget.take():
                 self.queue.remove(decision.req_id)
                 effects.append(self._start(run, decision.chosen, now))
-            elif now + (wait_s := self.budget.wait_s(owing, now)) > run.deadline:
-                reason = RefusalReason.RETRY_BUDGET_EMPTY
-                effects.extend(self._drop(run, reason, now, self._admission.retry_after_s(wait_s)))
             else:
+                effects.extend(self._await_token(run, owing, now))
                 owing += 1
         return effects
 
+    def _await_token(self, run: Run, owing: int, now: float) -> list[Effect]:
+        """Refuse a retry for which the budget has no token before the deadline."""
+        wait_s = self.budget.wait_s(owing, now)
+        if now + wait_s <= run.deadline:
+            return []
+        wait_s = self._admission.retry_after_s(wait_s)
+        return self._drop(run, RefusalReason.RETRY_BUDGET_EMPTY, now, wait_s)
+
     def _start(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
         req = run.req
         self.meter.charge(req.scope.workspace, req.prompt_tokens + req.max_tokens, now)
@@ -301,8 +307,10 @@
 
     def _probe(self, run: Run, endpoint: str, now: float) -> list[Effect]:
         chosen = [c for c in self._pool.candidates(run, now) if c.endpoint.name == endpoint]
-        if not chosen or (run.retry_reason is not None and not self.budget.take()):
+        if not chosen:
             return []
+        if run.retry_reason is not None and not self.budget.take():
+            return self._await_token(run, 0, now)
         dispatch = self._start(run, chosen[0], now)
         self.suspects.begin(run, now)
         return [dispatch]
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -16,6 +16,8 @@
     from collections.abc import Iterable, Iterator
 
 GUILTY_CRASHES = 3
+UNRELATED_CRASHES = 2
+UNRELATED_S = 60.0
 SETTLE_S = 0.5
 CONFIRM_S = 3.0
 SUSPECT_S = 60.0
@@ -71,14 +73,22 @@
         self.settle_s = settle_s
         self._cases: dict[bytes, _Case] = {}
         self._lives: dict[str, tuple[int, EndpointState]] = {}
+        self._crashes: dict[Life, float] = {}
         self._unsent: set[tuple[bytes, Life]] = set()
         self._resend_at = 0.0
 
-    def note_endpoint(self, endpoint: str, incarnation: int, state: EndpointState) -> None:
+    def note_endpoint(
+        self, endpoint: str, incarnation: int, state: EndpointState, now: float
+    ) -> None:
         """Take an endpoint's state, which confirms a crash or rules it out."""
-        known = self._lives.get(endpoint)
-        if known is None or incarnation >= known[0]:
-            self._lives[endpoint] = (incarnation, state)
+        known = self._lives.get(endpoint, (0, EndpointState.LEAVING))
+        if incarnation < known[0]:
+            return
+        self._lives[endpoint] = (incarnation, state)
+        if state is EndpointState.DOWN:
+            self._crashes[endpoint, incarnation] = now
+        elif incarnation > known[0] and known[1] is EndpointState.LIVE:
+            self._crashes[endpoint, known[0]] = now
 
     def note_failure(self, digest: bytes, life: Life, ran_s: float, now: float) -> None:
         """Make a suspect of a request whose attempt was lost with the endpoint."""
@@ -147,7 +157,7 @@
 
     def awaits_verdict(self, digest: bytes, now: float) -> bool:
         """Tell whether a digest has failures enough, but not yet a verdict."""
-        if self.count(digest, now) < GUILTY_CRASHES:
+        if self.count(digest, now) < self._crashes_needed(digest):
             return False
         unconfirmed = self.count(digest, now) > len(self._confirmed(digest, now))
         return unconfirmed or not self.settled(digest, now)
@@ -168,6 +178,7 @@
 
     def expire(self, now: float) -> None:
         """Drop the marks whose deadline has passed."""
+        self._crashes = {life: at for life, at in self._crashes.items() if now < at + UNRELATED_S}
         for digest, case in list(self._cases.items()):
             case.marks = {life: mark for life, mark in case.marks.items() if mark.deadline > now}
             if not case.marks:
@@ -201,12 +212,20 @@
         if not self.settled(digest, now):
             return
         lives = set(self._confirmed(digest, now))
-        if len(lives) < GUILTY_CRASHES or self._has_rival(digest, lives, now):
+        if len(lives) < self._crashes_needed(digest) or self._has_rival(digest, lives, now):
             return
         case.guilty = True
         for mark in case.marks.values():
             mark.deadline = now + QUARANTINE_S
 
+    def _crashes_needed(self, digest: bytes) -> int:
+        """Ask for one crash more while endpoints crash without the request, too."""
+        unrelated = sum(
+            life not in self._cases[digest].marks and not self._explained(life)
+            for life in self._crashes
+        )
+        return GUILTY_CRASHES + (unrelated >= UNRELATED_CRASHES)
+
     def _has_rival(self, digest: bytes, lives: set[Life], now: float) -> bool:
         """Tell whether another digest is as likely to have caused one of the failures."""
         for other in self._cases:
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from rattangate.core.messages import LimitsNews, TrialClaim
+    from rattangate.core.messages import EndpointSeen, LimitsNews, TrialClaim
     from rattangate.core.runs import Run
 
 RELAX_AFTER_S = 1.0
@@ -61,6 +61,10 @@
         self._waiting: dict[int, Run] = {}
         self._probed: dict[int, Run] = {}
 
+    def note_endpoint(self, seen: EndpointSeen, now: float) -> None:
+        """Take an endpoint's state, which confirms a crash or rules it out."""
+        self.quarantine.note_endpoint(seen.endpoint, seen.incarnation, seen.state, now)
+
     def hold(self, run: Run, now: float) -> None:
         """Keep a suspect back until its turn."""
         if run.req.req_id in self._probed:
