--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -32,6 +32,8 @@
 from rattangate.core.placement import find_candidates
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattangate.core.messages import Message
     from rattangate.core.placement import Candidate
     from rattangate.core.runs import Run
@@ -64,10 +66,12 @@
         self._told = LimitsNews()
         self._tell_at = 0.0
         self._peers: dict[str, tuple[int, int]] = {}
+        # Binding a singledispatchmethod wraps its function anew at each access.
+        self._apply: Callable[[Message, float], list[Effect]] = self._handle
 
     def handle(self, msg: Message, now: float) -> list[Effect]:
         """Apply one message and return the effects to carry out."""
-        return self._handle(msg, now)
+        return self._apply(msg, now)
 
     def weights_versions(self, model: str) -> tuple[str, ...]:
         """Return the weights versions of a model that live endpoints run."""
