Wire limits, queue, retry budget and quarantine into the daemon and its news

Cause: the intake decides on queueing, refusals, withdrawals and retries; the shell must carry its Withdraw effect, count its reasons and pass its news to the peers. Ruled out: keeping a flag for a lost attempt in the exchange; a withdrawn attempt followed at once by another dispatch cleared the flag and the old attempt read on. The scope now belongs to its dispatch.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -104,6 +104,7 @@
         run = self._find_run(msg.req_id, msg.attempt)
         if run is None or run.placed_on is None or run.first_token_at is not None:
             return []
+        run.pinned_version = run.placed_on.seen.weights_version
         run.placed_on.first_token((OWN, run.number), msg.cached_tokens, now)
         self._depart(run, msg.cached_tokens, now)
         return self.intake.note_first_token(run, now)
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -18,6 +18,7 @@
     Refuse,
     RequestAbandoned,
     SendNews,
+    Withdraw,
 )
 
 if TYPE_CHECKING:
@@ -83,8 +84,15 @@
 
     @_carry_out.register
     def _refuse(self, effect: Refuse) -> None:
+        self._metrics.count_refusal_reason(effect.reason)
         self._deliver(effect.req_id, effect)
 
+    @_carry_out.register
+    def _withdraw(self, effect: Withdraw) -> None:
+        exchange = self._exchanges.get(effect.req_id)
+        if exchange is not None:
+            exchange.cancel_attempt()
+
     @_carry_out.register
     def _news(self, effect: SendNews) -> None:
         self._send_news(effect)
@@ -101,7 +109,6 @@
     def __init__(self, driver: Driver, req_id: int) -> None:
         self.closed = False
         self.running: Dispatch | None = None
-        self.attempt_lost = False
         self._driver = driver
         self._req_id = req_id
         self._scope: trio.CancelScope | None = None
@@ -111,7 +118,6 @@
         """Hand an effect to the request's task."""
         if isinstance(effect, Dispatch):
             self.running = effect
-            self.attempt_lost = False
         self._sender.send_nowait(effect)
 
     async def next_effect(self) -> Dispatch | Refuse:
@@ -122,9 +128,11 @@
         return effect
 
     @contextmanager
-    def attempt_scope(self, deadline: float) -> Iterator[trio.CancelScope]:
-        """Bound a wait on the endpoint by a deadline and by the endpoint's life."""
-        with trio.CancelScope(deadline=-math.inf if self.attempt_lost else deadline) as scope:
+    def attempt_scope(self, dispatch: Dispatch, deadline: float) -> Iterator[trio.CancelScope]:
+        """Bound a wait on the endpoint by a deadline and by the life of the attempt."""
+        with trio.CancelScope(deadline=deadline) as scope:
+            if self.running is not dispatch:
+                scope.cancel()
             self._scope = scope
             try:
                 yield scope
@@ -133,7 +141,7 @@
 
     def cancel_attempt(self) -> None:
         """End the present attempt as lost."""
-        self.attempt_lost = True
+        self.running = None
         if self._scope is not None:
             self._scope.cancel()
 
@@ -141,9 +149,10 @@
         """Report the first token."""
         self._driver.feed(FirstTokenSeen(self._req_id, attempt, cached_tokens))
 
-    def end_attempt(self, attempt: int, result: AttemptResult, tokens: int) -> None:
+    def end_attempt(self, dispatch: Dispatch, result: AttemptResult, tokens: int) -> None:
         """Report the end of the attempt."""
-        self.running = None
+        if self.running is dispatch:
+            self.running = None
         if result is AttemptResult.COMPLETED:
             self.closed = True
-        self._driver.feed(AttemptEnded(self._req_id, attempt, result, tokens))
+        self._driver.feed(AttemptEnded(self._req_id, dispatch.attempt, result, tokens))
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -20,7 +20,7 @@
     ContentRead,
     VersionHeard,
 )
-from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.gateway import Gateway
 from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
 from rattangate.driver import Driver
 from rattangate.endpoints.client import EndpointClient, open_clients
@@ -37,7 +37,7 @@
 from rattangate.platform.client import PlatformClient
 from rattangate.platform.config_store import ConfigStore, decode_record, encode_record
 from rattangate.platform.config_watch import ConfigWatch
-from rattangate.reconfigure import reconfigure
+from rattangate.reconfigure import gateway_cfg, reconfigure
 
 if TYPE_CHECKING:
     from quart_trio import QuartTrio
@@ -79,9 +79,8 @@
         self.follower = ConfigFollower(name, [item.name for item in settings.instances])
         self.clients: dict[str, EndpointClient] = {}
         self.peers = {peer.name: KnownPeer() for peer in settings.instances if peer.name != name}
-        placement = settings.placement
-        cfg = GatewayCfg(placement.piece_tokens, placement.recompute_weight)
-        self.driver = Driver(Gateway(cfg, seed=self.incarnation), self.metrics, self._send_news)
+        gateway = Gateway(gateway_cfg(settings, name), seed=self.incarnation)
+        self.driver = Driver(gateway, self.metrics, self._send_news)
         identity = PeerIdentity(name, self.incarnation, secret)
         addresses = {
             peer.name: peer.peer_address for peer in settings.instances if peer.name != name
@@ -280,7 +279,12 @@
         if news.seq:
             self.driver.feed(
                 NewsReceived(
-                    news.instance, news.incarnation, news.seq, news.placements, news.departures
+                    news.instance,
+                    news.incarnation,
+                    news.seq,
+                    news.placements,
+                    news.departures,
+                    news.limits,
                 )
             )
 
--- a/rattangate/http/relay.py
+++ b/rattangate/http/relay.py
@@ -11,11 +11,11 @@
 import trio
 
 from rattangate.core.messages import AttemptResult, Dispatch, Refuse
+from rattangate.core.retries import RetryReason
 from rattangate.core.streams import StreamChecker, StreamFault
 from rattangate.endpoints.client import EngineCall, OpenFailed, StreamOpened
 from rattangate.errors import ErrorKind, Failure
 from rattangate.log_events import LogEvent, log
-from rattangate.metrics import RetryReason
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -41,15 +41,6 @@
     arrived_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptStatus:
-    """Report the end of an attempt to the relay."""
-
-    result: AttemptResult
-    reason: RetryReason
-    detail: str = ""
-
-
 class RelayFailed(Exception):  # noqa: N818
     """Carry the failure that ends a relayed answer."""
 
@@ -77,7 +68,7 @@
         self._clients = clients
         self._metrics = metrics
         self._last_chunk_at = 0.0
-        self._status: AttemptStatus | None = None
+        self._result: AttemptResult | None = None
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yield the answer's events; raise RelayFailed when it cannot be completed."""
@@ -86,18 +77,11 @@
                 effect = await exchange.next_effect()
                 if isinstance(effect, Refuse):
                     raise RelayFailed(self._final_failure(effect.failure))
-                self._status = None
+                self._count_retry(effect)
                 async for data in self._attempt(exchange, effect):
                     yield data
-                status = self._status or AttemptStatus(AttemptResult.LOST, RetryReason.LOST)
-                if status.result is AttemptResult.COMPLETED:
+                if self._result is AttemptResult.COMPLETED:
                     return
-                self._metrics.count_retry(status.reason)
-                log(
-                    LogEvent.REQUEST_RETRIED,
-                    request_id=self.call.request_id,
-                    reason=status.reason.value,
-                )
 
     async def _attempt(self, exchange: Exchange, dispatch: Dispatch) -> AsyncIterator[bytes]:
         self.attempts += 1
@@ -106,16 +90,16 @@
         async with AsyncExitStack() as stack:
             opened = await self._open(exchange, dispatch, client, stack)
             if isinstance(opened, OpenFailed):
-                self._end(exchange, dispatch, _status_of(opened))
+                self._end(exchange, dispatch, opened.result)
                 return
             self.cached_tokens = max(self.cached_tokens, opened.cached_tokens)
             exchange.first_token(dispatch.attempt, opened.cached_tokens)
             self.checker.begin_attempt(opened.fingerprint)
             chunks = opened.resp.aiter_raw()
             while True:
-                data = await self._next_chunk(exchange, chunks)
+                data = await self._next_chunk(exchange, dispatch, chunks)
                 if data is None:
-                    self._end(exchange, dispatch, _LOST)
+                    self._end(exchange, dispatch, AttemptResult.LOST)
                     return
                 step = self.checker.feed(data)
                 if step.forward:
@@ -123,10 +107,11 @@
                     yield step.forward
                 if step.done:
                     await _finish_reading(chunks)
-                    self._end(exchange, dispatch, _COMPLETED)
+                    self._end(exchange, dispatch, AttemptResult.COMPLETED)
                     return
                 if step.fault is not None:
-                    self._end(exchange, dispatch, self._fault_status(dispatch, step.fault))
+                    self._log_fault(dispatch, step.fault)
+                    self._end(exchange, dispatch, AttemptResult.LOST)
                     return
 
     async def _open(
@@ -143,12 +128,14 @@
             dispatch.incarnation,
             dispatch.weights_version,
         )
-        with exchange.attempt_scope(self.call.req.deadline):
+        with exchange.attempt_scope(dispatch, self.call.req.deadline):
             return await client.open_stream(call, stack)
         return OpenFailed(AttemptResult.LOST, "endpoint went down or deadline passed")
 
-    async def _next_chunk(self, exchange: Exchange, chunks: AsyncIterator[bytes]) -> bytes | None:
-        with exchange.attempt_scope(trio.current_time() + STREAM_IDLE_S):
+    async def _next_chunk(
+        self, exchange: Exchange, dispatch: Dispatch, chunks: AsyncIterator[bytes]
+    ) -> bytes | None:
+        with exchange.attempt_scope(dispatch, trio.current_time() + STREAM_IDLE_S):
             try:
                 return await anext(chunks)
             except (httpx.HTTPError, httpx.StreamError, StopAsyncIteration):
@@ -184,18 +171,24 @@
         self._last_chunk_at = now
         self._metrics.completion_tokens.inc(tokens)
 
-    def _fault_status(self, dispatch: Dispatch, fault: StreamFault) -> AttemptStatus:
+    def _count_retry(self, dispatch: Dispatch) -> None:
+        if dispatch.retry_reason is None:
+            return
+        reason = RetryReason.STREAM_CONTINUED if self.checker.next_offset else dispatch.retry_reason
+        self._metrics.count_retry(reason)
+        log(LogEvent.REQUEST_RETRIED, request_id=self.call.request_id, reason=reason.value)
+
+    def _log_fault(self, dispatch: Dispatch, fault: StreamFault) -> None:
         log(
             LogEvent.ANSWER_MISMATCHED,
             request_id=self.call.request_id,
             endpoint=dispatch.endpoint,
             detail=fault.value,
         )
-        return AttemptStatus(AttemptResult.LOST, RetryReason.ANSWER_MISMATCHED, fault.value)
 
-    def _end(self, exchange: Exchange, dispatch: Dispatch, status: AttemptStatus) -> None:
-        self._status = status
-        exchange.end_attempt(dispatch.attempt, status.result, self.checker.next_offset)
+    def _end(self, exchange: Exchange, dispatch: Dispatch, result: AttemptResult) -> None:
+        self._result = result
+        exchange.end_attempt(dispatch, result, self.checker.next_offset)
 
     def _final_failure(self, failure: Failure) -> Failure:
         if not self.checker.next_offset:
@@ -211,17 +204,3 @@
                 pass
         except (httpx.HTTPError, httpx.StreamError):
             return
-
-
-_LOST = AttemptStatus(AttemptResult.LOST, RetryReason.LOST, "stream ended early")
-_COMPLETED = AttemptStatus(AttemptResult.COMPLETED, RetryReason.LOST)
-
-_REASONS = {
-    AttemptResult.NOT_SENT: RetryReason.NOT_SENT,
-    AttemptResult.REFUSED: RetryReason.REFUSED,
-}
-
-
-def _status_of(failed: OpenFailed) -> AttemptStatus:
-    reason = _REASONS.get(failed.result, RetryReason.LOST)
-    return AttemptStatus(failed.result, reason, failed.detail)
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -12,6 +12,8 @@
 from prometheus_client.registry import Collector
 
 from rattangate.core.messages import EndpointState
+from rattangate.core.refusals import RefusalReason
+from rattangate.core.retries import RetryReason
 from rattangate.errors import ErrorKind
 
 if TYPE_CHECKING:
@@ -24,17 +26,6 @@
 SIGNIFICANT_DIGITS = 2
 
 
-class RetryReason(Enum):
-    """Name every reason for another attempt."""
-
-    NOT_SENT = "not_sent"
-    REFUSED = "refused"
-    LOST = "lost"
-    STREAM_CONTINUED = "stream_continued"
-    ANSWER_MISMATCHED = "answer_mismatched"
-    SUSPECT_PROBED = "suspect_probed"
-
-
 class MetricKind(Enum):
     """Name the kinds of metric in Prometheus' terms."""
 
@@ -60,6 +51,13 @@
         "Refused requests, by error kind.",
         "Look the kind up in the list of error kinds; alert on `internal` and `outcome_unknown`.",
     )
+    REFUSAL_REASONS = (
+        "rattangate_refusal_reasons",
+        MetricKind.COUNTER,
+        ("reason",),
+        "Refused model requests, by the reason that the gateway found.",
+        "Look the reason up on the operators' page on overload.",
+    )
     RETRIES = (
         "rattangate_retries",
         MetricKind.COUNTER,
@@ -211,6 +209,7 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter(Metric.REQUESTS)
         self.refusals = self._counter(Metric.REFUSALS)
+        self.refusal_reasons = self._counter(Metric.REFUSAL_REASONS)
         self.retries = self._counter(Metric.RETRIES)
         self.prompt_tokens = self._counter(Metric.PROMPT_TOKENS)
         self.cache_hit_tokens = self._counter(Metric.CACHE_HIT_TOKENS)
@@ -241,6 +240,10 @@
         """Count one refused request."""
         self.refusals.labels(kind.value).inc()
 
+    def count_refusal_reason(self, reason: RefusalReason) -> None:
+        """Count one request that the gateway refused."""
+        self.refusal_reasons.labels(reason.value).inc()
+
     def count_retry(self, reason: RetryReason) -> None:
         """Count one further attempt."""
         self.retries.labels(reason.value).inc()
@@ -268,6 +271,8 @@
     def _show_zeros(self) -> None:
         for kind in ErrorKind:
             self.refusals.labels(kind.value)
+        for refusal in RefusalReason:
+            self.refusal_reasons.labels(refusal.value)
         for reason in RetryReason:
             self.retries.labels(reason.value)
         self.set_endpoints({})
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
-import io
 import struct
 from dataclasses import dataclass
-from importlib import resources
 from typing import TYPE_CHECKING, Any
 
-import thriftpy2
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
 from rattangate.core.messages import Departure, Placement
+from rattangate.peers.idl import MS_PER_S, idl
+from rattangate.peers.limits_codec import limits_news, limits_struct
 
 if TYPE_CHECKING:
-    from rattangate.core.messages import SendNews
+    from rattangate.core.messages import LimitsNews, SendNews
 
-MODULE_NAME = "rattangate_peers_thrift"
 PIECE = struct.Struct(">Q")
-MS_PER_S = 1000
 
-_source = resources.files("rattangate.peers").joinpath("peers.thrift").read_text()
-idl: Any = thriftpy2.load_fp(io.StringIO(_source), MODULE_NAME)
 _factory = TBinaryProtocolFactory()
 
 
@@ -51,6 +46,7 @@
     leaving_endpoints: tuple[tuple[str, int], ...]
     wants_config: bool = False
     config: HeldConfig | None = None
+    limits: LimitsNews | None = None
 
 
 def encode_message(message: object) -> bytes:
@@ -84,6 +80,7 @@
             wants_config=news.wants_config or None,
             config_record=news.config.record if news.config is not None else None,
             config_content=news.config.content if news.config is not None else None,
+            limits=limits_struct(news.limits) if news.limits is not None else None,
         )
     )
 
@@ -102,6 +99,7 @@
         tuple((raw.leaving_endpoints or {}).items()),
         bool(raw.wants_config),
         _held_config(raw),
+        limits_news(raw.limits) if raw.limits is not None else None,
     )
 
 
@@ -109,10 +107,19 @@
     sent: SendNews | None, instance: str, incarnation: int, config_version: int, leaving: bool
 ) -> PeerNews:
     """Wrap the core's news, or a bare heartbeat."""
-    placements = sent.placements if sent is not None else ()
-    departures = sent.departures if sent is not None else ()
-    seq = sent.seq if sent is not None else 0
-    return PeerNews(instance, incarnation, seq, config_version, leaving, placements, departures, ())
+    if sent is None:
+        return PeerNews(instance, incarnation, 0, config_version, leaving, (), (), ())
+    return PeerNews(
+        instance,
+        incarnation,
+        sent.seq,
+        config_version,
+        leaving,
+        sent.placements,
+        sent.departures,
+        (),
+        limits=sent.limits,
+    )
 
 
 def _held_config(raw: Any) -> HeldConfig | None:
@@ -132,6 +139,7 @@
         priority=placement.priority,
         number=placement.number,
         age_ms=int(placement.age_s * MS_PER_S),
+        digest=placement.digest,
     )
 
 
@@ -147,6 +155,7 @@
         placed.priority,
         placed.number,
         placed.age_ms / MS_PER_S,
+        placed.digest or b"",
     )
 
 
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -18,8 +18,8 @@
     decode_proof,
     encode_message,
     encode_news,
-    idl,
 )
+from rattangate.peers.idl import idl
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -24,6 +24,7 @@
   7: i32 priority
   8: i64 number
   9: i32 age_ms
+  10: binary digest
 }
 
 /** The first token or the loss of a placed request; no cached_tokens when no token came. */
@@ -37,6 +38,39 @@
   7: i32 age_ms
 }
 
+/** The present use of a workspace's limits at one instance. */
+struct Usage {
+  1: string workspace
+  2: i32 streams
+  3: i32 demand_tokens_per_s
+}
+
+/** A request that was aboard an endpoint that failed. */
+struct Suspected {
+  1: binary digest
+  2: string endpoint
+  3: i64 incarnation
+  4: i32 ran_ms
+  5: i32 expires_in_ms
+  6: bool confirmed
+  7: bool cleared
+}
+
+/** A suspect that an instance holds; endpoint is empty while it waits. */
+struct Trial {
+  1: binary digest
+  2: string endpoint
+  3: bool exclusive
+}
+
+/** What instances tell each other about limits, queues and suspects. */
+struct Limits {
+  1: list<Usage> usages
+  2: i64 queued_tokens
+  3: list<Suspected> suspected
+  4: list<Trial> trials
+}
+
 /** What an instance tells its peers; it is the heartbeat too. */
 struct News {
   1: string instance
@@ -52,4 +86,5 @@
   /** A configuration record and its content, on request. */
   10: optional binary config_record
   11: optional binary config_content
+  12: optional Limits limits
 }
--- a/rattangate/reconfigure.py
+++ b/rattangate/reconfigure.py
@@ -9,6 +9,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from rattangate.core.gateway import GatewayCfg
+from rattangate.core.intake import IntakeCfg
+from rattangate.core.limits import WorkspaceLimit
 from rattangate.endpoints.client import EndpointClient
 from rattangate.http.auth import Keyring
 
@@ -17,6 +20,26 @@
     from rattangate.entry import Entry
 
 
+def gateway_cfg(settings: Settings, instance: str) -> GatewayCfg:
+    """Return the settings of the gateway core."""
+    placement = settings.placement
+    intake = IntakeCfg(
+        instance=instance,
+        instances=len(settings.instances),
+        workspaces=workspace_limits(settings),
+        first_token_s=placement.first_token_s,
+        can_withdraw=True,
+    )
+    return GatewayCfg(placement.piece_tokens, placement.recompute_weight, intake=intake)
+
+
+def workspace_limits(settings: Settings) -> tuple[WorkspaceLimit, ...]:
+    """Return the limits of all workspaces."""
+    return tuple(
+        WorkspaceLimit(item.name, item.share, item.max_streams) for item in settings.workspaces
+    )
+
+
 def reconfigure(entry: Entry, settings: Settings) -> None:
     """Replace the settings of an instance and of all its parts at once."""
     before = entry.settings
@@ -26,6 +49,7 @@
     entry.models = {model.name: model for model in settings.models}
     gateway = entry.driver.gateway
     gateway.cfg = replace(gateway.cfg, recompute_weight=placement.recompute_weight)
+    gateway.intake.configure(len(settings.instances), workspace_limits(settings))
     _replace_clients(entry, before)
     entry.watch_endpoints()
     entry.connect_peers()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -34,7 +34,7 @@
             driver.drop_endpoint("a", 7)
             effect = await exchange.next_effect()
             assert isinstance(effect, Dispatch)
-            with exchange.attempt_scope(math.inf) as scope:
+            with exchange.attempt_scope(effect, math.inf) as scope:
                 await trio.lowlevel.checkpoint()
             return scope.cancelled_caught
 
@@ -44,8 +44,8 @@
 def test_a_running_attempt_ends_when_its_endpoint_is_lost(driver):
     async def main():
         with driver.exchange(REQUEST) as exchange:
-            await exchange.next_effect()
-            with exchange.attempt_scope(math.inf) as scope:
+            effect = await exchange.next_effect()
+            with exchange.attempt_scope(effect, math.inf) as scope:
                 driver.drop_endpoint("a", 7)
                 await trio.sleep_forever()
             return scope.cancelled_caught
@@ -56,9 +56,9 @@
 def test_another_incarnation_of_the_endpoint_is_left_alone(driver):
     async def main():
         with driver.exchange(REQUEST) as exchange:
-            await exchange.next_effect()
+            effect = await exchange.next_effect()
             driver.drop_endpoint("a", 6)
-            with exchange.attempt_scope(math.inf) as scope:
+            with exchange.attempt_scope(effect, math.inf) as scope:
                 await trio.lowlevel.checkpoint()
             return scope.cancelled_caught
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from rattangate.core.messages import EndpointState
+from rattangate.core.refusals import RefusalReason
+from rattangate.core.retries import RetryReason
 from rattangate.errors import ErrorKind
-from rattangate.metrics import Metric, Metrics, RetryReason, TimeRecorder
+from rattangate.metrics import Metric, Metrics, TimeRecorder
 from tools.build_reference import REFERENCE, render_metrics
 
 
@@ -24,6 +26,8 @@
     text = Metrics().render().decode()
     for kind in ErrorKind:
         assert f'rattangate_refusals_total{{kind="{kind.value}"}} 0.0' in text
+    for refusal in RefusalReason:
+        assert f'rattangate_refusal_reasons_total{{reason="{refusal.value}"}} 0.0' in text
     for reason in RetryReason:
         assert f'rattangate_retries_total{{reason="{reason.value}"}} 0.0' in text
 
