--- a/rattangate/cmd/config.py
+++ b/rattangate/cmd/config.py
@@ -15,6 +15,7 @@
 from rattangate.config.load import check_sources, load_settings, load_sources
 from rattangate.config.schema import render_reference, render_schema
 from rattangate.config.view import diff_settings, view_settings
+from rattangate.http.admin_operations import render_api_reference
 
 if TYPE_CHECKING:
     from rattangate.config.model import Settings
@@ -88,12 +89,17 @@
     markdown: Annotated[
         bool, typer.Option("--markdown", help="Print the reference page instead.")
     ] = False,
+    api: Annotated[
+        bool, typer.Option("--api", help="Print the administration API's reference page instead.")
+    ] = False,
 ) -> None:
     """Print the JSON schema of a base file.
 
     Exit codes: 0 printed.
     """
-    if markdown:
+    if api:
+        print(render_api_reference(), end="")
+    elif markdown:
         print(render_reference(), end="")
     else:
         print_json(render_schema())
--- a/rattangate/cmd/config_versions.py
+++ b/rattangate/cmd/config_versions.py
@@ -55,6 +55,7 @@
     overlay: OverlayPaths = None,
     who: Annotated[str, typer.Option(help="Author of the change.")] = "",
     change_id: Annotated[str, typer.Option(help="Id of the change, to repeat it safely.")] = "",
+    timeout: Annotated[float, typer.Option(help="Seconds to try for.")] = APPLY_TIMEOUT_S,
     as_json: AsJson = False,
 ) -> None:
     """Check all sites and make the files the next version, in force everywhere within seconds.
@@ -76,7 +77,7 @@
         why,
         datetime.now(UTC).isoformat(timespec="seconds"),
     )
-    outcome = trio.run(_propose, settings.platform.address, proposal)
+    outcome = trio.run(_propose, settings.platform.address, proposal, timeout)
     if as_json:
         print_json({"outcome": _name(outcome), **msgspec.to_builtins(outcome)})
     else:
@@ -144,9 +145,9 @@
         print_line(f"version {version}; apply with --edited-from {version}")
 
 
-async def _propose(address: str, proposal: Proposal) -> ChangeOutcome:
+async def _propose(address: str, proposal: Proposal, timeout_s: float) -> ChangeOutcome:
     async with PlatformClient(address) as platform:
-        return await ConfigStore(platform).propose(proposal, APPLY_TIMEOUT_S)
+        return await ConfigStore(platform).propose(proposal, timeout_s)
 
 
 async def _read_newest_content(address: str) -> tuple[int, bytes] | ReadFailed | None:
--- a/rattangate/config/schema.py
+++ b/rattangate/config/schema.py
@@ -24,11 +24,11 @@
 
 def render_schema() -> dict[str, Any]:
     """Return the JSON schema of a base file."""
-    schema = _schema_of("")
+    schema = schema_of_section("")
     schema["$schema"] = SCHEMA_DIALECT
     schema["title"] = "rattangate settings"
     for name, section in subsections().items():
-        part = _schema_of(name)
+        part = schema_of_section(name)
         schema["properties"][name] = {"type": "array", "items": part} if section.identity else part
         if is_required(name):
             schema["required"].append(name)
@@ -54,7 +54,8 @@
     return "\n".join(lines) + "\n"
 
 
-def _schema_of(section: str) -> dict[str, Any]:
+def schema_of_section(section: str) -> dict[str, Any]:
+    """Return the JSON schema of one mapping, or of one entry of a list."""
     declared = declarations_of(section)
     return {
         "type": "object",
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -34,6 +34,7 @@
 from rattangate.metrics import Metrics
 from rattangate.peers.codec import HeldConfig, PeerNews, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
+from rattangate.platform.audit import AuditTrail
 from rattangate.platform.client import PlatformClient
 from rattangate.platform.config_store import ConfigStore, decode_record, encode_record
 from rattangate.platform.config_watch import ConfigWatch
@@ -90,7 +91,12 @@
         self.services = Services(self)
         self._stop = trio.Event()
         self._monitor: Monitor | None = None
-        self.config_watch: ConfigWatch | None = None
+        self.platform = PlatformClient(settings.platform.address)
+        self.config_store = ConfigStore(self.platform)
+        self.audit = AuditTrail(self.platform)
+        self.config_watch = ConfigWatch(
+            self.follower, self.config_store, self._enforce, self._ask_config
+        )
         self._caller_app: QuartTrio | None = None
 
     @property
@@ -101,15 +107,11 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what runs."""
         async with AsyncExitStack() as stack:
-            platform = await stack.enter_async_context(
-                PlatformClient(self.settings.platform.address)
-            )
+            platform = await stack.enter_async_context(self.platform)
             addresses = {item.name: item.address for item in self.settings.endpoints}
             self.clients = await stack.enter_async_context(open_clients(addresses))
             self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
             nursery = await stack.enter_async_context(trio.open_nursery())
-            store = ConfigStore(platform)
-            self.config_watch = ConfigWatch(self.follower, store, self._enforce, self._ask_config)
             nursery.start_soon(self.config_watch.run)
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self.links.run, self.instance.peer_address)
@@ -193,14 +195,12 @@
         self.links.send_to(peer, replace(self._wrap(None), wants_config=True))
 
     def _give_config(self, peer: str) -> None:
-        held = self.config_watch.held if self.config_watch is not None else None
+        held = self.config_watch.held
         if held is not None:
             config = HeldConfig(encode_record(held.record), held.content)
             self.links.send_to(peer, replace(self._wrap(None), config=config))
 
     def _receive_config(self, news: PeerNews) -> None:
-        if self.config_watch is None:
-            return
         self.config_watch.feed(VersionHeard(news.instance, news.config_version))
         if news.wants_config:
             self._give_config(news.instance)
--- a/rattangate/http/admin.py
+++ b/rattangate/http/admin.py
@@ -1,23 +1,48 @@
-"""The administration API: life signs, metrics, instances and endpoints."""
+"""The administration API: life signs, metrics and the operations of the table."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import re
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from rattangate.config.model import Role
 from rattangate.errors import ErrorKind, Failure
+from rattangate.http.admin_edits import EditRequest, carry_out_edit, new_change_id
+from rattangate.http.admin_handlers import EDITS, READS, Call
+from rattangate.http.admin_operations import (
+    CHANGE_ID,
+    CHANGE_REASON,
+    IF_MATCH,
+    OPERATIONS,
+    describe_api,
+)
 from rattangate.http.answers import error_response, json_response
+from rattangate.log_events import LogEvent, log
 from rattangate.metrics import CONTENT_TYPE
+from rattangate.platform.audit import AuditEntry
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from rattangate.config.model import AdminKeyCfg
     from rattangate.entry import Entry
+    from rattangate.http.admin_operations import Operation
+
+MAX_BODY_BYTES = 1_000_000
+MAX_REASON_CHARS = 200
+_CHANGE_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_ETAG = re.compile(r'(?:W/)?"(\d{1,12})"')
 
 
 def make_admin_app(entry: Entry) -> QuartTrio:
     """Create the application that operators reach."""
     app = QuartTrio("rattangate-admin")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
 
     @app.get("/livez")
     async def live() -> Response:
@@ -31,18 +56,120 @@
     async def metrics() -> Response:
         return Response(entry.metrics.render(), content_type=CONTENT_TYPE)
 
-    @app.get("/v1/instances")
-    async def instances() -> Response:
-        return _authorized(entry) or json_response({"instances": entry.describe_instances()})
+    @app.get("/v1/openapi.json")
+    async def describe() -> Response:
+        return json_response(describe_api())
 
-    @app.get("/v1/endpoints")
-    async def endpoints() -> Response:
-        return _authorized(entry) or json_response({"endpoints": entry.describe_endpoints()})
+    @app.errorhandler(404)
+    async def not_found(_: Exception) -> Response:
+        return error_response(Failure(ErrorKind.NOT_FOUND), "")
 
+    @app.errorhandler(413)
+    async def too_large(_: Exception) -> Response:
+        return error_response(Failure(ErrorKind.TOO_LARGE), "")
+
+    for operation in OPERATIONS:
+        handler = _make_handler(entry, operation)
+        app.add_url_rule(
+            operation.rule, operation.name, handler, methods=[operation.method], strict_slashes=True
+        )
     return app
 
 
-def _authorized(entry: Entry) -> Response | None:
-    if entry.keyring.admin_key(request.headers.get("Authorization", "")) is not None:
-        return None
-    return error_response(Failure(ErrorKind.UNAUTHENTICATED), "")
+def _make_handler(entry: Entry, operation: Operation) -> Callable[..., Awaitable[Response]]:
+    async def handle(**params: str) -> Response:
+        key = entry.keyring.admin_key(request.headers.get("Authorization", ""))
+        if key is None:
+            return error_response(Failure(ErrorKind.UNAUTHENTICATED), "")
+        if not _permits(key, operation, params):
+            return error_response(Failure(ErrorKind.FORBIDDEN), "")
+        if operation.edits:
+            return await _edit(entry, operation, key, params)
+        call = Call(entry, params, dict(request.args), {})
+        return _answer(entry, await READS[operation.name](call))
+
+    return handle
+
+
+def _permits(key: AdminKeyCfg, operation: Operation, params: dict[str, str]) -> bool:
+    if key.role not in operation.roles:
+        return False
+    return key.role is not Role.WORKSPACE_OWNER or params.get("workspace") == key.workspace
+
+
+def _answer(entry: Entry, outcome: object) -> Response:
+    if isinstance(outcome, Failure):
+        return error_response(outcome, "")
+    resp = json_response(outcome)
+    resp.headers["ETag"] = f'"{entry.config_version}"'
+    return resp
+
+
+async def _edit(
+    entry: Entry, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
+) -> Response:
+    req = _read_edit(key)
+    body = await _read_body(operation)
+    if isinstance(req, Failure):
+        return error_response(req, "")
+    if isinstance(body, Failure):
+        return error_response(body, "")
+    call = Call(entry, params, {}, body)
+    make_edit = EDITS[operation.name]
+    outcome = await carry_out_edit(entry, req, lambda data: make_edit(call, data))
+    await _write_audit(entry, key, req, outcome)
+    if isinstance(outcome, Failure):
+        resp = error_response(outcome, "")
+    else:
+        resp = json_response(msgspec.to_builtins(outcome))
+        resp.headers["ETag"] = f'"{outcome.version}"'
+    resp.headers[CHANGE_ID] = req.change_id
+    return resp
+
+
+def _read_edit(key: AdminKeyCfg) -> EditRequest | Failure:
+    etag = _ETAG.fullmatch(request.headers.get(IF_MATCH, ""))
+    if etag is None:
+        return Failure(ErrorKind.BAD_REQUEST, f'{IF_MATCH}: must be the ETag read, such as "12"')
+    reason = request.headers.get(CHANGE_REASON, "").strip()
+    if not 0 < len(reason) <= MAX_REASON_CHARS:
+        return Failure(
+            ErrorKind.BAD_REQUEST, f"{CHANGE_REASON}: must be 1 to {MAX_REASON_CHARS} characters"
+        )
+    change_id = request.headers.get(CHANGE_ID) or new_change_id()
+    if not _CHANGE_ID.fullmatch(change_id):
+        return Failure(ErrorKind.BAD_REQUEST, f"{CHANGE_ID}: must match {_CHANGE_ID.pattern}")
+    return EditRequest(int(etag[1]), change_id, key.name, reason)
+
+
+async def _read_body(operation: Operation) -> dict[str, Any] | Failure:
+    if operation.body is None:
+        return {}
+    try:
+        body = msgspec.json.decode(await request.get_data())
+    except msgspec.MsgspecError:
+        return Failure(ErrorKind.BAD_REQUEST, "body: must be JSON")
+    if not isinstance(body, dict):
+        return Failure(ErrorKind.BAD_REQUEST, "body: must be a JSON object")
+    unknown = sorted(body.keys() - operation.body["properties"].keys())
+    missing = sorted(set(operation.body.get("required", ())) - body.keys())
+    if unknown or missing:
+        return Failure(ErrorKind.BAD_REQUEST, f"body: unknown {unknown}, missing {missing}")
+    return body
+
+
+async def _write_audit(entry: Entry, key: AdminKeyCfg, req: EditRequest, outcome: Any) -> None:
+    call = f"{request.method} {request.path}"
+    failed = isinstance(outcome, Failure)
+    audited = AuditEntry(
+        datetime.now(UTC).isoformat(timespec="milliseconds"),
+        req.change_id,
+        key.name,
+        key.role.value,
+        call,
+        req.reason,
+        outcome.kind.value if failed else "accepted",
+        0 if failed else outcome.version,
+    )
+    log(LogEvent.ADMIN_CHANGED, who=key.name, action=request.method, object=request.path)
+    await entry.audit.write(audited)
--- a/tests/config/test_declarations.py
+++ b/tests/config/test_declarations.py
@@ -7,6 +7,7 @@
 
 from rattangate.config.declarations import DECLARATIONS, SECTIONS, declarations_of, subsections
 from rattangate.config.schema import render_reference, render_schema
+from rattangate.http.admin_operations import render_api_reference
 
 REFERENCE = Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
 
@@ -30,6 +31,10 @@
     assert REFERENCE.read_text() == render_reference()
 
 
+def test_api_page_is_up_to_date():
+    assert REFERENCE.with_name("admin-api.md").read_text() == render_api_reference()
+
+
 def test_schema_names_every_key():
     properties = render_schema()["properties"]
     assert properties.keys() == declarations_of("").keys() | subsections().keys()
--- /dev/null
+++ b/tests/operators/test_admin.py
@@ -0,0 +1,192 @@
+"""The administration API: description, roles, edits, concurrency, idempotence and audit."""
+
+from __future__ import annotations
+
+import uuid
+from hashlib import sha256
+
+import httpx
+import pytest
+import yaml
+
+from rattangate.config.model import Role
+from rattangate.http.admin_handlers import EDITS, READS
+from rattangate.http.admin_operations import OPERATIONS, describe_api
+from rattangate.http.auth import hash_key
+from tests.operators.applied import apply_files, wait_in_force
+from tests.small_deployment import Shape, small_deployment
+
+HASHES = [sha256(bytes([n])).hexdigest() for n in range(8)]
+ROLES = {Role.OPERATOR: "demo-admin", Role.READER: "demo-reader", Role.WORKSPACE_OWNER: "demo-own"}
+ADMIN_KEYS = [
+    {"name": "admin", "key_hash": hash_key("demo-admin"), "role": "operator"},
+    {"name": "reader", "key_hash": hash_key("demo-reader"), "role": "reader"},
+    {
+        "name": "own",
+        "key_hash": hash_key("demo-own"),
+        "role": "workspace_owner",
+        "workspace": "alpha",
+    },
+]
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    """Run a small deployment whose files were applied as version 1."""
+    settings = {
+        "admin_keys": ADMIN_KEYS,
+        "peers": {"secret_hash": hash_key("demo-peers")},
+    }
+    shape = Shape(engines=2, instances=2, settings=settings)
+    with small_deployment(tmp_path_factory.mktemp("admin"), shape) as running:
+        apply_files(running, 0)
+        wait_in_force(running, 1)
+        yield running
+
+
+class Api:
+    """Call the administration API of one instance."""
+
+    def __init__(self, deployment, place: int = 0) -> None:
+        self.base = f"http://{deployment.settings.instances[place].admin_address}"
+
+    def call(self, method: str, path: str, role=Role.OPERATOR, body=None, **headers: str):
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        headers["Authorization"] = f"Bearer {ROLES[role]}"
+        url = self.base + path
+        return httpx.request(method, url, headers=headers, json=body, timeout=20, trust_env=False)
+
+    def edit(self, method: str, path: str, body=None, role=Role.OPERATOR, **headers: str):
+        etag = self.call("GET", "/v1/config").headers["ETag"]
+        return self.call(
+            method, path, role, body, **{"If_Match": etag, "Change_Reason": "test", **headers}
+        )
+
+
+@pytest.fixture
+def api(deployment):
+    """Return the API of the first instance."""
+    return Api(deployment)
+
+
+def test_table_has_one_handler_for_each_operation():
+    assert {op.name for op in OPERATIONS if op.edits} == EDITS.keys()
+    assert {op.name for op in OPERATIONS if not op.edits} == READS.keys()
+
+
+def test_description_is_served(api):
+    assert api.call("GET", "/v1/openapi.json").json() == describe_api()
+
+
+def test_every_operation_answers_as_described(api):
+    paths = describe_api()["paths"]
+    for op in OPERATIONS:
+        path = op.path.format(workspace="absent", endpoint="absent", key_id="absent")
+        resp = api.edit(op.method, path, {"share": "x"} if op.body else None)
+        assert str(resp.status_code) in paths[op.path][op.method.lower()]["responses"], op.name
+        assert resp.status_code != 500
+
+
+def test_every_operation_holds_to_its_roles(api):
+    for op in OPERATIONS:
+        path = op.path.format(workspace="beta", endpoint="absent", key_id="absent")
+        for role in Role:
+            resp = api.call(op.method, path, role, {} if op.body else None)
+            permitted = role in op.roles and role is not Role.WORKSPACE_OWNER
+            assert (resp.status_code == 403) == (not permitted), (op.name, role)
+        stranger = httpx.request(op.method, api.base + path, trust_env=False)
+        assert stranger.status_code == 401
+
+
+def test_owner_manages_the_keys_of_one_workspace(api, deployment):
+    owner = Role.WORKSPACE_OWNER
+    added = api.edit("POST", "/v1/workspaces/alpha/keys", {"key_hash": HASHES[0]}, owner)
+    assert added.status_code == 200
+    before = api.call("GET", "/v1/workspaces/alpha", owner).json()["key_ids"]
+    assert HASHES[0] not in str(before)
+    path = f"/v1/workspaces/alpha/keys/{before[-1]}"
+    assert api.edit("PUT", path, {"key_hash": HASHES[1]}, owner).status_code == 200
+    after = api.call("GET", "/v1/workspaces/alpha", owner).json()["key_ids"]
+    assert (after[0], len(after)) == (before[0], 2)
+    last = api.edit("DELETE", f"/v1/workspaces/alpha/keys/{after[-1]}", None, owner)
+    assert last.status_code == 200
+    wait_in_force(deployment, last.json()["version"])
+
+
+def test_key_in_plain_text_is_refused_and_not_repeated(api):
+    resp = api.edit("POST", "/v1/workspaces/alpha/keys", {"key_hash": "open-sesame"})
+    assert resp.status_code == 422
+    assert "open-sesame" not in resp.text
+
+
+def test_new_workspace_is_served_by_every_instance(api, deployment):
+    body = {"key_hashes": [hash_key("demo-delta")], "max_streams": 3}
+    resp = api.edit("PUT", "/v1/workspaces/delta", body)
+    assert resp.status_code == 200
+    wait_in_force(deployment, resp.json()["version"])
+    for url in deployment.caller_urls():
+        headers = {"Authorization": "Bearer demo-delta"}
+        assert httpx.get(f"{url}/v1/models", headers=headers, trust_env=False).status_code == 200
+    gone = api.edit("DELETE", "/v1/workspaces/delta")
+    wait_in_force(deployment, gone.json()["version"])
+    for url in deployment.caller_urls():
+        headers = {"Authorization": "Bearer demo-delta"}
+        assert httpx.get(f"{url}/v1/models", headers=headers, trust_env=False).status_code == 401
+
+
+def test_stale_etag_is_refused_with_both_sides(api):
+    stale = api.call("GET", "/v1/config").headers["ETag"]
+    first = api.edit("PUT", "/v1/limits", {"max_streams": 900}, Change_Reason="the first")
+    assert first.status_code == 200
+    resp = api.edit(
+        "PUT", "/v1/limits", {"max_streams": 800}, If_Match=stale, Change_Reason="the second"
+    )
+    assert resp.status_code == 409
+    assert "the first" in resp.text and "the second" in resp.text
+
+
+def test_edit_is_idempotent_by_change_id_at_any_instance(api, deployment):
+    etag = api.call("GET", "/v1/config").headers["ETag"]
+    headers = {"If_Match": etag, "Change_Id": uuid.uuid4().hex}
+    body = {"max_prompt_tokens": 123_456}
+    first = api.edit("PUT", "/v1/limits", body, **headers)
+    again = Api(deployment, 1).edit("PUT", "/v1/limits", body, **headers)
+    assert first.json() == again.json()
+    other = api.edit("PUT", "/v1/limits", {"max_prompt_tokens": 1}, **headers)
+    assert other.status_code == 409
+
+
+def test_endpoint_is_removed_and_added_without_restart(api, deployment):
+    endpoints = yaml.safe_load(deployment.base.read_text())["endpoints"]
+    fields = next(item for item in endpoints if item["name"] == "engine-2")
+    gone = api.edit("DELETE", "/v1/endpoints/engine-2")
+    wait_in_force(deployment, gone.json()["version"])
+    listed = Api(deployment, 1).call("GET", "/v1/endpoints").json()["endpoints"]
+    assert "engine-2" not in {item["name"] for item in listed}
+    body = {key: value for key, value in fields.items() if key != "name"}
+    back = api.edit("PUT", "/v1/endpoints/engine-2", body)
+    assert back.status_code == 200
+    wait_in_force(deployment, back.json()["version"])
+    deployment.wait_endpoints_live()
+
+
+def test_platform_outage_changes_nothing(api, deployment):
+    deployment.set_faults("platform", down=True)
+    try:
+        resp = api.edit("PUT", "/v1/limits", {"max_streams": 10})
+    finally:
+        deployment.set_faults("platform", down=False)
+    assert resp.status_code == 503
+    assert resp.json()["error"]["run_state"] == "not run"
+
+
+def test_versions_and_audit_name_who_and_why(api):
+    done = api.edit("PUT", "/v1/limits", {"max_streams": 700}, Change_Reason="summer")
+    versions = api.call("GET", "/v1/config/versions").json()["versions"]
+    assert versions[0]["version"] == done.json()["version"]
+    assert (versions[0]["author"], versions[0]["reason"]) == ("admin", "API: summer")
+    refused = api.edit("DELETE", "/v1/workspaces/absent", Change_Reason="mistake")
+    assert refused.status_code == 404
+    calls = api.call("GET", "/v1/audit").json()["calls"]
+    assert ("mistake", "not_found") in {(call["reason"], call["outcome"]) for call in calls}
+    assert ("summer", "accepted") in {(call["reason"], call["outcome"]) for call in calls}
