Join the marks of leaving endpoints from reports, list and peers in the core

Cause: the daemon kept a mark only in its own watch; a peer that could not reach the platform never learned of it, and a lagging list marked the incarnation that had come back. Ruled out: incarnations in the platform's list (it names none); a mark therefore holds for the incarnation that was current when the entry first said leaving.

--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -8,6 +8,7 @@
 import trio
 
 from rattangate.config.model import EndpointKind
+from rattangate.core.leaving import LeavingMarks
 from rattangate.core.messages import (
     AttemptResult,
     CacheChanged,
@@ -40,6 +41,7 @@
     incarnation: int = 0
     weights_version: str = ""
     state: EndpointState = EndpointState.DOWN
+    is_reachable: bool = False
     misses: int = 0
 
 
@@ -58,6 +60,7 @@
         self._clients = clients
         self._platform = platform
         self._driver = driver
+        self._marks = LeavingMarks()
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -102,12 +105,21 @@
                 if endpoint.kind is EndpointKind.ENGINE:
                     nursery.start_soon(self._follow_cache, endpoint)
 
-    def mark_leaving(self, name: str, source: str) -> None:
-        """Mark the present incarnation of an endpoint as leaving, for good."""
-        seen = self.watched.get(name)
-        if seen is None or seen.state is EndpointState.LEAVING or not seen.incarnation:
-            return
-        self._change(name, seen.incarnation, seen.weights_version, EndpointState.LEAVING, source)
+    def take_marks(self, marks: tuple[tuple[str, int], ...]) -> None:
+        """Take a peer's marks of leaving endpoints."""
+        self._show_marks(self._marks.mark_told(marks), "peer")
+
+    def leaving_marks(self) -> tuple[tuple[str, int], ...]:
+        """Return the marks of leaving endpoints for the peers."""
+        return self._marks.news()
+
+    def _show_marks(self, names: list[str], source: str) -> None:
+        for name in names:
+            seen = self.watched.get(name)
+            if seen is not None and self._marks.is_leaving(name, seen.incarnation):
+                self._change(
+                    name, seen.incarnation, seen.weights_version, EndpointState.LEAVING, source
+                )
 
     async def _watch_load(self, endpoint: EndpointCfg) -> None:
         client = self._clients[endpoint.name]
@@ -122,8 +134,11 @@
     def _apply_report(self, name: str, report: EndpointReport) -> None:
         seen = self.watched[name]
         seen.misses = 0
+        seen.is_reachable = True
         state = _STATES.get(report.state, EndpointState.DOWN)
-        if seen.state is EndpointState.LEAVING and report.incarnation <= seen.incarnation:
+        if state is EndpointState.LEAVING:
+            self._marks.mark(name, report.incarnation)
+        if self._marks.is_leaving(name, report.incarnation):
             state = EndpointState.LEAVING
         now_seen = (report.incarnation, report.weights_version, state)
         if now_seen != (seen.incarnation, seen.weights_version, seen.state):
@@ -143,8 +158,9 @@
         seen = self.watched[name]
         seen.misses += 1
         is_gone = failed.result is AttemptResult.NOT_SENT or seen.misses >= MISSED_REPORTS
-        if not is_gone or seen.state is EndpointState.DOWN:
+        if not is_gone or not seen.is_reachable:
             return
+        seen.is_reachable = False
         log(LogEvent.ENDPOINT_DOWN, endpoint=name, error=failed.detail)
         if seen.state is EndpointState.LIVE:
             self._change(name, seen.incarnation, seen.weights_version, EndpointState.DOWN, "report")
@@ -194,7 +210,6 @@
         while True:
             states = await self._platform.list_instances()
             if not isinstance(states, Unavailable):
-                for name, state in states.items():
-                    if state == "leaving":
-                        self.mark_leaving(name, "instance_list")
+                current = {name: seen.incarnation for name, seen in self.watched.items()}
+                self._show_marks(self._marks.mark_listed(states, current), "instance_list")
             await trio.sleep(INSTANCE_LIST_INTERVAL_S)
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -254,9 +254,11 @@
         self.links.send(self._wrap(sent))
 
     def _wrap(self, sent: SendNews | None) -> PeerNews:
-        return news_of(
+        news = news_of(
             sent, self.instance.name, self.incarnation, self.config_version, self.leaving
         )
+        marks = self._monitor.leaving_marks() if self._monitor is not None else ()
+        return replace(news, leaving_endpoints=marks)
 
     def _receive_news(self, news: PeerNews) -> None:
         peer = self.peers[news.instance]
@@ -276,6 +278,8 @@
         peer.is_leaving = news.leaving
         self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
         self._receive_config(news)
+        if self._monitor is not None:
+            self._monitor.take_marks(news.leaving_endpoints)
         if news.seq:
             self.driver.feed(
                 NewsReceived(
--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -39,6 +39,7 @@
     cache_pieces: int = 64
     checks_orders: bool = True
     settings: dict[str, Any] = field(default_factory=dict)
+    overlays: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 def free_addresses(count: int) -> list[str]:
@@ -57,7 +58,11 @@
     base = folder / "base.yaml"
     base.write_text(yaml.safe_dump(small_settings(shape), sort_keys=False))
     shapes = {f"engine-{number}": shape.engine for number in range(1, shape.engines + 1)}
-    return Deployment(base, {}, shape.instances, shapes, log_dir=folder)
+    overlays = {}
+    for data_centre, overlay in shape.overlays.items():
+        overlays[data_centre] = folder / f"{data_centre}.yaml"
+        overlays[data_centre].write_text(yaml.safe_dump(overlay))
+    return Deployment(base, overlays, shape.instances, shapes, log_dir=folder)
 
 
 def small_settings(shape: Shape) -> dict[str, Any]:
