--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 bench-policy: setup
 	$(PY) -m bench.policy
+
+binary: setup
+	$(PY) -m tools.build_binary
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -209,6 +209,9 @@
         news = NewsReceived(str(entry), self.generation, sent.seq, sent.placements, sent.departures)
         records = len(sent.placements) + len(sent.departures)
         hashes = sum(len(placement.pieces) for placement in sent.placements)
+        if sent.limits is not None:
+            records += len(sent.limits.usages) + len(sent.limits.claims)
+            records += len(sent.limits.suspicions)
         size = NEWS_HEADER_BYTES + RECORD_BYTES * records + HASH_BYTES * hashes
         for peer, router in enumerate(self.routers):
             if peer != entry:
--- a/rattangate/cmd/config.py
+++ b/rattangate/cmd/config.py
@@ -1,4 +1,4 @@
-"""The `config` commands: check, show, diff and schema."""
+"""The `config` commands: check, show, diff, schema, and those that reach the platform."""
 
 from __future__ import annotations
 
@@ -8,24 +8,24 @@
 import typer
 import yaml
 
+from rattangate.cmd import config_versions
+from rattangate.cmd.config_versions import AsJson, BasePath, OverlayPaths  # noqa: TC001
 from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
 from rattangate.config.faults import ConfigError
 from rattangate.config.load import check_sources, load_settings, load_sources
 from rattangate.config.schema import render_reference, render_schema
 from rattangate.config.view import diff_settings, view_settings
+from rattangate.http.admin_operations import render_api_reference
 
 if TYPE_CHECKING:
     from rattangate.config.model import Settings
 
 app = typer.Typer(help="Check, show, compare and apply the settings.", no_args_is_help=True)
+app.command()(config_versions.apply)
+app.command()(config_versions.status)
+app.command()(config_versions.pull)
 
-BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
 OverlayPath = Annotated[Path | None, typer.Option("--overlay", "-o", help="Overlay of one site.")]
-OverlayPaths = Annotated[
-    list[Path] | None,
-    typer.Option("--overlay", "-o", help="Overlay of a site; give it once for each."),
-]
-AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
 
 
 @app.command()
@@ -89,12 +89,17 @@
     markdown: Annotated[
         bool, typer.Option("--markdown", help="Print the reference page instead.")
     ] = False,
+    api: Annotated[
+        bool, typer.Option("--api", help="Print the administration API's reference page instead.")
+    ] = False,
 ) -> None:
     """Print the JSON schema of a base file.
 
     Exit codes: 0 printed.
     """
-    if markdown:
+    if api:
+        print(render_api_reference(), end="")
+    elif markdown:
         print(render_reference(), end="")
     else:
         print_json(render_schema())
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -8,6 +8,7 @@
 import trio
 
 from rattangate.config.model import EndpointKind
+from rattangate.core.leaving import LeavingMarks
 from rattangate.core.messages import (
     AttemptResult,
     CacheChanged,
@@ -40,6 +41,7 @@
     incarnation: int = 0
     weights_version: str = ""
     state: EndpointState = EndpointState.DOWN
+    is_reachable: bool = False
     misses: int = 0
 
 
@@ -58,22 +60,66 @@
         self._clients = clients
         self._platform = platform
         self._driver = driver
+        self._marks = LeavingMarks()
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             for endpoint in self._endpoints.values():
+                self._start_watch(endpoint)
+            nursery.start_soon(self._watch_instance_list)
+
+    def set_endpoints(self, endpoints: tuple[EndpointCfg, ...]) -> None:
+        """Watch new and changed endpoints, and give no more work to those that are gone."""
+        before, self._endpoints = self._endpoints, {item.name: item for item in endpoints}
+        for name, endpoint in before.items():
+            if self._endpoints.get(name) != endpoint:
+                self._end_watch(name)
+        for name, endpoint in self._endpoints.items():
+            if name not in self.watched:
+                self.watched[name] = Watched()
+                self._start_watch(endpoint)
+
+    def _start_watch(self, endpoint: EndpointCfg) -> None:
+        if self._nursery is None:
+            return
+        self._scopes[endpoint.name] = scope = trio.CancelScope()
+        self._nursery.start_soon(self._watch, endpoint, scope)
+
+    def _end_watch(self, name: str) -> None:
+        seen = self.watched.pop(name)
+        if name in self._scopes:
+            self._scopes.pop(name).cancel()
+        if seen.incarnation:
+            self._driver.feed(
+                EndpointSeen(name, seen.incarnation, seen.weights_version, EndpointState.DOWN)
+            )
+
+    async def _watch(self, endpoint: EndpointCfg, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_load, endpoint)
                 if endpoint.kind is EndpointKind.ENGINE:
                     nursery.start_soon(self._follow_cache, endpoint)
-            nursery.start_soon(self._watch_instance_list)
 
-    def mark_leaving(self, name: str, source: str) -> None:
-        """Mark the present incarnation of an endpoint as leaving, for good."""
-        seen = self.watched.get(name)
-        if seen is None or seen.state is EndpointState.LEAVING or not seen.incarnation:
-            return
-        self._change(name, seen.incarnation, seen.weights_version, EndpointState.LEAVING, source)
+    def take_marks(self, marks: tuple[tuple[str, int], ...]) -> None:
+        """Take a peer's marks of leaving endpoints."""
+        self._show_marks(self._marks.mark_told(marks), "peer")
+
+    def leaving_marks(self) -> tuple[tuple[str, int], ...]:
+        """Return the marks of leaving endpoints for the peers."""
+        return self._marks.news()
+
+    def _show_marks(self, names: list[str], source: str) -> None:
+        for name in names:
+            seen = self.watched.get(name)
+            if seen is not None and self._marks.is_leaving(name, seen.incarnation):
+                self._change(
+                    name, seen.incarnation, seen.weights_version, EndpointState.LEAVING, source
+                )
 
     async def _watch_load(self, endpoint: EndpointCfg) -> None:
         client = self._clients[endpoint.name]
@@ -88,8 +134,11 @@
     def _apply_report(self, name: str, report: EndpointReport) -> None:
         seen = self.watched[name]
         seen.misses = 0
+        seen.is_reachable = True
         state = _STATES.get(report.state, EndpointState.DOWN)
-        if seen.state is EndpointState.LEAVING and report.incarnation <= seen.incarnation:
+        if state is EndpointState.LEAVING:
+            self._marks.mark(name, report.incarnation)
+        if self._marks.is_leaving(name, report.incarnation):
             state = EndpointState.LEAVING
         now_seen = (report.incarnation, report.weights_version, state)
         if now_seen != (seen.incarnation, seen.weights_version, seen.state):
@@ -109,8 +158,9 @@
         seen = self.watched[name]
         seen.misses += 1
         is_gone = failed.result is AttemptResult.NOT_SENT or seen.misses >= MISSED_REPORTS
-        if not is_gone or seen.state is EndpointState.DOWN:
+        if not is_gone or not seen.is_reachable:
             return
+        seen.is_reachable = False
         log(LogEvent.ENDPOINT_DOWN, endpoint=name, error=failed.detail)
         if seen.state is EndpointState.LIVE:
             self._change(name, seen.incarnation, seen.weights_version, EndpointState.DOWN, "report")
@@ -160,7 +210,6 @@
         while True:
             states = await self._platform.list_instances()
             if not isinstance(states, Unavailable):
-                for name, state in states.items():
-                    if state == "leaving":
-                        self.mark_leaving(name, "instance_list")
+                current = {name: seen.incarnation for name, seen in self.watched.items()}
+                self._show_marks(self._marks.mark_listed(states, current), "instance_list")
             await trio.sleep(INSTANCE_LIST_INTERVAL_S)
