--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -254,7 +254,7 @@
         pieces = arrival.document.hashes(engine.version)
         self._jobs += 1
         engine.jobs[self._jobs] = (effect.req_id, effect.attempt, index)
-        job = Job(self._jobs, pieces, arrival.prompt_tokens, arrival.answer_tokens, effect.priority)
+        job = Job(self._jobs, pieces, arrival.prompt_tokens, arrival.answer_tokens)
         outcome = self.outcomes[effect.req_id]
         outcome.attempts = max(outcome.attempts, effect.attempt)
         engine.model.submit(job, self.now)
--- a/rattangate/core/fairness.py
+++ b/rattangate/core/fairness.py
@@ -30,7 +30,6 @@
     def __init__(self, shares: Mapping[str, float] | None = None) -> None:
         self._shares = dict(shares or {})
         self._used: dict[str, tuple[float, float]] = {}
-        self._total = (0.0, 0.0)
 
     def configure(self, shares: Mapping[str, float]) -> None:
         """Take new shares."""
@@ -43,24 +42,16 @@
     def charge(self, workspace: str, tokens: float, now: float) -> None:
         """Count work of a workspace."""
         self._used[workspace] = (self.used(workspace, now) + tokens, now)
-        self._total = (_decayed(self._total, now) + tokens, now)
 
     def used(self, workspace: str, now: float) -> float:
         """Return the recent work of a workspace in tokens, older work counting less."""
-        return _decayed(self._used.get(workspace, (0.0, now)), now)
+        value, at = self._used.get(workspace, (0.0, now))
+        return value * math.exp((at - now) / USAGE_WINDOW_S)
 
     def pressure(self, workspace: str, now: float) -> float:
         """Return the recent work of a workspace over its share."""
         return self.used(workspace, now) / self.share(workspace)
 
-    def excess(self, workspace: str, now: float) -> float:
-        """Return a workspace's portion of all recent work over its portion of all shares."""
-        total = _decayed(self._total, now)
-        if workspace not in self._shares or total <= 0:
-            return 0.0
-        entitled = self._shares[workspace] / sum(self._shares.values())
-        return self.used(workspace, now) / total / max(1e-6, entitled)
-
 
 class FairQueue:
     """Hold waiting requests; the least served workspace of the most urgent level goes first."""
@@ -145,8 +136,3 @@
             return (self.meter.pressure(name, now) + queued / self.meter.share(name), name)
 
         return lines[max(lines, key=pressure)][-1].req_id
-
-
-def _decayed(use: tuple[float, float], now: float) -> float:
-    value, at = use
-    return value * math.exp((at - now) / USAGE_WINDOW_S)
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,7 +40,6 @@
 
 OWN = ""
 RESEND_S = 1.0
-DEMOTED_EXCESS = 3.0
 USAGE_INTERVAL_S = 0.25
 
 
@@ -191,9 +190,8 @@
 
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
-        run.priority = self._engine_priority(run, now)
         weight = self.cfg.recompute_weight
-        candidates = find_candidates(self.endpoints.values(), run.req, run.priority, weight, now)
+        candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
         return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
     def dispatch(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
@@ -204,7 +202,7 @@
         run.attempt += 1
         run.number = self._number
         run.placed_on = endpoint
-        endpoint.place((OWN, run.number), chosen.pieces, req.prompt_tokens, run.priority, now)
+        endpoint.place((OWN, run.number), chosen.pieces, req.prompt_tokens, req.priority, now)
         placement = Placement(
             endpoint.name,
             endpoint.seen.incarnation,
@@ -212,7 +210,7 @@
             chosen.pieces,
             req.prompt_tokens,
             req.max_tokens,
-            run.priority,
+            req.priority,
             run.number,
             digest=run.digest,
         )
@@ -224,7 +222,6 @@
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
             run.retry_reason,
-            run.priority,
         )
 
     def release(self, run: Run, now: float) -> None:
@@ -234,11 +231,6 @@
             self._depart(run, None, now)
         run.placed_on = None
 
-    def _engine_priority(self, run: Run, now: float) -> int:
-        """Lower the priority of a workspace that uses a multiple of its share."""
-        over = self.intake.meter.excess(run.req.scope.workspace, now) > DEMOTED_EXCESS
-        return run.req.priority + over
-
     def _find_run(self, req_id: int, attempt: int) -> Run | None:
         run = self.intake.runs.get(req_id)
         return run if run is not None and run.attempt == attempt else None
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -275,10 +275,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send a request to an endpoint, which must still be of this incarnation and version.
-
-    `priority` is the priority for the engine; a lower number goes first.
-    """
+    """Send a request to an endpoint, which must still be of this incarnation and version."""
 
     req_id: int
     attempt: int
@@ -286,7 +283,6 @@
     incarnation: int
     weights_version: str
     retry_reason: RetryReason | None = None
-    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -33,11 +33,7 @@
 
 
 def find_candidates(
-    endpoints: Iterable[Endpoint],
-    req: RequestArrived,
-    priority: int,
-    recompute_weight: float,
-    now: float,
+    endpoints: Iterable[Endpoint], req: RequestArrived, recompute_weight: float, now: float
 ) -> list[Candidate]:
     """Return the endpoints that may run a request, with their costs."""
     versions = {other.weights_version: other.pieces for other in req.other_versions}
@@ -52,7 +48,7 @@
         pieces = versions.get(seen.weights_version)
         if pieces is None:
             continue
-        found.append(_weigh(endpoint, pieces, req, priority, recompute_weight, now))
+        found.append(_weigh(endpoint, pieces, req, recompute_weight, now))
     return found
 
 
@@ -69,13 +65,12 @@
     endpoint: Endpoint,
     pieces: tuple[int, ...],
     req: RequestArrived,
-    priority: int,
     recompute_weight: float,
     now: float,
 ) -> Candidate:
     missing = endpoint.missing_tokens(pieces, req.prompt_tokens)
     prefill_s = missing * endpoint.s_per_token(now)
-    first_token_s = endpoint.wait_s(priority, now) + prefill_s
+    first_token_s = endpoint.wait_s(req.priority, now) + prefill_s
     cost_s = first_token_s + recompute_weight * prefill_s
     return Candidate(endpoint, pieces, missing, first_token_s, cost_s)
 
--- a/rattangate/core/runs.py
+++ b/rattangate/core/runs.py
@@ -21,7 +21,6 @@
     arrived_at: float
     deadline: float
     allowance_s: float = field(init=False)
-    priority: int = 0
     attempt: int = 0
     failures: int = 0
     number: int = 0
