--- a/bench/policy_workload.py
+++ b/bench/policy_workload.py
@@ -63,7 +63,7 @@
     1.0,
 )
 SADAF = Deployment(
-    "sadaf", (1.5, 1.2, 1.0, 0.8, 0.5), (176, 160, 144, 128, 112), 6, 0.003, 0.001, 3.0
+    "sadaf", (1.5, 1.2, 1.0, 0.8, 0.5), (176, 160, 144, 128, 112), 6, 0.003, 0.001, 1.0
 )
 DEPLOYMENTS = (MAGNOLIA_BEND, SADAF)
 
