Call the oldest request overdue sooner

Cause: a slow endpoint kept receiving work until its oldest request was 0.5 s and a half late. The tenfold scenario now sets limits at three times each workspace's share.

--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -45,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """Describe one scenario; `change_s` is when it disturbs, 0 if it never does."""
+    """Describe one scenario; `change_s` is when it disturbs, 0 if it never does.
+
+    `limit_factor` bounds each workspace's prompt tokens to this multiple of its share of capacity.
+    """
 
     name: str
     demands: tuple[Demand, ...]
@@ -53,6 +57,7 @@
     faults: tuple[Fault, ...] = ()
     change_s: float = 0.0
     settle_s: float = 0.0
+    limit_factor: float = math.inf
 
 
 def _steady(load: float) -> tuple[Demand, ...]:
@@ -101,6 +106,7 @@
         "one-workspace-tenfold",
         (Demand(0.0, 0.6), Demand(CHANGE_S, 0.6, surge=10.0)),
         change_s=CHANGE_S,
+        limit_factor=3.0,
     ),
     Scenario(
         "overload-1.5",
--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from rattangate.core.messages import EndpointSeen, LoadReported
 
-OVERDUE_FACTOR = 1.5
-OVERDUE_SLACK_S = 0.5
+OVERDUE_FACTOR = 1.2
+OVERDUE_SLACK_S = 0.1
 STALE_SLACK_S = 1.0
 REPORT_WINDOW_S = 10.0
 
