--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(PY) -m pytest
 
 bench-policy: setup
+	$(PY) -m bench.policy_lookup
 	$(PY) -m bench.policy
 
 binary: setup
--- /dev/null
+++ b/bench/policy_lookup.py
@@ -0,0 +1,76 @@
+"""Measure the time of lookup and placement and the memory of the index at a stated size."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+
+from rattangate.core.endpoint_state import Endpoint
+from rattangate.core.messages import EndpointSeen, EndpointState, RequestArrived
+from rattangate.core.placement import choose, find_candidates
+from rattangate.core.prefix import Scope
+
+REPLICAS = 200
+INDEX_PIECES = 100_000
+PIECE_TOKENS = 4000
+SHARED_PIECES = 5
+PROMPT_PIECES = (10, 20, 40, 80)
+REPEATS = 300
+MAX_MEDIAN_S = 0.001
+SEED = 1
+SCOPE = Scope("workspace", "model", "", "v1")
+
+
+def main() -> None:
+    """Print the figures; exit with 1 if the prompt of 20 pieces takes too long."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    rng = random.Random(SEED)
+    endpoints, prompts = _fill(rng)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    held = sum(len(endpoint.cache.best.held) for endpoint in endpoints)
+    print(f"seed {SEED}, {len(endpoints)} replicas, {held} pieces held")
+    print(f"memory: {used / held:.0f} bytes a held piece, of all three models together")
+    medians = {pieces: _time_placement(endpoints, prompts, pieces) for pieces in PROMPT_PIECES}
+    for pieces, median_s in medians.items():
+        print(f"prompt of {pieces} pieces: {1e6 * median_s:.0f} us median")
+    sys.exit(0 if medians[20] < MAX_MEDIAN_S else 1)
+
+
+def _fill(rng: random.Random) -> tuple[list[Endpoint], list[tuple[int, ...]]]:
+    """Fill every replica with prompts that share a root, and return those prompts."""
+    per_replica = INDEX_PIECES // REPLICAS
+    shared = tuple(rng.getrandbits(64) for _ in range(SHARED_PIECES))
+    endpoints = []
+    prompts = []
+    for number in range(REPLICAS):
+        seen = EndpointSeen(str(number), 1, "v1", EndpointState.LIVE, "model", per_replica)
+        endpoint = Endpoint(seen, PIECE_TOKENS, True, 0.0)
+        while len(endpoint.cache.best.held) < per_replica:
+            prompt = shared + tuple(rng.getrandbits(64) for _ in range(max(PROMPT_PIECES)))
+            endpoint.cache.use(prompt, 0.0)
+            prompts.append(prompt)
+        endpoints.append(endpoint)
+    return endpoints, prompts
+
+
+def _time_placement(
+    endpoints: list[Endpoint], prompts: list[tuple[int, ...]], pieces: int
+) -> float:
+    times = []
+    for number in range(REPEATS):
+        prompt = prompts[number * 7 % len(prompts)][:pieces]
+        tokens = pieces * PIECE_TOKENS + 100
+        req = RequestArrived(number, SCOPE, prompt, tokens, 100, b"", 0, 10.0)
+        started = time.perf_counter()
+        choose(find_candidates(endpoints, req, 1.0, 0.0))
+        times.append(time.perf_counter() - started)
+    return statistics.median(times)
+
+
+if __name__ == "__main__":
+    main()
--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -63,13 +63,16 @@
         """Predict the tokens of a prompt that the engine must prefill."""
         return max(1, prompt_tokens - self.cache.cached(pieces) * self.piece_tokens)
 
-    def wait_s(self, priority: int, now: float) -> float:
+    def wait_s(self, priority: int, now: float, s_per_token: float | None = None) -> float:
         """Estimate the seconds of prefill ahead of a new request of this priority."""
+        unknown = self._unknown_s(now) if self._unknown_tokens else 0.0
+        if not self.work:
+            return unknown
         tokens = sum(count for level, count in self._tokens.items() if level <= priority)
-        s_per_token = self.s_per_token(now)
-        unknown = self._unknown_s(now)
         if tokens == 0:
             return unknown
+        if s_per_token is None:
+            s_per_token = self.s_per_token(now)
         head = next(iter(self.work.values()))
         head_s = head.missing_tokens * s_per_token
         done_s = min(head_s, max(0.0, now - self._head_since))
@@ -155,7 +158,5 @@
             self.drop(key, now)
 
     def _unknown_s(self, now: float) -> float:
-        if self._unknown_tokens == 0:
-            return 0.0
         left_s = self._unknown_tokens * self.speed.s_per_token
         return max(0.0, left_s - (now - self._reported_at))
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -54,8 +54,9 @@
 
 def choose(candidates: list[Candidate]) -> Candidate:
     """Return the cheapest candidate; a prompt held nowhere goes by rendezvous hashing."""
-    best = min(candidates, key=_cost)
-    if any(one.endpoint.cache.cached(one.pieces[:1]) for one in candidates):
+    least = min(one.cost_s for one in candidates)
+    best = min((one for one in candidates if one.cost_s == least), key=_name)
+    if any(one.pieces[0] in one.endpoint.cache.best.held for one in candidates if one.pieces):
         return best
     bound = best.cost_s * (1 + COLD_SLACK)
     return max((one for one in candidates if one.cost_s <= bound), key=_rendezvous_score)
@@ -69,14 +70,15 @@
     now: float,
 ) -> Candidate:
     missing = endpoint.missing_tokens(pieces, req.prompt_tokens)
-    prefill_s = missing * endpoint.s_per_token(now)
-    first_token_s = endpoint.wait_s(req.priority, now) + prefill_s
+    s_per_token = endpoint.s_per_token(now)
+    prefill_s = missing * s_per_token
+    first_token_s = endpoint.wait_s(req.priority, now, s_per_token) + prefill_s
     cost_s = first_token_s + recompute_weight * prefill_s
     return Candidate(endpoint, pieces, missing, first_token_s, cost_s)
 
 
-def _cost(candidate: Candidate) -> tuple[float, str]:
-    return (candidate.cost_s, candidate.endpoint.name)
+def _name(candidate: Candidate) -> str:
+    return candidate.endpoint.name
 
 
 def _rendezvous_score(candidate: Candidate) -> float:
--- /dev/null
+++ b/tests/bench_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Bench policy package."""
--- /dev/null
+++ b/tests/core/test_hot_path.py
@@ -0,0 +1,64 @@
+"""Check that no ordinary message makes the gateway scan all requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.messages import (
+    AttemptEnded,
+    AttemptResult,
+    CacheChanged,
+    EndpointSeen,
+    EndpointState,
+    FirstTokenSeen,
+    LoadReported,
+    NewsReceived,
+    PeerLost,
+    RequestAbandoned,
+    RequestArrived,
+    Tick,
+)
+from rattangate.core.prefix import Scope
+
+SCOPE = Scope("festival", "parking", "", "v1")
+
+
+class _Unscanned(dict):
+    """Refuse to be iterated."""
+
+    def __iter__(self):
+        raise AssertionError("all requests were scanned")
+
+    items = values = keys = __iter__
+
+
+def _request(req_id):
+    return RequestArrived(req_id, SCOPE, (1, 2), 8100, 100, b"", 0, 1e9)
+
+
+@pytest.mark.parametrize(
+    "msg",
+    [
+        _request(99),
+        FirstTokenSeen(3, 1, 4000),
+        AttemptEnded(3, 1, AttemptResult.COMPLETED),
+        AttemptEnded(3, 1, AttemptResult.LOST),
+        RequestAbandoned(3),
+        EndpointSeen("a", 1, "v1", EndpointState.LIVE, "parking", 64),
+        LoadReported("a", 1, 1, 0, 0, 1.0),
+        CacheChanged("a", 1, 1, 1, (1,), ()),
+        NewsReceived("peer", 1, 1, (), ()),
+        PeerLost("peer"),
+        Tick(),
+    ],
+    ids=lambda msg: type(msg).__name__,
+)
+def test_message_scans_no_requests(msg):
+    gateway = Gateway(GatewayCfg(4000, 1.0), seed=1)
+    for name in ("a", "b"):
+        gateway.handle(EndpointSeen(name, 1, "v1", EndpointState.LIVE, "parking", 64), 0.0)
+    for req_id in range(10):
+        gateway.handle(_request(req_id), 1.0)
+    gateway.intake.runs = _Unscanned(gateway.intake.runs)
+    gateway.handle(msg, 1.5)
