Drain an instance by its requests in flight instead of its connections

Cause: after SIGTERM the server waits for idle connections too (30 s); the balancer's own readiness probe kept one open, so an instance did not end within 20 s. Ruled out: a shorter graceful_timeout, which cuts running streams; a shorter keep-alive, which costs each caller connections in ordinary service. Conclusion: answers carry Connection: close once draining, and the server ends when nothing has been in flight for 0.25 s.

--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -29,7 +29,7 @@
 from rattangate.http.auth import Keyring
 from rattangate.http.caller import make_caller_app
 from rattangate.http.services import Services
-from rattangate.http.serving import serve_app
+from rattangate.http.serving import DrainableApp, serve_app
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import Metrics
 from rattangate.peers.codec import HeldConfig, PeerNews, news_of
@@ -41,8 +41,6 @@
 from rattangate.reconfigure import gateway_cfg, reconfigure
 
 if TYPE_CHECKING:
-    from quart_trio import QuartTrio
-
     from rattangate.config.model import InstanceCfg, Settings
     from rattangate.core.config_follower import Enforce
     from rattangate.core.messages import SendNews
@@ -96,7 +94,8 @@
         self.config_watch = ConfigWatch(
             self.follower, self.config_store, self._enforce, self._ask_config
         )
-        self._caller_app: QuartTrio | None = None
+        self._caller_app = make_caller_app(self)
+        self._callers = DrainableApp(self._caller_app)
 
     @property
     def config_version(self) -> int:
@@ -173,10 +172,9 @@
 
     def apply_limits(self) -> None:
         """Apply the limits of the present settings to the caller API."""
-        if self._caller_app is not None:
-            limits = self.settings.limits
-            self._caller_app.config["BODY_TIMEOUT"] = limits.body_timeout_s
-            self._caller_app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
+        limits = self.settings.limits
+        self._caller_app.config["BODY_TIMEOUT"] = limits.body_timeout_s
+        self._caller_app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
 
     def _enforce(self, effect: Enforce) -> bool:
         version = effect.record.version
@@ -209,7 +207,6 @@
                 self.config_watch.feed(ContentRead(record, news.config.content, ConfigSource.PEER))
 
     async def _serve_callers(self) -> None:
-        app = self._caller_app = make_caller_app(self)
         self.ready = True
         log(
             LogEvent.INSTANCE_STARTED,
@@ -217,12 +214,13 @@
             version=rattangate.__version__,
             address=self.instance.caller_address,
         )
-        await serve_app(app, self.instance.caller_address, self.settings.limits, self._stop.wait)
+        address = self.instance.caller_address
+        await serve_app(self._callers, address, self.settings.limits, self._stop)
 
     async def _serve_admin(self) -> None:
-        app = make_admin_app(self)
+        app = DrainableApp(make_admin_app(self))
         address = self.instance.admin_address
-        await serve_app(app, address, self.settings.limits, trio.sleep_forever)
+        await serve_app(app, address, self.settings.limits, trio.Event())
 
     async def _stop_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -230,6 +228,7 @@
                 break
         self.ready = False
         self.leaving = True
+        self._callers.draining = True
         log(LogEvent.INSTANCE_DRAINING, instance=self.instance.name, streams=self.open_streams)
         await trio.sleep(self.settings.shutdown.balancer_notice_s)
         self._stop.set()
--- a/rattangate/http/serving.py
+++ b/rattangate/http/serving.py
@@ -1,9 +1,10 @@
-"""Serving of the web applications on trio."""
+"""Serving of the web applications on trio, and their draining."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
@@ -14,18 +15,53 @@
 
     from rattangate.config.model import LimitsCfg
 
+    Receive = Callable[[], Awaitable[Any]]
+    Send = Callable[[Any], Awaitable[None]]
+
 # Longer than any stream, because the server cuts what still runs at its end.
 GRACEFUL_TIMEOUT_S = 86_400.0
 KEEP_ALIVE_S = 30.0
+# A request that a caller sent before it saw its idle connection end arrives within this time.
+LAST_REQUEST_S = 0.25
+DRAIN_POLL_S = 0.02
+CLOSE_HEADER = (b"connection", b"close")
+
+
+class DrainableApp:
+    """Count the requests in flight, and end each connection after its answer when draining."""
+
+    def __init__(self, app: QuartTrio) -> None:
+        self.in_flight = 0
+        self.draining = False
+        self._app = app
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
 
+        async def send_closing(message: dict[str, Any]) -> None:
+            if self.draining and message["type"] == "http.response.start":
+                message["headers"] = [*message.get("headers", ()), CLOSE_HEADER]
+            await send(message)
 
-async def serve_app(
-    app: QuartTrio,
-    address: str,
-    limits: LimitsCfg,
-    shutdown_trigger: Callable[[], Awaitable[None]],
-) -> None:
-    """Serve until the trigger fires and the last answer is finished."""
+        self.in_flight += 1
+        try:
+            await self._app(scope, receive, send_closing)
+        finally:
+            self.in_flight -= 1
+
+    async def wait_idle(self) -> None:
+        """Wait until no request has been in flight for a while."""
+        idle_since = trio.current_time()
+        while trio.current_time() < idle_since + LAST_REQUEST_S:
+            await trio.sleep(DRAIN_POLL_S)
+            if self.in_flight:
+                idle_since = trio.current_time()
+
+
+async def serve_app(app: DrainableApp, address: str, limits: LimitsCfg, stop: trio.Event) -> None:
+    """Serve until the event, then take no connections and finish the last answer."""
     cfg = Config()
     cfg.bind = [address]
     cfg.accesslog = None
@@ -33,4 +69,14 @@
     cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
     cfg.keep_alive_timeout = KEEP_ALIVE_S
     cfg.h11_max_incomplete_size = limits.max_header_bytes
-    await serve(app, cfg, mode="asgi", shutdown_trigger=shutdown_trigger)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_serve, app, cfg, stop)
+        await stop.wait()
+        app.draining = True
+        # The server itself would wait for idle connections too, until they time out.
+        await app.wait_idle()
+        nursery.cancel_scope.cancel()
+
+
+async def _serve(app: DrainableApp, cfg: Config, stop: trio.Event) -> None:
+    await serve(app, cfg, mode="asgi", shutdown_trigger=stop.wait)
