--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -39,6 +39,7 @@
 from rattangate.platform.config_store import ConfigStore, decode_record, encode_record
 from rattangate.platform.config_watch import ConfigWatch
 from rattangate.reconfigure import gateway_cfg, reconfigure
+from rattangate.warm_start import PictureSource, WarmStart
 
 if TYPE_CHECKING:
     from rattangate.config.model import InstanceCfg, Settings
@@ -110,7 +111,11 @@
             self.clients = await stack.enter_async_context(open_clients(addresses))
             self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            self._warm_start = WarmStart(
+                self.driver, platform, self._ask_pictures, self._writes_snapshot
+            )
             nursery.start_soon(self.config_watch.run)
+            nursery.start_soon(self._warm_start.run)
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self.links.run, self.instance.peer_address)
             nursery.start_soon(self._tick)
@@ -197,6 +202,26 @@
             config = HeldConfig(encode_record(held.record), held.content)
             self.links.send_to(peer, replace(self._wrap(None), config=config))
 
+    def _ask_pictures(self) -> None:
+        self.links.send(replace(self._wrap(None), wants_pictures=True))
+
+    def _receive_pictures(self, news: PeerNews) -> None:
+        if self._warm_start is None:
+            return
+        if news.wants_pictures and self._warm_start.is_settled:
+            pictures = tuple(p for p in self.driver.gateway.pictures() if p.pieces)
+            if pictures:
+                self.links.send_to(news.instance, replace(self._wrap(None), pictures=pictures))
+        if news.pictures:
+            self._warm_start.take(news.pictures, PictureSource.PEER)
+
+    def _writes_snapshot(self) -> bool:
+        """Tell whether this is the first by name of the instances that stay."""
+        staying = [
+            name for name, peer in self.peers.items() if peer.is_live and not peer.is_leaving
+        ]
+        return not self.leaving and all(self.instance.name < name for name in staying)
+
     def _receive_config(self, news: PeerNews) -> None:
         self.config_watch.feed(VersionHeard(news.instance, news.config_version))
         if news.wants_config:
@@ -277,6 +302,7 @@
         peer.is_leaving = news.leaving
         self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
         self._receive_config(news)
+        self._receive_pictures(news)
         if self._monitor is not None:
             self._monitor.take_marks(news.leaving_endpoints)
         if news.seq:
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -12,11 +11,10 @@
 from rattangate.core.messages import Departure, Placement
 from rattangate.peers.idl import MS_PER_S, idl
 from rattangate.peers.limits_codec import limits_news, limits_struct
+from rattangate.peers.picture_codec import PIECE, pictures_of, pictures_struct
 
 if TYPE_CHECKING:
-    from rattangate.core.messages import LimitsNews, SendNews
-
-PIECE = struct.Struct(">Q")
+    from rattangate.core.messages import LimitsNews, PictureReceived, SendNews
 
 _factory = TBinaryProtocolFactory()
 
@@ -47,6 +45,8 @@
     wants_config: bool = False
     config: HeldConfig | None = None
     limits: LimitsNews | None = None
+    wants_pictures: bool = False
+    pictures: tuple[PictureReceived, ...] = ()
 
 
 def encode_message(message: object) -> bytes:
@@ -81,6 +81,8 @@
             config_record=news.config.record if news.config is not None else None,
             config_content=news.config.content if news.config is not None else None,
             limits=limits_struct(news.limits) if news.limits is not None else None,
+            wants_pictures=news.wants_pictures or None,
+            pictures=pictures_struct(news.pictures) if news.pictures else None,
         )
     )
 
@@ -100,6 +102,8 @@
         bool(raw.wants_config),
         _held_config(raw),
         limits_news(raw.limits) if raw.limits is not None else None,
+        bool(raw.wants_pictures),
+        pictures_of(raw.pictures) if raw.pictures is not None else (),
     )
 
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -71,6 +71,20 @@
   4: list<Trial> trials
 }
 
+/** What one instance believes an engine's cache to hold, oldest piece first. */
+struct Picture {
+  1: string endpoint
+  2: i64 incarnation
+  3: string weights_version
+  4: binary pieces
+  5: i32 capacity
+}
+
+/** The pictures of all engines; it is the snapshot in the object store too. */
+struct Pictures {
+  1: list<Picture> pictures
+}
+
 /** What an instance tells its peers; it is the heartbeat too. */
 struct News {
   1: string instance
@@ -87,4 +101,7 @@
   10: optional binary config_record
   11: optional binary config_content
   12: optional Limits limits
+  /** Asks the receiver for its pictures of the engines' caches. */
+  13: optional bool wants_pictures
+  14: optional Pictures pictures
 }
--- a/rattangate/standins/engine.py
+++ b/rattangate/standins/engine.py
@@ -34,6 +34,7 @@
 
 LOAD_SAMPLE_S = 0.05
 EVENT_LOG_LENGTH = 10_000
+EVENT_RETENTION_S = 3.0
 EVENT_WAIT_S = 1.0
 WEIGHTS_LOAD_S = 1.0
 POISON_EXIT_CODE = 17
@@ -174,6 +175,8 @@
     def events_after(self, seq: int) -> list[dict[str, Any]]:
         """Return the cache events after a sequence number that are due for publication."""
         due = trio.current_time() - self.faults.event_delay_s
+        while self._events and self._events[0][0] < due - EVENT_RETENTION_S:
+            self._events.popleft()
         return [event for at, event in self._events if event["seq"] > seq and at <= due]
 
     async def load_weights(self, version: str) -> None:
