Add the state machine that runs a booking at most once

Cause: a request that must not be repeated runs at most once, and "not run" is true of it. Weighed: `claimed` then `dispatched` then `answered` costs three writes a booking; creating the record as `dispatched` costs two and loses only this: a holder that dies between its write and its send leaves "may have run" where a claimed record could be taken over. Added a final state `unknown`, written by a holder whose connection was cut, so that repeats need not wait.

--- /dev/null
+++ b/rattangate/core/once_messages.py
@@ -0,0 +1,203 @@
+"""The record of a booking in the table and the messages and effects of its state machine.
+
+All times are seconds on the monotonic clock of the instance that runs the attempt.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.errors import Failure
+
+
+class RecordState(Enum):
+    """Name the states of a record; they are those of `specs/at_most_once.pml`."""
+
+    DISPATCHED = "dispatched"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    ABANDONED = "abandoned"
+
+
+class AttemptState(Enum):
+    """Name the states of an attempt; they are those of `specs/at_most_once.pml`."""
+
+    SWAPPING = "swapping"
+    READING_BACK = "reading_back"
+    WAITING = "waiting"
+    OWNING = "owning"
+    SENDING = "sending"
+    SAVING = "saving"
+    ABANDONING = "abandoning"
+    DONE = "done"
+
+
+class SwapResult(Enum):
+    """Name the outcomes of a compare-and-swap; UNKNOWN may have taken effect or still may."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    UNSENT = "unsent"
+    UNKNOWN = "unknown"
+
+
+class SendResult(Enum):
+    """Name the outcomes of sending; REFUSED is the endpoint's own word that it ran nothing."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNSENT = "unsent"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordKey:
+    """Identify a booking by the caller's idempotency key within a workspace and route."""
+
+    workspace: str
+    route: str
+    idempotency_key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptId:
+    """Identify one attempt; no two attempts of any instance share it."""
+
+    instance: str
+    incarnation: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """Hold an endpoint's answer; `body` is None when it was too large to keep."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class BookingRecord:
+    """Hold the state of a booking; `run_s` bounds the attempt's time from its dispatch."""
+
+    state: RecordState
+    attempt: AttemptId
+    digest: bytes
+    run_s: float
+    answer: KeptAnswer | None = None
+
+
+# Messages
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Begin the attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class SwapEnded:
+    """Report a swap; `record` and `version` are the present ones after a conflict."""
+
+    call_id: int
+    result: SwapResult
+    version: int = 0
+    record: BookingRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadEnded:
+    """Report a read; a record of None with `found` means that there is none."""
+
+    call_id: int
+    found: bool
+    version: int = 0
+    record: BookingRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SendEnded:
+    """Report the end of a send."""
+
+    call_id: int
+    result: SendResult
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HolderLost:
+    """Report that no process of an instance up to this incarnation lives any more."""
+
+    instance: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Report that the caller closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class WakeUp:
+    """Let the attempt act on the passing of time."""
+
+
+BookingMessage = Start | SwapEnded | ReadEnded | SendEnded | HolderLost | CallerGone | WakeUp
+
+# Effects
+
+
+@dataclass(frozen=True, slots=True)
+class SwapRecord:
+    """Write a record if its version is still the expected one; 0 means that there is none.
+
+    `retention_s` is the time for which the table must keep the record, None means for good.
+    """
+
+    call_id: int
+    key: RecordKey
+    expected_version: int
+    record: BookingRecord
+    retention_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the record."""
+
+    call_id: int
+    key: RecordKey
+
+
+@dataclass(frozen=True, slots=True)
+class SendBooking:
+    """Send the request to a replica that is not among the first `replica_index` ones tried.
+
+    The sender calls `Booking.begin_send` before the first byte and sends only if it permits.
+    """
+
+    call_id: int
+    attempt: AttemptId
+    replica_index: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyToCaller:
+    """Answer the caller; `replayed` marks the stored answer of an earlier attempt."""
+
+    answer: KeptAnswer
+    replayed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseCaller:
+    """Answer the caller with a failure."""
+
+    failure: Failure
+
+
+BookingEffect = SwapRecord | ReadRecord | SendBooking | ReplyToCaller | RefuseCaller
