--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 test: check
 	$(PY) -m pytest
+
+check-model:
+	specs/check.sh
