--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,5 @@
 
 check-model:
 	specs/check.sh
+binary: setup
+	$(PY) -m tools.build_binary
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -11,6 +11,8 @@
 
 if TYPE_CHECKING:
     from rattangate.core.prefix import Scope
+    from rattangate.core.refusals import RefusalReason
+    from rattangate.core.retries import RetryReason
     from rattangate.errors import Failure
 
 
@@ -35,11 +37,20 @@
 # Messages
 
 
+@dataclass(frozen=True, slots=True)
+class VersionedPieces:
+    """Give the chained hashes of a prompt under another weights version of its model."""
+
+    weights_version: str
+    pieces: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """Ask for the placement of a new request.
 
-    `pieces` are the chained hashes of the whole pieces of the prompt.
+    `pieces` are the chained hashes of the whole pieces of the prompt under the scope's weights
+    version; `other_versions` offers the same prompt under versions that still run.
     """
 
     req_id: int
@@ -50,6 +61,8 @@
     digest: bytes
     priority: int
     deadline: float
+    other_versions: tuple[VersionedPieces, ...] = ()
+    repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +93,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSeen:
-    """Report an endpoint's state, incarnation and weights version."""
+    """Report an endpoint's state, incarnation and weights version.
+
+    `serves` is the model, empty for any; `cache_pieces` is the declared cache size, 0 if unknown.
+    """
 
     endpoint: str
     incarnation: int
     weights_version: str
     state: EndpointState
+    serves: str = ""
+    cache_pieces: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +132,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Record one request given to an endpoint, for the instance's own use and for its peers."""
+    """Record one request given to an endpoint, for the instance's own use and for its peers.
+
+    `number` is unique within the sending instance; `age_s` is the age when the news was sent.
+    """
 
     endpoint: str
     incarnation: int
@@ -123,16 +144,73 @@
     prompt_tokens: int
     max_tokens: int
     priority: int
+    number: int = 0
+    age_s: float = 0.0
+    digest: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """Record the end of a placed request, so that peers release its share of work."""
+    """Record the first token or the loss of a placed request, so that peers release its work.
+
+    `cached_tokens` is the engine's own count, None where no token came.
+    """
 
     endpoint: str
     incarnation: int
     prompt_tokens: int
     max_tokens: int
+    number: int = 0
+    cached_tokens: int | None = None
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceUsage:
+    """Give one instance's present use of a workspace's limits."""
+
+    workspace: str
+    streams: int
+    demand_tokens_per_s: int
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Record that a request was aboard an endpoint that failed, or that this is settled.
+
+    `ran_s` is how long the request had run; `confirmed` says that the endpoint came back as another
+    incarnation; `cleared` withdraws the suspicion for good.
+    """
+
+    digest: bytes
+    endpoint: str
+    incarnation: int
+    ran_s: float
+    expires_in_s: float
+    confirmed: bool = False
+    cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TrialClaim:
+    """Announce a suspect that an instance holds; `endpoint` is empty while it waits.
+
+    An `exclusive` trial admits no other trial to its endpoint.
+    """
+
+    digest: bytes
+    endpoint: str
+    exclusive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsNews:
+    """Hold what instances tell each other about limits, queues and suspects."""
+
+    usages: tuple[WorkspaceUsage, ...] = ()
+    queued_tokens: int = 0
+    suspicions: tuple[Suspicion, ...] = ()
+    claims: tuple[TrialClaim, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +222,7 @@
     seq: int
     placements: tuple[Placement, ...]
     departures: tuple[Departure, ...]
+    limits: LimitsNews | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +232,24 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class PictureReceived:
+    """Deliver the cache picture of one endpoint from a peer or a snapshot, oldest piece first."""
+
+    endpoint: str
+    incarnation: int
+    weights_version: str
+    pieces: tuple[int, ...]
+    capacity: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReleased:
+    """Release a request from quarantine by order of an operator."""
+
+    digest: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Let the core act on the passing of time."""
@@ -168,6 +265,8 @@
     | CacheChanged
     | NewsReceived
     | PeerLost
+    | PictureReceived
+    | QuarantineReleased
     | Tick
 )
 
@@ -183,6 +282,15 @@
     endpoint: str
     incarnation: int
     weights_version: str
+    retry_reason: RetryReason | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Stop an attempt without an answer to the caller; another dispatch or a refusal follows."""
+
+    req_id: int
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +299,7 @@
 
     req_id: int
     failure: Failure
+    reason: RefusalReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +309,7 @@
     seq: int
     placements: tuple[Placement, ...]
     departures: tuple[Departure, ...]
+    limits: LimitsNews | None = None
 
 
-Effect = Dispatch | Refuse | SendNews
+Effect = Dispatch | Withdraw | Refuse | SendNews
