--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,6 @@
 
 check-model:
 	specs/check.sh
+
 binary: setup
 	$(PY) -m tools.build_binary
