Run bookings at most once in the daemon and prove it with "not run"

Cause: calls to routes that are not repeatable were forwarded without a record, so a repeat ran again. The driver carries out core.once against the table service. Each send takes a new connection, since a kept one that is closed while the request is written leaves the outcome unknown, and asks the core at the first byte. A 503 counts as "not run" only with the endpoint's own word in its body.

--- a/rattangate/core/once.py
+++ b/rattangate/core/once.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
@@ -36,8 +36,8 @@
     from rattangate.core.once_messages import (
         AttemptId,
         BookingMessage,
+        BookingRequest,
         KeptAnswer,
-        RecordKey,
     )
 
 MAX_SWAPS = 3
@@ -55,17 +55,6 @@
 _WRITING = (AttemptState.SAVING, AttemptState.ABANDONING)
 
 
-@dataclass(frozen=True, slots=True)
-class BookingRequest:
-    """Describe the booking that a caller asks for."""
-
-    key: RecordKey
-    digest: bytes
-    attempt: AttemptId
-    deadline: float
-    retention_s: float
-
-
 class Booking:
     """Carry one attempt from its arrival to its last write; do no I/O.
 
@@ -97,6 +86,13 @@
         """Say whether the attempt asks for nothing more."""
         return self.state is AttemptState.DONE
 
+    @property
+    def waits_for(self) -> AttemptId | None:
+        """Return the other attempt that this one waits for, if any."""
+        if self.state is not AttemptState.WAITING or self._record is None:
+            return None
+        return self._record.attempt
+
     def handle(self, msg: BookingMessage, now: float) -> list[BookingEffect]:
         """Apply one message and return the effects to carry out."""
         if self.done:
@@ -159,10 +155,10 @@
 
     @_handle.register
     def _on_holder_lost(self, msg: HolderLost, now: float) -> list[BookingEffect]:
-        if self.state is not AttemptState.WAITING or self._record is None:
+        holder = self.waits_for
+        if holder is None or holder.instance != msg.instance:
             return []
-        holder = self._record.attempt
-        if holder.instance != msg.instance or holder.incarnation > msg.incarnation:
+        if holder.incarnation > msg.incarnation:
             return []
         return self._finish(_outcome_unknown("The instance that sent the request was lost."))
 
--- a/rattangate/core/once_messages.py
+++ b/rattangate/core/once_messages.py
@@ -91,6 +91,17 @@
     answer: KeptAnswer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class BookingRequest:
+    """Describe the booking that a caller asks for."""
+
+    key: RecordKey
+    digest: bytes
+    attempt: AttemptId
+    deadline: float
+    retention_s: float
+
+
 # Messages
 
 
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -27,6 +27,7 @@
 from rattangate.endpoints.monitor import Monitor
 from rattangate.http.admin import make_admin_app
 from rattangate.http.auth import Keyring
+from rattangate.http.bookings import Bookings
 from rattangate.http.caller import make_caller_app
 from rattangate.http.services import Services
 from rattangate.http.serving import DrainableApp, serve_app
@@ -44,6 +45,7 @@
     from rattangate.config.model import InstanceCfg, Settings
     from rattangate.core.config_follower import Enforce
     from rattangate.core.messages import SendNews
+    from rattangate.core.once_messages import AttemptId
 
 TICK_S = 0.02
 METRICS_WINDOW_S = 60.0
@@ -89,6 +91,7 @@
         self._stop = trio.Event()
         self._monitor: Monitor | None = None
         self.platform = PlatformClient(settings.platform.address)
+        self.bookings = Bookings(name, self.incarnation, self.platform, self._is_holder_lost)
         self.config_store = ConfigStore(self.platform)
         self.audit = AuditTrail(self.platform)
         self.config_watch = ConfigWatch(
@@ -110,6 +113,7 @@
             self.clients = await stack.enter_async_context(open_clients(addresses))
             self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(self.bookings.run)
             nursery.start_soon(self.config_watch.run)
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self.links.run, self.instance.peer_address)
@@ -119,6 +123,8 @@
             nursery.start_soon(self._stop_on_signal)
             await self.config_watch.wait_settled(CONFIG_GRACE_S)
             await self._serve_callers()
+            with trio.move_on_after(self.settings.limits.request_timeout_s):
+                await self.bookings.wait_idle()
             log(LogEvent.INSTANCE_STOPPED, instance=self.instance.name, streams_cut=0)
             nursery.cancel_scope.cancel()
 
@@ -299,6 +305,14 @@
                 self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
                 self.driver.feed(PeerLost(name))
 
+    def _is_holder_lost(self, attempt: AttemptId) -> bool:
+        if attempt.instance == self.instance.name:
+            return attempt.incarnation < self.incarnation
+        peer = self.peers.get(attempt.instance)
+        if peer is None:
+            return True
+        return bool(peer.heard_at) and (not peer.is_live or attempt.incarnation < peer.incarnation)
+
     def _describe_peer(self, peer: InstanceCfg) -> dict[str, Any]:
         known = self.peers[peer.name]
         state = "lost"
--- a/rattangate/http/services.py
+++ b/rattangate/http/services.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import uuid
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 import httpx
+import msgspec
+import trio
 from quart import Response, request
 
 from rattangate.core.messages import EndpointState
+from rattangate.core.once_messages import RecordKey, RefuseCaller
 from rattangate.errors import ErrorKind, Failure
 from rattangate.http.answers import error_response
+from rattangate.http.bookings import BookingCall
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
@@ -56,6 +61,8 @@
         }
         headers["X-Request-Id"] = request_id
         headers["X-Workspace"] = workspace
+        if not is_repeatable:
+            return await self._book(route, path, headers, body)
         tried: set[str] = set()
         failure = Failure(ErrorKind.NO_ENDPOINT)
         for _ in range(MAX_ATTEMPTS):
@@ -67,10 +74,41 @@
             if isinstance(outcome, Response):
                 return outcome
             failure = outcome
-            if failure.kind is not ErrorKind.NO_ENDPOINT and not is_repeatable:
-                return failure
         return failure
 
+    async def _book(
+        self, route: RouteCfg, path: str, headers: dict[str, str], body: bytes
+    ) -> Response | Failure:
+        idempotency_key = headers.get("Idempotency-Key", "")
+        if not idempotency_key:
+            return Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING)
+        limits = self._entry.settings.limits
+        query = request.query_string.decode()
+        whole_path = f"{path}?{query}" if query else path
+        content_type = headers.get("Content-Type", "")
+        identity = msgspec.msgpack.encode((request.method, whole_path, content_type, body))
+        call = BookingCall(
+            RecordKey(headers["X-Workspace"], route.path_prefix, idempotency_key),
+            blake2b(identity, digest_size=16).digest(),
+            request.method,
+            whole_path,
+            headers,
+            body,
+            trio.current_time() + limits.request_timeout_s,
+            limits.idempotency_retention_s,
+        )
+        outcome = await self._entry.bookings.call(
+            call, lambda tried: self._choose(route.service, tried)
+        )
+        if isinstance(outcome, RefuseCaller):
+            return outcome.failure
+        answer = Response(outcome.answer.body or b"", outcome.answer.status)
+        answer.headers.update(dict(outcome.answer.headers))
+        answer.headers["X-Request-Id"] = headers["X-Request-Id"]
+        if outcome.replayed:
+            answer.headers["Idempotent-Replayed"] = "true"
+        return answer
+
     async def _send(
         self, endpoint: EndpointCfg, path: str, headers: dict[str, str], body: bytes
     ) -> Response | Failure:
--- /dev/null
+++ b/tests/booking_world.py
@@ -0,0 +1,126 @@
+"""A table, an endpoint and time played against a few booking attempts, with faults by a seed."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from rattangate.core.once import Booking
+from rattangate.core.once_messages import (
+    AttemptId,
+    BookingRecord,
+    BookingRequest,
+    KeptAnswer,
+    ReadEnded,
+    ReadRecord,
+    RecordKey,
+    RefuseCaller,
+    ReplyToCaller,
+    SendBooking,
+    SendEnded,
+    SendResult,
+    Start,
+    SwapEnded,
+    SwapRecord,
+    SwapResult,
+    WakeUp,
+)
+from rattangate.errors import RunState
+
+KEY = RecordKey("town", "/passes", "k1")
+ANSWER = KeptAnswer(201, (), b"pass 7")
+
+
+class World:
+    """Play table, endpoint and time against a few attempts, with faults by the seed."""
+
+    def __init__(self, seed: int, booking_class: type[Booking] = Booking) -> None:
+        self.rng = random.Random(seed)
+        self.bookings = [booking_class(_request(number)) for number in range(3)]
+        self.version = 0
+        self.record: BookingRecord | None = None
+        self.flying: list[tuple[int, object]] = [(i, Start()) for i in range(3)]
+        self.runs: Counter[int] = Counter()
+        self.said: dict[int, list] = {0: [], 1: [], 2: []}
+        self.crashed: set[int] = set()
+        self.now = 0.0
+
+    @property
+    def untrue(self) -> int:
+        """Count the refusals that say "not run" of an attempt that ran."""
+        return sum(
+            isinstance(effect, RefuseCaller)
+            and effect.failure.answer.run_state is RunState.NOT_RUN
+            and self.runs[index] > 0
+            for index, said in self.said.items()
+            for effect in said
+        )
+
+    def play(self) -> None:
+        """Let the schedule of the seed happen."""
+        for _ in range(400):
+            self.now += self.rng.choice((0.0, 0.0, 0.1, 0.5))
+            if self.rng.random() < 0.005:
+                self.crashed.add(self.rng.randrange(3))
+            if self.flying and self.rng.random() < 0.8:
+                self._deliver(*self.flying.pop(self.rng.randrange(len(self.flying))))
+                continue
+            index = self.rng.randrange(3)
+            wake_at = self.bookings[index].wake_at
+            if wake_at is not None and wake_at <= self.now:
+                self._tell(index, WakeUp())
+
+    def _deliver(self, index: int, item: object) -> None:
+        if isinstance(item, SwapRecord):
+            self._apply_swap(index, item)
+        elif isinstance(item, ReadRecord):
+            found = self.rng.random() < 0.8
+            self._return(index, ReadEnded(item.call_id, found, self.version, self.record))
+        elif isinstance(item, SendBooking):
+            self._run(index, item)
+        else:
+            self._tell(index, item)
+
+    def _apply_swap(self, index: int, swap: SwapRecord) -> None:
+        if self.rng.random() < 0.15:
+            self._tell(index, SwapEnded(swap.call_id, SwapResult.UNKNOWN))
+            if self.rng.random() < 0.5:
+                self.flying.append((index, swap))
+            return
+        if swap.expected_version != self.version:
+            result = SwapEnded(swap.call_id, SwapResult.CONFLICT, self.version, self.record)
+        else:
+            self.version += 1
+            self.record = swap.record
+            result = SwapEnded(swap.call_id, SwapResult.APPLIED, self.version)
+        if self.rng.random() < 0.2:
+            result = SwapEnded(swap.call_id, SwapResult.UNKNOWN)
+        self._return(index, result)
+
+    def _run(self, index: int, send: SendBooking) -> None:
+        if index in self.crashed:
+            return
+        result = self.rng.choice(list(SendResult))
+        if not self.bookings[index].begin_send(send.call_id, self.now):
+            result = SendResult.UNSENT
+        elif result is SendResult.UNSENT:
+            result = SendResult.LOST
+        if result is SendResult.ANSWERED or result is SendResult.LOST:
+            self.runs[index] += 1
+        self._return(index, SendEnded(send.call_id, result, ANSWER))
+
+    def _return(self, index: int, msg: object) -> None:
+        self.flying.append((index, msg))
+
+    def _tell(self, index: int, msg) -> None:
+        if index in self.crashed:
+            return
+        for effect in self.bookings[index].handle(msg, self.now):
+            if isinstance(effect, RefuseCaller | ReplyToCaller):
+                self.said[index].append(effect)
+            else:
+                self.flying.append((index, effect))
+
+
+def _request(number: int) -> BookingRequest:
+    return BookingRequest(KEY, b"d", AttemptId("a", 1, number), 8.0 + number, 86_400.0)
