--- /dev/null
+++ b/rattangate/core/leases.py
@@ -0,0 +1,171 @@
+"""A lease in the platform's table with a rising fencing number.
+
+The holder measures its deadline on its own monotonic clock from before it asked for the lease. A
+candidate takes the lease over after it saw the record unchanged for the whole term on its own clock,
+so no two clocks are compared. A holder may still be paused between its last check and its order:
+that is what the fencing number is for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from rattangate.core.once_messages import SwapResult
+
+RENEW_SHARE = 0.3
+POLL_SHARE = 0.25
+TAKE_OVER_MARGIN_S = 0.5
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Identify a holder by its instance and incarnation."""
+
+    instance: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """Hold a lease; `fence` rises with each new holder, `renewal` with each write."""
+
+    holder: Holder
+    fence: int
+    renewal: int
+    term_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRead:
+    """Report a read; a record of None with `found` means that there is none."""
+
+    found: bool
+    version: int = 0
+    record: LeaseRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSwapped:
+    """Report a swap; `record` and `version` are the present ones after a conflict."""
+
+    result: SwapResult
+    version: int = 0
+    record: LeaseRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseWakeUp:
+    """Let the lease act on the passing of time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLease:
+    """Read the lease record."""
+
+
+@dataclass(frozen=True, slots=True)
+class SwapLease:
+    """Write the lease record if its version is still the expected one."""
+
+    expected_version: int
+    record: LeaseRecord
+
+
+LeaseMessage = LeaseRead | LeaseSwapped | LeaseWakeUp
+LeaseEffect = ReadLease | SwapLease
+
+
+class Lease:
+    """Acquire, renew and lose one lease; each effect is answered by one message."""
+
+    def __init__(self, holder: Holder, term_s: float) -> None:
+        self.holder = holder
+        self.wake_at = NEVER
+        self._term_s = term_s
+        self._deadline = NEVER
+        self._fence = 0
+        self._seen_version = -1
+        self._seen: LeaseRecord | None = None
+        self._free_at = NEVER
+        self._asked: SwapLease | None = None
+        self._asked_at = NEVER
+        self._is_waiting = False
+
+    def fence_at(self, now: float) -> int | None:
+        """Return the fencing number to act under, None when the lease is not held."""
+        return self._fence if now < self._deadline else None
+
+    def handle(self, msg: LeaseMessage, now: float) -> list[LeaseEffect]:
+        """Apply one message and return the effects to carry out."""
+        return self._handle(msg, now)
+
+    @singledispatchmethod
+    def _handle(self, msg: object, now: float) -> list[LeaseEffect]:
+        raise TypeError(f"unknown message {msg!r}")
+
+    @_handle.register
+    def _on_wake_up(self, msg: LeaseWakeUp, now: float) -> list[LeaseEffect]:
+        if self._is_waiting or now < self.wake_at:
+            return []
+        self._is_waiting = True
+        if self._asked is not None:
+            return [self._asked]
+        if self._is_own(self._seen):
+            return self._ask(now)
+        return [ReadLease()]
+
+    @_handle.register
+    def _on_read(self, msg: LeaseRead, now: float) -> list[LeaseEffect]:
+        self._is_waiting = False
+        self.wake_at = now + POLL_SHARE * self._term_s
+        if not msg.found:
+            return []
+        if msg.version != self._seen_version:
+            self._see(msg.version, msg.record, now)
+        if now < self._free_at:
+            return []
+        self._is_waiting = True
+        return self._ask(now)
+
+    @_handle.register
+    def _on_swapped(self, msg: LeaseSwapped, now: float) -> list[LeaseEffect]:
+        self._is_waiting = False
+        self.wake_at = now + POLL_SHARE * self._term_s
+        asked = self._asked
+        if asked is None or msg.result in (SwapResult.UNSENT, SwapResult.UNKNOWN):
+            return []
+        self._asked = None
+        if msg.result is SwapResult.APPLIED or msg.record == asked.record:
+            self._hold(msg.version, asked.record, now)
+            return []
+        self._deadline = NEVER
+        self._see(msg.version, msg.record, now)
+        return []
+
+    def _ask(self, now: float) -> list[LeaseEffect]:
+        seen = self._seen
+        renewal = 1 if seen is None else seen.renewal + 1
+        fence = 1 if seen is None else seen.fence + (not self._is_own(seen))
+        record = LeaseRecord(self.holder, fence, renewal, self._term_s)
+        self._asked = SwapLease(self._seen_version, record)
+        self._asked_at = now
+        return [self._asked]
+
+    def _hold(self, version: int, record: LeaseRecord, now: float) -> None:
+        self._seen_version = version
+        self._seen = record
+        self._fence = record.fence
+        self._deadline = self._asked_at + record.term_s
+        self.wake_at = min(now, self._asked_at) + RENEW_SHARE * record.term_s
+
+    def _see(self, version: int, record: LeaseRecord | None, now: float) -> None:
+        self._seen_version = version
+        self._seen = record
+        self._free_at = NEVER
+        if record is not None and not self._is_own(record):
+            self._free_at = now + record.term_s + TAKE_OVER_MARGIN_S
+
+    def _is_own(self, record: LeaseRecord | None) -> bool:
+        return record is not None and record.holder == self.holder
--- /dev/null
+++ b/rattangate/core/rollout.py
@@ -0,0 +1,148 @@
+"""The rollout of weights versions: which replica loads next, and which version is in use.
+
+The plan is worked out anew from the endpoints' reports, so a new holder resumes where the last one
+stopped, and a changed wanted version stops a rollout or turns it back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from rattangate.core.orders import LoadVersion, WantOrders
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from rattangate.core.orders import Observed
+
+MAX_LOADING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutCfg:
+    """Bound the loads; `settle_s` is how long a late order of an earlier holder may take."""
+
+    load_interval_s: float = 0.5
+    settle_s: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class WantedVersion:
+    """Say which version a model should run and which one serves it now."""
+
+    model: str
+    weights_version: str
+    in_use: str
+    min_replicas: int
+
+
+@dataclass(frozen=True, slots=True)
+class UseVersion:
+    """Let a version serve a model; the other versions are free to go."""
+
+    model: str
+    weights_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class Blocked:
+    """Report that no replica can be spared until the model has `replicas_needed` of them."""
+
+    model: str
+    replicas_needed: int
+
+
+RolloutEffect = WantOrders | UseVersion | Blocked
+
+
+class Rollout:
+    """Plan the loads of one holder; at most two replicas load at any time."""
+
+    def __init__(self, cfg: RolloutCfg, held_since: float) -> None:
+        self._cfg = cfg
+        self._next_load_at = held_since + cfg.settle_s
+        self._ordered: dict[str, str] = {}
+
+    def plan(
+        self, wanted: Iterable[WantedVersion], replicas: dict[str, Sequence[Observed]], now: float
+    ) -> list[RolloutEffect]:
+        """Return what to do now; `replicas` holds the live replicas of each model."""
+        seen = {item.endpoint: item for group in replicas.values() for item in group}
+        self._forget_done(seen)
+        effects: list[RolloutEffect] = []
+        for item in wanted:
+            effects += self._plan_model(item, replicas.get(item.model, ()), seen, now)
+        return effects
+
+    def _plan_model(
+        self,
+        wanted: WantedVersion,
+        replicas: Sequence[Observed],
+        seen: dict[str, Observed],
+        now: float,
+    ) -> list[RolloutEffect]:
+        if wanted.in_use != wanted.weights_version:
+            if _count_ready(replicas, wanted.weights_version) >= wanted.min_replicas:
+                return [UseVersion(wanted.model, wanted.weights_version)]
+        effects = self._turn_back(wanted, replicas)
+        others = [item for item in replicas if self._is_other(item, wanted)]
+        spare = self._count_spare(wanted, replicas)
+        # Replicas that do not serve the version in use cost no capacity.
+        others.sort(key=lambda item: (_serves(item, wanted.in_use), item.endpoint))
+        for item in others:
+            takes_capacity = _serves(item, wanted.in_use)
+            if takes_capacity and spare <= 0:
+                break
+            if now < self._next_load_at or self._count_loading(seen) >= MAX_LOADING:
+                return effects
+            spare -= takes_capacity
+            self._ordered[item.endpoint] = wanted.weights_version
+            self._next_load_at = now + self._cfg.load_interval_s
+            order = LoadVersion(wanted.weights_version)
+            effects.append(WantOrders(item.endpoint, (order,)))
+        if others and not effects and not self._count_loading(seen):
+            effects.append(Blocked(wanted.model, 2 * wanted.min_replicas))
+        return effects
+
+    def _turn_back(
+        self, wanted: WantedVersion, replicas: Sequence[Observed]
+    ) -> list[RolloutEffect]:
+        effects: list[RolloutEffect] = []
+        for item in replicas:
+            ordered = self._ordered.get(item.endpoint, wanted.weights_version)
+            if ordered != wanted.weights_version:
+                self._ordered[item.endpoint] = wanted.weights_version
+                order = LoadVersion(wanted.weights_version)
+                effects.append(WantOrders(item.endpoint, (order,)))
+        return effects
+
+    def _count_spare(self, wanted: WantedVersion, replicas: Sequence[Observed]) -> int:
+        kept = [item for item in replicas if item.endpoint not in self._ordered]
+        return _count_ready(kept, wanted.in_use) - wanted.min_replicas
+
+    def _count_loading(self, seen: dict[str, Observed]) -> int:
+        loading = {item.endpoint for item in seen.values() if not item.ready and not item.leaving}
+        return len(loading | set(self._ordered))
+
+    def _is_other(self, item: Observed, wanted: WantedVersion) -> bool:
+        if item.leaving or not item.ready:
+            return False
+        ordered = self._ordered.get(item.endpoint)
+        if ordered is not None:
+            return False
+        return item.weights_version != wanted.weights_version
+
+    def _forget_done(self, seen: dict[str, Observed]) -> None:
+        for endpoint, version in list(self._ordered.items()):
+            item = seen.get(endpoint)
+            if item is None or item.leaving or _serves(item, version):
+                del self._ordered[endpoint]
+
+
+def _count_ready(replicas: Iterable[Observed], version: str) -> int:
+    return sum(_serves(item, version) for item in replicas)
+
+
+def _serves(item: Observed, version: str) -> bool:
+    return item.ready and not item.leaving and item.weights_version == version
--- /dev/null
+++ b/tests/core/test_leases.py
@@ -0,0 +1,97 @@
+"""The lease, driven by hand and by seeded schedules of pauses, lost and late replies."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rattangate.core.leases import (
+    Holder,
+    Lease,
+    LeaseRead,
+    LeaseSwapped,
+    LeaseWakeUp,
+    ReadLease,
+)
+from rattangate.core.once_messages import SwapResult
+
+TERM_S = 10.0
+A = Holder("a", 1)
+
+
+def acquire(lease: Lease, now: float = 0.0):
+    assert lease.handle(LeaseWakeUp(), now) == [ReadLease()]
+    (swap,) = lease.handle(LeaseRead(True), now)
+    return swap
+
+
+def test_a_lease_counts_from_before_it_was_asked_for() -> None:
+    lease = Lease(A, TERM_S)
+    swap = acquire(lease, 1.0)
+    assert (swap.expected_version, swap.record.fence) == (0, 1)
+    assert lease.fence_at(1.0) is None
+    lease.handle(LeaseSwapped(SwapResult.APPLIED, 1), 5.0)
+    assert (lease.fence_at(10.9), lease.fence_at(11.0)) == (1, None)
+
+
+def test_a_lost_reply_is_settled_by_the_same_swap() -> None:
+    lease = Lease(A, TERM_S)
+    swap = acquire(lease)
+    lease.handle(LeaseSwapped(SwapResult.UNKNOWN), 1.0)
+    assert lease.fence_at(1.0) is None
+    assert lease.handle(LeaseWakeUp(), lease.wake_at) == [swap]
+    lease.handle(LeaseSwapped(SwapResult.CONFLICT, 1, swap.record), 4.0)
+    assert (lease.fence_at(9.9), lease.fence_at(10.0)) == (1, None)
+
+
+def test_a_conflict_ends_the_lease_at_once() -> None:
+    lease = Lease(A, TERM_S)
+    swap = acquire(lease)
+    lease.handle(LeaseSwapped(SwapResult.APPLIED, 1), 0.1)
+    lease.handle(LeaseWakeUp(), lease.wake_at)
+    other = Lease(Holder("b", 1), TERM_S)
+    taken = acquire(other).record
+    lease.handle(LeaseSwapped(SwapResult.CONFLICT, 2, taken), 4.0)
+    assert swap.record.fence == 1
+    assert lease.fence_at(4.0) is None
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_at_most_one_holder_at_any_time_and_fences_rise(seed: int) -> None:
+    rng = random.Random(seed)
+    leases = [Lease(Holder(name, 1), TERM_S) for name in "abc"]
+    paused_until = [0.0] * 3
+    inbox: list[list[tuple[float, object]]] = [[], [], []]
+    version, record = 0, None
+    highest, terms, now = 0, 0, 0.0
+    while now < 600.0:
+        now += 0.25
+        for index, lease in enumerate(leases):
+            if now < paused_until[index]:
+                continue
+            if rng.random() < 0.005:
+                paused_until[index] = now + rng.uniform(1.0, 40.0)
+            due = [msg for at, msg in inbox[index] if at <= now]
+            inbox[index] = [entry for entry in inbox[index] if entry[0] > now]
+            for effect in [e for msg in (*due, LeaseWakeUp()) for e in lease.handle(msg, now)]:
+                reply: object
+                if isinstance(effect, ReadLease):
+                    reply = LeaseRead(rng.random() > 0.1, version, record)
+                elif rng.random() < 0.1:
+                    reply = LeaseSwapped(SwapResult.UNKNOWN)
+                elif effect.expected_version != version:
+                    reply = LeaseSwapped(SwapResult.CONFLICT, version, record)
+                else:
+                    version, record = version + 1, effect.record
+                    reply = LeaseSwapped(SwapResult.APPLIED, version)
+                    if rng.random() < 0.1:
+                        reply = LeaseSwapped(SwapResult.UNKNOWN)
+                inbox[index].append((now + rng.uniform(0.0, 2.0), reply))
+        fences = [fence for lease in leases if (fence := lease.fence_at(now)) is not None]
+        assert len(fences) <= 1
+        for fence in fences:
+            assert fence >= highest
+            terms += fence > highest
+            highest = fence
+    assert terms > 1
--- /dev/null
+++ b/tests/core/test_rollout.py
@@ -0,0 +1,98 @@
+"""The rollout plan against replicas that take time to load, crash and change holders."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rattangate.core.orders import LoadVersion, Observed, WantOrders
+from rattangate.core.rollout import (
+    MAX_LOADING,
+    Blocked,
+    Rollout,
+    RolloutCfg,
+    UseVersion,
+    WantedVersion,
+)
+
+CFG = RolloutCfg(load_interval_s=0.5, settle_s=2.0)
+STEP_S = 0.25
+
+
+class Fleet:
+    """Play replicas that obey orders after a while."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.versions = {f"r{number}": "v1" for number in range(count)}
+        self.loads: dict[str, tuple[str, float]] = {}
+        self.in_use = "v1"
+        self.now = 0.0
+        self.starts: list[float] = []
+        self.rollout = Rollout(CFG, 0.0)
+
+    def observe(self) -> list[Observed]:
+        return [
+            Observed(name, 1, version, "serve", name not in self.loads, leaving=False)
+            for name, version in self.versions.items()
+        ]
+
+    def step(self, wanted: str, min_replicas: int) -> list:
+        self.now += STEP_S
+        for name, (version, ends_at) in list(self.loads.items()):
+            if ends_at <= self.now:
+                self.versions[name] = version
+                del self.loads[name]
+        item = WantedVersion("m", wanted, self.in_use, min_replicas)
+        effects = self.rollout.plan([item], {"m": self.observe()}, self.now)
+        for effect in effects:
+            if isinstance(effect, UseVersion):
+                self.in_use = effect.weights_version
+            if isinstance(effect, WantOrders):
+                (order,) = effect.orders
+                assert isinstance(order, LoadVersion)
+                self.starts.append(self.now)
+                ends_at = self.now + self.rng.uniform(0.5, 3.0)
+                self.loads[effect.endpoint] = (order.weights_version, ends_at)
+        return effects
+
+    def check(self, min_replicas: int) -> None:
+        assert len(self.loads) <= MAX_LOADING
+        ready = [name for name in self.versions if name not in self.loads]
+        assert sum(self.versions[name] == self.in_use for name in ready) >= min_replicas
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(("count", "min_replicas"), [(6, 3), (6, 2), (5, 2), (2, 1)])
+def test_bounds_hold_through_a_rollout_that_is_turned_back(seed, count, min_replicas) -> None:
+    fleet = Fleet(count, seed)
+    turn_back_at = fleet.rng.uniform(2.0, 20.0)
+    holder_dies_at = fleet.rng.uniform(2.0, 20.0)
+    for wanted in ("v2", "v1"):
+        while fleet.now < (turn_back_at if wanted == "v2" else turn_back_at + 60.0):
+            fleet.step(wanted, min_replicas)
+            fleet.check(min_replicas)
+            if holder_dies_at <= fleet.now:
+                holder_dies_at = float("inf")
+                fleet.rollout = Rollout(CFG, fleet.now)
+    assert set(fleet.versions.values()) == {"v1"}
+    assert fleet.in_use == "v1"
+
+
+def test_a_rollout_ends_with_every_replica_on_the_wanted_version() -> None:
+    fleet = Fleet(6, 1)
+    while fleet.now < 30.0:
+        fleet.step("v2", 3)
+        fleet.check(3)
+    assert set(fleet.versions.values()) == {"v2"}
+    gaps = [after - before for before, after in zip(fleet.starts, fleet.starts[1:], strict=False)]
+    assert min(gaps) >= CFG.load_interval_s
+    assert fleet.starts[0] >= CFG.settle_s
+
+
+def test_too_few_replicas_are_reported_and_left_alone() -> None:
+    fleet = Fleet(3, 1)
+    effects = [effect for _ in range(40) for effect in fleet.step("v2", 2)]
+    assert Blocked("m", 4) in effects
+    assert sum(version == "v1" for version in fleet.versions.values()) == 2
