--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 test: check
 	$(PY) -m pytest
 
+check-model:
+	specs/check.sh
+
 binary: setup
 	$(PY) -m tools.build_binary
