Keep bad frames on the peer port from ending or stalling an instance

Cause: two faults in the links between instances, found while testing restarts. A frame that does not decode, or a peer that leaves within the handshake, raised out of the nursery and ended the daemon. And before any proof a stranger's 12 bytes could hold the loop for 6 s: thrift skips a list of unknown element type for as many rounds as the list declares. Handshake frames now carry a seal (HMAC of the frame under the peers' secret) that is checked before decoding. A peer that comes back is reconnected to when it says hello, not up to 0.25 s later, so that a restarted instance hears the version sooner.

Ruled out: a depth or size limit of the library (none bounds the count of a list); a check of the structure before decoding (a second parser).

Conclusion: both faults are mended; a holder of the secret can still send such a frame.

--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -57,12 +57,20 @@
 
 def decode_hello(data: bytes) -> Any:
     """Decode a Hello."""
-    return deserialize(idl.Hello(), data, _factory)
+    return _complete(deserialize(idl.Hello(), data, _factory))
 
 
 def decode_proof(data: bytes) -> Any:
     """Decode a Proof."""
-    return deserialize(idl.Proof(), data, _factory)
+    return _complete(deserialize(idl.Proof(), data, _factory))
+
+
+def _complete(message: Any) -> Any:
+    for field, value in vars(message).items():
+        wanted = (str,) if field == "instance" else (bytes, int)
+        if not isinstance(value, wanted):
+            raise ValueError(f"{field} is missing or malformed")
+    return message
 
 
 def encode_news(news: PeerNews) -> bytes:
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -7,7 +7,7 @@
 import struct
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -29,6 +29,7 @@
 FRAME_HEAD = struct.Struct(">I")
 MAX_FRAME_BYTES = 1_000_000
 NONCE_BYTES = 16
+SEAL_BYTES = 32
 HANDSHAKE_TIMEOUT_S = 2.0
 SEND_TIMEOUT_S = 2.0
 RECONNECT_S = 0.25
@@ -48,6 +49,15 @@
     """Report a frame or a proof that is not acceptable."""
 
 
+_LINK_FAILURES = (
+    OSError,
+    EOFError,
+    trio.BrokenResourceError,
+    trio.TooSlowError,
+    PeerProtocolError,
+)
+
+
 class PeerLinks:
     """Send news to all peers and receive theirs."""
 
@@ -64,6 +74,7 @@
         self._greet = greet
         self._senders: dict[str, trio.MemorySendChannel[bytes]] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._seen: dict[str, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
 
     def send(self, news: PeerNews) -> None:
@@ -108,26 +119,32 @@
         sender, receiver = trio.open_memory_channel[bytes](MAX_QUEUED_NEWS)
         self._senders[name] = sender
         self._scopes[name] = scope = trio.CancelScope()
-        self._nursery.start_soon(self._keep_sending, self._peers[name], receiver, scope)
+        address = self._peers[name]
+        self._nursery.start_soon(self._keep_sending, name, address, receiver, scope)
 
     async def _keep_sending(
         self,
+        name: str,
         address: str,
         frames: trio.MemoryReceiveChannel[bytes],
         scope: trio.CancelScope,
     ) -> None:
         with scope:
-            await self._reconnect(address, frames)
+            await self._reconnect(name, address, frames)
 
-    async def _reconnect(self, address: str, frames: trio.MemoryReceiveChannel[bytes]) -> None:
+    async def _reconnect(
+        self, name: str, address: str, frames: trio.MemoryReceiveChannel[bytes]
+    ) -> None:
         host, port = address.rsplit(":", 1)
         while True:
             try:
                 async with await trio.open_tcp_stream(host, int(port)) as stream:
                     await self._send_all(stream, frames)
-            except (OSError, trio.BrokenResourceError, trio.TooSlowError, PeerProtocolError):
+            except _LINK_FAILURES:
                 _drain(frames)
-                await trio.sleep(RECONNECT_S)
+                self._seen[name] = trio.Event()
+                with trio.move_on_after(RECONNECT_S):
+                    await self._seen[name].wait()
 
     async def _send_all(
         self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
@@ -141,17 +158,19 @@
 
     async def _introduce(self, reader: _FrameReader, stream: trio.SocketStream) -> None:
         nonce = secrets.token_bytes(NONCE_BYTES)
-        await _send_frame(stream, encode_message(self._hello(nonce, b"")))
-        answer = decode_hello(await reader.read())
+        await self._send_sealed(stream, self._hello(nonce, b""))
+        answer = _parse(decode_hello, self._unseal(await reader.read()))
         self._verify(b"server", answer.instance, nonce + answer.nonce, answer.proof)
         proof = self._prove(b"client", self._identity.instance, answer.nonce + nonce)
-        await _send_frame(stream, encode_message(idl.Proof(proof=proof)))
+        await self._send_sealed(stream, idl.Proof(proof=proof))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         reader = _FrameReader(stream)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
                 name = await self._check_client(reader, stream)
+            if name in self._seen:
+                self._seen[name].set()
             while True:
                 self._receive(name, await reader.read())
         except (PeerProtocolError, trio.TooSlowError) as exc:
@@ -160,11 +179,11 @@
             return
 
     async def _check_client(self, reader: _FrameReader, stream: trio.SocketStream) -> str:
-        hello = decode_hello(await reader.read())
+        hello = _parse(decode_hello, self._unseal(await reader.read()))
         nonce = secrets.token_bytes(NONCE_BYTES)
         proof = self._prove(b"server", self._identity.instance, hello.nonce + nonce)
-        await _send_frame(stream, encode_message(self._hello(nonce, proof)))
-        client_proof = decode_proof(await reader.read()).proof
+        await self._send_sealed(stream, self._hello(nonce, proof))
+        client_proof = _parse(decode_proof, self._unseal(await reader.read())).proof
         self._verify(b"client", hello.instance, nonce + hello.nonce, client_proof)
         if hello.instance not in self._peers:
             raise PeerProtocolError(f"unknown instance {hello.instance!r}")
@@ -172,16 +191,27 @@
         return name
 
     def _receive(self, name: str, frame: bytes) -> None:
-        try:
-            news = decode_news(frame)
-        except Exception as exc:  # noqa: BLE001 - the codec raises many types on bad input
-            raise PeerProtocolError(f"bad news: {type(exc).__name__}") from exc
+        news = _parse(decode_news, frame)
         if name not in self._peers:
             raise PeerProtocolError(f"{name!r} left the settings")
         if news.instance != name:
             raise PeerProtocolError(f"news of {news.instance!r} from {name!r}")
         self._receive_news(news)
 
+    async def _send_sealed(self, stream: trio.SocketStream, message: object) -> None:
+        frame = encode_message(message)
+        await _send_frame(stream, self._seal_of(frame) + frame)
+
+    def _unseal(self, sealed: bytes) -> bytes:
+        # Decoding a stranger's frame can take seconds: a list may declare any length.
+        seal, frame = sealed[:SEAL_BYTES], sealed[SEAL_BYTES:]
+        if not hmac.compare_digest(self._seal_of(frame), seal):
+            raise PeerProtocolError("wrong seal")
+        return frame
+
+    def _seal_of(self, frame: bytes) -> bytes:
+        return hmac.digest(self._identity.secret, b"handshake\x00" + frame, "sha256")
+
     def _hello(self, nonce: bytes, proof: bytes) -> object:
         return idl.Hello(
             instance=self._identity.instance,
@@ -199,6 +229,14 @@
             raise PeerProtocolError("wrong proof")
 
 
+def _parse(decode: Callable[[bytes], Any], frame: bytes) -> Any:
+    try:
+        message = decode(frame)
+    except Exception as exc:  # noqa: BLE001 - the codec raises many types on bad input
+        raise PeerProtocolError(f"bad frame: {type(exc).__name__}") from exc
+    return message
+
+
 class _FrameReader:
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
--- a/tests/promises/test_config.py
+++ b/tests/promises/test_config.py
@@ -94,8 +94,11 @@
 def test_race_is_won_by_one_and_the_others_leave_no_trace(running, tmp_path):
     start = newest(running)
     paths = [write_variant(running, tmp_path, 100 + n) for n in range(4)]
+    # Slow enough that all have read the table before the first one writes.
+    running.set_faults("platform", delay_s=1.0)
     with ThreadPoolExecutor(len(paths)) as pool:
         results = list(pool.map(lambda path: race(running, start, path), paths))
+    running.set_faults("platform", delay_s=0.0)
     codes = [result.returncode for result in results]
     assert sorted(codes) == [ExitCode.OK, *[ExitCode.CONFLICT] * 3]
     for result in results:
@@ -168,6 +171,20 @@
     running.set_faults("platform", down=False)
 
 
+def test_restarted_instance_has_the_newest_version_before_it_serves(running, tmp_path):
+    code, printed = apply_variant(running, tmp_path, 550)
+    assert code == ExitCode.OK
+    wait_in_force(running, printed["record"]["version"])
+    log = running.log_dir / "entry-1.log"
+    size = log.stat().st_size
+    process = running.processes["entry-1"]
+    process.kill()
+    process.start()
+    process.wait_ready()
+    text = log.read_bytes()[size:].decode()
+    assert 0 <= text.find('"config_in_force"') < text.find('"instance_started"')
+
+
 def test_instance_frozen_through_changes_takes_the_last(running, tmp_path):
     frozen = running.processes["entry-2"]
     frozen.freeze()
