--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,175 @@
+"""Tests of membership, with many cores in one process and virtual time."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from bench.membership_sim import MembershipSim
+from rattangate.core.gossip import (
+    ConfigVersionSeen,
+    EndpointMark,
+    EndpointMarked,
+    Gossip,
+    GossipKind,
+    MemberFound,
+    MemberLeaving,
+    MemberLost,
+    MemberNews,
+    MemberState,
+)
+from rattangate.core.membership import Membership, MembershipCfg
+
+ALIVE = MemberNews("b", 7, 0, MemberState.ALIVE, False, 0)
+
+
+def make_membership(peers: int = 3) -> Membership:
+    names = [chr(ord("b") + number) for number in range(peers)]
+    return Membership(MembershipCfg(), "a", 5, names, Random(1))
+
+
+def ping(sender: MemberNews, **fields) -> Gossip:
+    return Gossip(GossipKind.PING, sender, 0, **fields)
+
+
+def of_type(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def all_agree(sim: MembershipSim) -> bool:
+    return all(len(node.alive()) == len(sim.nodes) - 1 for node in sim.nodes.values())
+
+
+def test_small_clusters_probe_everyone_and_large_ones_a_fixed_number():
+    assert len(make_membership(6).choose_targets()) == 6
+    sim = MembershipSim(40)
+    sim.run(10)
+    node = sim.nodes["entry-0"]
+    assert {len(node.choose_targets()) for _ in range(50)} == {node.cfg.fanout}
+
+
+def test_probes_reach_everyone_in_turn():
+    sim = MembershipSim(31)
+    sim.run(10)
+    node = sim.nodes["entry-0"]
+    node._round.clear()
+    probed = [name for _ in range(10) for name in node.choose_targets()]
+    assert sorted(probed) == sorted(node.alive())
+
+
+@pytest.mark.parametrize("count", [7, 40])
+def test_crash_is_known_to_all_within_five_seconds(count):
+    sim = MembershipSim(count)
+    sim.run(5)
+    sim.kill("entry-3")
+    sim.run(5)
+    assert sim.seen_fraction("entry-3", is_up=False) == 1.0
+    assert {item.subject for item in sim.happenings if not item.is_found} == {"entry-3"}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lost_messages_lose_no_instance(seed):
+    sim = MembershipSim(9, seed=seed, loss=0.1)
+    sim.run(60)
+    assert [item for item in sim.happenings if not item.is_found] == []
+
+
+def test_cost_of_an_instance_does_not_grow_with_their_number():
+    costs = []
+    for count in (20, 80):
+        sim = MembershipSim(count)
+        sim.run(15)
+        sim.reset_counters()
+        sim.run(5)
+        costs.append(sum(sim.sent_bytes.values()) / count)
+    assert costs[1] < costs[0] * 1.1
+
+
+def test_newest_incarnation_wins():
+    node = make_membership()
+    node.receive(ping(ALIVE), 1.0)
+    effects = node.receive(ping(replace(ALIVE, incarnation=8)), 2.0)
+    assert of_type(effects, MemberLost) == [MemberLost("b", 7)]
+    assert of_type(effects, MemberFound) == [MemberFound("b", 8)]
+    late = ping(replace(ALIVE, name="c"), members=(replace(ALIVE, state=MemberState.LOST),))
+    effects = node.receive(late, 3.0)
+    assert of_type(effects, MemberLost) == []
+    assert node.members["b"].incarnation == 8
+
+
+def test_lost_instance_that_was_only_paused_comes_back():
+    sim = MembershipSim(7)
+    sim.run(3)
+    paused = sim.nodes["entry-2"]
+    sim.kill("entry-2")
+    sim.run(6)
+    assert sim.seen_fraction("entry-2", is_up=False) == 1.0
+    sim.nodes["entry-2"] = paused
+    sim._push(sim.now, "entry-2", paused.own.incarnation, b"")
+    sim.run(3)
+    assert sim.seen_fraction("entry-2", is_up=True) == 1.0
+    assert paused.own.refutation > 0
+
+
+@pytest.mark.parametrize("count", [7, 30])
+def test_regions_find_each_other_after_a_cut_and_exchange_what_they_missed(count):
+    sim = MembershipSim(count)
+    sim.run(5)
+    sim.cut = {frozenset((0, 1)), frozenset((0, 2))}
+    sim.run(30)
+    assert sim.seen_fraction("entry-0", is_up=False) > 0.5
+    sim.apply("entry-0", sim.nodes["entry-0"].mark_endpoint(EndpointMark("engine-1", 4)))
+    sim.nodes["entry-1"].set_config_version(9)
+    sim.run(30)
+    assert "engine-1" not in sim.nodes["entry-1"].marks
+    sim.cut = set()
+    sim.run(12)
+    assert all_agree(sim)
+    assert {node.marks.get("engine-1") for node in sim.nodes.values()} == {4}
+    assert {node.config_version for node in sim.nodes.values()} == {9}
+    assert len({node.digest for node in sim.nodes.values()}) == 1
+
+
+def test_herd_restart_is_over_within_five_seconds():
+    sim = MembershipSim(30)
+    sim.run(10)
+    for name in sim.names:
+        sim.kill(name)
+        sim.start(name)
+    sim.run(5)
+    assert all_agree(sim)
+
+
+def test_leaving_never_clears_for_an_incarnation():
+    node = make_membership()
+    leaving = replace(ALIVE, is_leaving=True)
+    assert of_type(node.receive(ping(leaving), 1.0), MemberLeaving) == [MemberLeaving("b", 7)]
+    node.receive(ping(replace(ALIVE, refutation=3)), 2.0)
+    assert node.members["b"].is_leaving
+    node.receive(ping(replace(ALIVE, incarnation=8)), 3.0)
+    assert not node.members["b"].is_leaving
+
+
+def test_marks_and_versions_only_rise():
+    node = make_membership()
+    mark = EndpointMark("engine-1", 4)
+    first = node.receive(ping(replace(ALIVE, config_version=6), marks=(mark,)), 1.0)
+    assert of_type(first, EndpointMarked) == [EndpointMarked(mark)]
+    assert of_type(first, ConfigVersionSeen) == [ConfigVersionSeen(6, "b")]
+    old = (EndpointMark("engine-1", 3),)
+    again = node.receive(ping(replace(ALIVE, config_version=5), marks=old), 2.0)
+    assert not of_type(again, EndpointMarked)
+    assert not of_type(again, ConfigVersionSeen)
+    assert (node.marks, node.config_version) == ({"engine-1": 4}, 6)
+
+
+def test_strangers_are_ignored_and_removed_peers_forgotten():
+    node = make_membership()
+    assert node.receive(ping(replace(ALIVE, name="stranger")), 1.0) == []
+    node.receive(ping(ALIVE), 1.0)
+    before = make_membership().digest
+    node.set_peers(["c", "d"])
+    assert node.digest == before
+    assert "b" not in node.members
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the messages between entry instances."""
