--- /dev/null
+++ b/bench/capacity_state.py
@@ -0,0 +1,167 @@
+"""Measures the state that an instance keeps and the cost of settings, membership and sockets."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from bench.capacity_series import Series, cpu_micros
+from bench.membership_sim import MembershipSim
+from rattangate.config.load import settings_from_sources
+from rattangate.config.model import Settings
+from rattangate.config.tree import Source
+from rattangate.core.cache_model import CacheModel, CachePicture, Rule
+from rattangate.core.messages import LimitsNews, WorkspaceUsage
+from rattangate.peers.codec import PeerNews, decode_news, encode_news
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TABLE_PIECES = (5_000, 10_000, 20_000, 40_000)
+CONFIG_ENDPOINTS = (25, 50, 100, 200)
+MEMBERS = (16, 32, 64, 128, 256, 350)
+USED_WORKSPACES = (4, 16, 64, 256, 530)
+ROUNDS = (200, 400, 800)
+WORKSPACES = 530
+MESSAGE = bytes(300)
+SETTLE_S = 15.0
+WATCH_S = 5.0
+_rng = Random(12)
+
+
+def measure_all() -> dict[str, Series]:
+    """Return every series by its key."""
+    found = [*_picture_memory(), _sockets(), *_limits(), *_config(), *_membership()]
+    return {series.key: series for series in found}
+
+
+def _picture_memory() -> list[Series]:
+    whole, single = [], []
+    for count in TABLE_PIECES:
+        whole.append((count, _traced_bytes(count, CachePicture(count).use)))
+        model = CacheModel(Rule.LRU)
+        single.append((count, _traced_bytes(count, partial(model.use, capacity=count))))
+    return [
+        Series("picture", "cache picture of three models", "pieces", "bytes", tuple(whole)),
+        Series("model", "cache picture of one model", "pieces", "bytes", tuple(single)),
+    ]
+
+
+def _traced_bytes(count: int, use: Callable[[tuple[int, ...], float], None]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    for start in range(0, count, 8):
+        use(tuple(_rng.getrandbits(64) for _ in range(8)), start * 0.01)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return float(size)
+
+
+def _sockets() -> Series:
+    points = tuple((count, cpu_micros(partial(trio.run, _exchange, count))) for count in ROUNDS)
+    return Series("socket", "send and receive 300 bytes over TCP", "messages", "us", points)
+
+
+async def _exchange(count: int) -> None:
+    async def echo(stream: trio.SocketStream) -> None:
+        async for data in stream:
+            await stream.send_all(data)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(partial(trio.serve_tcp, echo, 0, host="127.0.0.1"))
+        port = listeners[0].socket.getsockname()[1]
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            for _ in range(count // 2):
+                await stream.send_all(MESSAGE)
+                await stream.receive_some()
+        nursery.cancel_scope.cancel()
+
+
+def _limits() -> list[Series]:
+    sizes, times = [], []
+    for count in USED_WORKSPACES:
+        usages = tuple(WorkspaceUsage(f"workspace-{n}", 3, 700) for n in range(count))
+        limits = LimitsNews(usages, 1000)
+        news = PeerNews("entry-2", 5, 1, 1, False, (), (), (), limits=limits)
+        sizes.append((count, float(len(encode_news(news)))))
+        times.append((count, cpu_micros(partial(_code, news))))
+    return [
+        Series("limits_bytes", "size of news of use", "workspaces", "bytes", tuple(sizes)),
+        Series("limits_cpu", "encode and decode news of use", "workspaces", "us", tuple(times)),
+    ]
+
+
+def _code(news: PeerNews) -> PeerNews:
+    return decode_news(encode_news(news))
+
+
+def _config() -> list[Series]:
+    sizes, times, coded_sizes, coded_times = [], [], [], []
+    for count in CONFIG_ENDPOINTS:
+        text = config_text(count)
+        sizes.append((count, float(len(text))))
+        source = Source("base.yaml", text)
+        settings = settings_from_sources(source)
+        coded = msgspec.msgpack.encode(settings)
+        decoder = msgspec.msgpack.Decoder(Settings)
+        coded_sizes.append((count, float(len(coded))))
+        coded_times.append((count, cpu_micros(partial(decoder.decode, coded))))
+        times.append((count, cpu_micros(partial(settings_from_sources, source))))
+    return [
+        Series("config_bytes", "size of the settings", "endpoints", "bytes", tuple(sizes)),
+        Series("config_cpu", "read and check the settings", "endpoints", "us", tuple(times)),
+        Series("coded_bytes", "size of checked settings in msgpack", "endpoints", "bytes",
+               tuple(coded_sizes)),
+        Series("coded_cpu", "decode checked settings from msgpack", "endpoints", "us",
+               tuple(coded_times)),
+    ]  # fmt: skip
+
+
+def config_text(endpoints: int) -> str:
+    """Return a base file with as many instances and workspaces as fit the endpoints."""
+    instances = max(1, endpoints * 350 // 1200)
+    workspaces = max(1, endpoints * WORKSPACES // 1200)
+    lines = ["deployment: large", "platform:", "  address: 127.0.0.1:20000"]
+    lines += ["peers:", f"  secret_hash: '{1:064x}'", "data_centres:"]
+    lines += [f"  - name: dc-{number}" for number in range(6)]
+    lines.append("instances:")
+    for number in range(instances):
+        lines += [f"  - name: entry-{number}", f"    data_centre: dc-{number % 6}"]
+        for offset, kind in enumerate(("caller", "admin", "peer")):
+            lines.append(f"    {kind}_address: 127.0.{1 + offset}.1:{20_001 + number}")
+    lines += ["models:", "  - name: model-1", "    weights_version: '1'", "    min_replicas: 1"]
+    lines.append("endpoints:")
+    for number in range(endpoints):
+        lines += [
+            f"  - name: engine-{number}", "    kind: engine",
+            f"    address: 127.0.4.1:{20_001 + number}", f"    data_centre: dc-{number % 6}",
+            "    serves: model-1", "    checks_orders: true", "    cache_pieces: 28333",
+        ]  # fmt: skip
+    lines.append("workspaces:")
+    for number in range(workspaces):
+        lines += [f"  - name: workspace-{number}", "    key_hashes:", f"      - '{number:064x}'"]
+    return "\n".join(lines) + "\n"
+
+
+def _membership() -> list[Series]:
+    messages, sizes, cpu = [], [], []
+    for count in MEMBERS:
+        sim = MembershipSim(count)
+        sim.run(SETTLE_S)
+        sim.reset_counters()
+        sim.run(WATCH_S)
+        share = count * WATCH_S
+        messages.append((count, sum(sim.sent_messages.values()) / share))
+        sizes.append((count, sum(sim.sent_bytes.values()) / share))
+        cpu.append((count, sim.cpu_s / share * 1e6))
+    return [
+        Series("member_messages", "membership, sent", "instances", "messages/s", tuple(messages)),
+        Series("member_bytes", "membership, sent", "instances", "bytes/s", tuple(sizes)),
+        Series("member_cpu", "membership, codec and core", "instances", "us/s", tuple(cpu)),
+    ]
