Send requests to engines at once, and hold back only what is above its share

A held request is missing in the picture of caches that all instances share, entries race for each free slot, and some requests wait until their deadline. Now bind_wait_s is unbounded by default; a workspace at twice its share or more waits at the entry for endpoints with at most borrow_wait_s ahead, and goes to the engine with a lower priority.

--- a/rattangate/core/admission.py
+++ b/rattangate/core/admission.py
@@ -32,6 +32,9 @@
     def priority(self, req_id: int) -> int:
         """Return the priority at the engine."""
 
+    def bind_wait_s(self, req_id: int) -> float:
+        """Return the wait at an endpoint up to which the request is sent there, in seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class Start:
@@ -60,11 +63,10 @@
 
 
 class Admission:
-    """Bind waiting requests late: an endpoint gets the next one when little waits before it."""
+    """Send requests on while little waits before them, and plan when the others follow."""
 
-    def __init__(self, queue: FairQueue, bind_wait_s: float, rng: random.Random) -> None:
+    def __init__(self, queue: FairQueue, rng: random.Random) -> None:
         self._queue = queue
-        self._bind_wait_s = bind_wait_s
         self._rng = rng
         self.longest_wait_s = 0.0
 
@@ -107,7 +109,7 @@
         endpoint = chosen.endpoint
         ahead_s = pending.get(endpoint.name, 0.0)
         wait_s = endpoint.wait_s(requests.priority(req_id), now) + ahead_s
-        if ahead_s == 0.0 and wait_s <= self._bind_wait_s:
+        if ahead_s == 0.0 and wait_s <= requests.bind_wait_s(req_id):
             return Start(req_id, chosen)
         self.longest_wait_s = max(self.longest_wait_s, wait_s)
         prefill_s = chosen.missing_tokens * endpoint.s_per_token(now)
--- a/rattangate/core/fairness.py
+++ b/rattangate/core/fairness.py
@@ -11,7 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-USAGE_WINDOW_S = 10.0
+USAGE_WINDOW_S = 20.0
+BANDS = 4
+OVERUSE_FACTOR = 2.0
+SMALL_FRACTION = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +33,7 @@
     def __init__(self, shares: Mapping[str, float] | None = None) -> None:
         self._shares = dict(shares or {})
         self._used: dict[str, tuple[float, float]] = {}
+        self._total = (0.0, 0.0)
 
     def configure(self, shares: Mapping[str, float]) -> None:
         """Take new shares."""
@@ -42,16 +46,31 @@
     def charge(self, workspace: str, tokens: float, now: float) -> None:
         """Count work of a workspace."""
         self._used[workspace] = (self.used(workspace, now) + tokens, now)
+        self._total = (_decay(self._total, now) + tokens, now)
 
     def used(self, workspace: str, now: float) -> float:
         """Return the recent work of a workspace in tokens, older work counting less."""
-        value, at = self._used.get(workspace, (0.0, now))
-        return value * math.exp((at - now) / USAGE_WINDOW_S)
+        return _decay(self._used.get(workspace, (0.0, now)), now)
 
     def pressure(self, workspace: str, now: float) -> float:
         """Return the recent work of a workspace over its share."""
         return self.used(workspace, now) / self.share(workspace)
 
+    def band(self, workspace: str, now: float) -> int:
+        """Return how far a workspace is above its share, from 0 to `BANDS` - 1.
+
+        A band is a doubling; a small fraction of all work is never above a share.
+        """
+        total = _decay(self._total, now)
+        shares = sum(self.share(name) for name in self._used)
+        fraction = self.share(workspace) / shares if shares else 1.0
+        entitled = total * max(SMALL_FRACTION, fraction)
+        used = self.used(workspace, now)
+        band = 0
+        while band < BANDS - 1 and used > entitled * OVERUSE_FACTOR ** (band + 1):
+            band += 1
+        return band
+
 
 class FairQueue:
     """Hold waiting requests; the least served workspace of the most urgent level goes first."""
@@ -136,3 +155,8 @@
             return (self.meter.pressure(name, now) + queued / self.meter.share(name), name)
 
         return lines[max(lines, key=pressure)][-1].req_id
+
+
+def _decay(value: tuple[float, float], now: float) -> float:
+    amount, at = value
+    return amount * math.exp((at - now) / USAGE_WINDOW_S)
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -221,6 +221,7 @@
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
             run.retry_reason,
+            req.priority,
         )
 
     def release(self, run: Run, now: float) -> None:
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -4,12 +4,12 @@
 
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from rattangate.core.admission import Admission, Reject, Start
-from rattangate.core.fairness import FairQueue, QueueItem, UsageMeter
+from rattangate.core.fairness import BANDS, FairQueue, QueueItem, UsageMeter
 from rattangate.core.flights import Flights
 from rattangate.core.limits import WorkspaceLimits
 from rattangate.core.messages import (
@@ -47,7 +47,8 @@
 class IntakeCfg:
     """Hold the settings of limits, queue and retries of one instance.
 
-    `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work;
+    `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work, and
+    `borrow_wait_s` that up to which it gets work of a workspace that is above its share;
     `first_token_s` bounds the deadline of the first token; `can_withdraw` says that running attempts
     can be stopped.
     """
@@ -56,7 +57,8 @@
     instances: int = 1
     workspaces: tuple[WorkspaceLimit, ...] = ()
     queue_bound: int = 64
-    bind_wait_s: float = 0.5
+    bind_wait_s: float = math.inf
+    borrow_wait_s: float = 0.5
     retry_ratio: float = 0.1
     first_token_s: float = math.inf
     can_withdraw: bool = False
@@ -86,7 +88,7 @@
         self.budget = RetryBudget(cfg.retry_ratio)
         self.suspects = Suspects(cfg.instance, SETTLE_S if cfg.instances > 1 else 0.0)
         self.flights = Flights()
-        self._admission = Admission(self.queue, cfg.bind_wait_s, random.Random(seed))
+        self._admission = Admission(self.queue, random.Random(seed))
         self._cfg = cfg
         self._pool = pool
         self._peer_queues: dict[str, int] = {}
@@ -109,6 +111,7 @@
         if denial is not None:
             wait_s = self._admission.retry_after_s(denial.retry_after_s)
             return [_refuse(req.req_id, denial.reason, wait_s)]
+        run.req = replace(req, priority=self._engine_priority(req, now))
         self.runs[req.req_id] = run
         if verdict is Verdict.SUSPECT:
             self.suspects.hold(run, now)
@@ -204,6 +207,11 @@
         """Return the priority of a request."""
         return self.runs[req_id].req.priority
 
+    def bind_wait_s(self, req_id: int) -> float:
+        """Return the wait at an endpoint up to which a request is sent there, in seconds."""
+        is_borrowing = self.runs[req_id].req.priority % BANDS > 0
+        return self._cfg.borrow_wait_s if is_borrowing else self._cfg.bind_wait_s
+
     def _pump(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         owing = 0
@@ -339,6 +347,10 @@
         self.suspects.discard(run, now)
         self.limits.release(run.req.scope.workspace)
 
+    def _engine_priority(self, req: RequestArrived, now: float) -> int:
+        """Order requests by the caller's priority, then by use against the share."""
+        return BANDS * max(0, req.priority) + self.meter.band(req.scope.workspace, now)
+
     def _contention(self) -> float:
         own = max(1, self.queue.queued_tokens)
         return (own + sum(self._peer_queues.values())) / own
@@ -358,7 +370,7 @@
 def _queue_item(run: Run) -> QueueItem:
     req = run.req
     tokens = req.prompt_tokens + req.max_tokens
-    return QueueItem(req.req_id, req.scope.workspace, max(0, req.priority), tokens)
+    return QueueItem(req.req_id, req.scope.workspace, req.priority, tokens)
 
 
 def _life(endpoint: Endpoint) -> tuple[str, int]:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -275,7 +275,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send a request to an endpoint, which must still be of this incarnation and version."""
+    """Send a request to an endpoint, which must still be of this incarnation and version.
+
+    `priority` is for the engine's own queue; a lower number goes first.
+    """
 
     req_id: int
     attempt: int
@@ -283,6 +286,7 @@
     incarnation: int
     weights_version: str
     retry_reason: RetryReason | None = None
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
