Judge cases on every tick and let entries end by the time of their crashes

Found by tests/faults test_late_instance_refuses_the_known_poison_at_once (failed, passes now); the unit tests walk news, expiry and release.

--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -92,7 +92,7 @@
 
     def note_failure(self, digest: bytes, life: Life, ran_s: float, now: float) -> None:
         """Make a suspect of a request whose attempt was lost with the endpoint."""
-        self._add(digest, life, _Mark(ran_s, now, now + SUSPECT_S), now)
+        self._add(digest, life, _Mark(ran_s, now, now + QUARANTINE_S), now)
 
     def clear(self, digest: bytes) -> None:
         """Settle a case: the request ran to its end, or an operator releases it."""
@@ -147,8 +147,10 @@
         return Verdict.SUSPECT if self.count(digest, now) else Verdict.FREE
 
     def count(self, digest: bytes, now: float) -> int:
-        """Count the failures that speak against a digest."""
-        return len(self._open_marks(digest, now))
+        """Count the late failures that speak against a digest."""
+        suspect_until = QUARANTINE_S - SUSPECT_S
+        marks = self._open_marks(digest, now).values()
+        return sum(now < mark.deadline - suspect_until for mark in marks)
 
     def settled(self, digest: bytes, now: float) -> bool:
         """Tell whether all instances have heard of the last change."""
@@ -159,7 +161,7 @@
         """Tell whether a digest has failures enough, but not yet a verdict."""
         if self.count(digest, now) < self._crashes_needed(digest):
             return False
-        unconfirmed = self.count(digest, now) > len(self._confirmed(digest, now))
+        unconfirmed = len(self._open_marks(digest, now)) > len(self._confirmed(digest, now))
         return unconfirmed or not self.settled(digest, now)
 
     def longest_run_s(self, digest: bytes) -> float:
@@ -177,12 +179,13 @@
         self._resend_at = 0.0
 
     def expire(self, now: float) -> None:
-        """Drop the marks whose deadline has passed."""
+        """Drop the marks whose deadline has passed and judge the other cases."""
         self._crashes = {life: at for life, at in self._crashes.items() if now < at + UNRELATED_S}
         for digest, case in list(self._cases.items()):
             case.marks = {life: mark for life, mark in case.marks.items() if mark.deadline > now}
             if not case.marks:
                 del self._cases[digest]
+            self.judge(digest, now)
 
     def listing(self, now: float) -> tuple[Listed, ...]:
         """Return the suspects and the guilty, for operators."""
@@ -215,8 +218,6 @@
         if len(lives) < self._crashes_needed(digest) or self._has_rival(digest, lives, now):
             return
         case.guilty = True
-        for mark in case.marks.values():
-            mark.deadline = now + QUARANTINE_S
 
     def _crashes_needed(self, digest: bytes) -> int:
         """Ask for one crash more while endpoints crash without the request, too."""
@@ -237,22 +238,22 @@
         return False
 
     def _confirmed(self, digest: bytes, now: float) -> list[Life]:
-        marks = self._cases[digest].marks
-        return [life for life in self._open_marks(digest, now) if self._is_crash(life, marks[life])]
+        marks = self._open_marks(digest, now)
+        return [life for life, mark in marks.items() if self._is_crash(life, mark)]
 
-    def _open_marks(self, digest: bytes, now: float) -> list[Life]:
+    def _open_marks(self, digest: bytes, now: float) -> dict[Life, _Mark]:
         """Return the failures that neither a guilty digest nor a live endpoint explains."""
         case = self._cases.get(digest)
         if case is None:
-            return []
-        return [
-            life
+            return {}
+        return {
+            life: mark
             for life, mark in case.marks.items()
             if not mark.cleared
             and now < mark.deadline
             and (self._is_crash(life, mark) or now < mark.noted_at + CONFIRM_S)
             and (case.guilty or not self._explained(life))
-        ]
+        }
 
     def _explained(self, life: Life) -> bool:
         return any(case.guilty and life in case.marks for case in self._cases.values())
--- a/tests/faults/test_quarantine.py
+++ b/tests/faults/test_quarantine.py
@@ -55,3 +55,25 @@
         assert outcome.refused_at == outcome.arrived_at
         assert outcome.refusal.failure.kind is ErrorKind.QUARANTINED
         assert 0 < outcome.refusal.failure.advised_wait_s <= 600
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_kills_in_a_row_lose_no_innocent(seed):
+    site = VirtualSite(instances=3, seed=seed)
+    _add_innocents(site, until=15.0)
+    for step in range(3):
+        site.at(8.0 + 0.6 * step, site.crash, f"e{step}")
+    site.run(30.0)
+    assert all(outcome.completed for outcome in site.outcomes.values())
+
+
+def test_late_instance_refuses_the_known_poison_at_once():
+    site = VirtualSite(instances=3, seed=1)
+    site.poison[POISON] = 0.05
+    site.at(1.0, _send_poison, site, "g0")
+    site.at(30.0, _send_poison, site, "g2")
+    site.run(40.0)
+    first, second = site.outcomes.values()
+    assert len(site.crashes) == 3
+    assert second.refused_at == second.arrived_at
+    assert second.refusal.failure.advised_wait_s < first.refusal.failure.advised_wait_s
