--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 check-model:
 	specs/check.sh
 
+bench-policy: setup
+	$(PY) -m bench.policy
+
 binary: setup
 	$(PY) -m tools.build_binary
