--- a/bench/processes.py
+++ b/bench/processes.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LOG_TAIL_CHARS = 6000
 DEMO_PEER_SECRET = "demo-peers"
 
 
@@ -47,9 +48,11 @@
     ready_url: str
     log_path: Path | None = None
     popen: subprocess.Popen[bytes] | None = None
+    may_end: bool = False
 
     def start(self) -> None:
         """Start the process without waiting for it to be ready."""
+        self.may_end = False
         env = {**os.environ, "RATTANGATE_PEER_SECRET": DEMO_PEER_SECRET}
         output: Any = subprocess.DEVNULL
         if self.log_path is not None:
@@ -78,15 +81,24 @@
 
     def kill(self) -> None:
         """Kill the process at once."""
+        self.may_end = True
         if self.popen is not None:
             self.popen.kill()
             self.popen.wait()
 
     def terminate(self) -> None:
         """Ask the process to shut down gracefully."""
+        self.may_end = True
         if self.popen is not None:
             self.popen.terminate()
 
+    def describe_crash(self) -> str:
+        """Describe an end that nobody asked for, or return an empty text."""
+        if self.popen is None or self.may_end or self.popen.poll() is None:
+            return ""
+        log = self.log_path.read_text(errors="replace") if self.log_path is not None else ""
+        return f"{self.name} ended with {self.popen.returncode}:\n{log[-LOG_TAIL_CHARS:]}"
+
     def freeze(self) -> None:
         """Stop the process without ending it."""
         if self.popen is not None:
@@ -228,6 +240,9 @@
 
     def _kill_all(self) -> None:
         for process in self.processes.values():
+            crash = process.describe_crash()
+            if crash:
+                print(crash, file=sys.stderr, flush=True)
             if process.popen is not None and process.popen.poll() is None:
                 process.thaw()
                 process.kill()
--- a/rattangate/warm_start.py
+++ b/rattangate/warm_start.py
@@ -50,48 +50,52 @@
         self._platform = platform
         self._ask_peers = ask_peers
         self._is_writer = is_writer
-        self._heard = trio.Event()
+        self._source: PictureSource | None = None
         self._pictures: tuple[PictureReceived, ...] = ()
         self._written = b""
         self.is_settled = False
 
     async def run(self) -> None:
         """Take pictures over, then keep the snapshot until cancelled."""
-        with trio.move_on_after(PEERS_DEADLINE_S):
-            while not self._heard.is_set():
-                self._ask_peers()
-                await trio.sleep(OFFER_POLL_S)
-        if not self._heard.is_set():
-            await self._read_snapshot()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_snapshot)
+            with trio.move_on_after(PEERS_DEADLINE_S):
+                while self._source is not PictureSource.PEER:
+                    self._ask_peers()
+                    await trio.sleep(OFFER_POLL_S)
+                    self._offer_pictures()
         self.is_settled = True
-        await self._offer_pictures()
+        await self._offer_all()
         while True:
             await trio.sleep(SNAPSHOT_INTERVAL_S)
             if self._is_writer():
                 await self._write_snapshot()
 
     def take(self, pictures: tuple[PictureReceived, ...], source: PictureSource) -> None:
-        """Take the first pictures that come; later ones add nothing."""
-        if self._heard.is_set():
+        """Take the first pictures that come; a peer's go before the snapshot's."""
+        if self._source is PictureSource.PEER or self._source is source:
             return
+        self._source = source
         self._pictures = pictures
-        self._heard.set()
         pieces = sum(len(picture.pieces) for picture in pictures)
         log(LogEvent.WARM_START, source=source.value, pieces=pieces)
 
-    async def _offer_pictures(self) -> None:
-        """Feed each picture as soon as its incarnation of the endpoint is seen."""
+    async def _offer_all(self) -> None:
         with trio.move_on_after(OFFER_S):
             while self._pictures:
-                waiting = []
-                for picture in self._pictures:
-                    if self._is_seen(picture):
-                        self._driver.feed(picture)
-                    else:
-                        waiting.append(picture)
-                self._pictures = tuple(waiting)
+                self._offer_pictures()
                 await trio.sleep(OFFER_POLL_S)
 
+    def _offer_pictures(self) -> None:
+        """Feed each picture as soon as its incarnation of the endpoint is seen."""
+        waiting = []
+        for picture in self._pictures:
+            if self._is_seen(picture):
+                self._driver.feed(picture)
+            else:
+                waiting.append(picture)
+        self._pictures = tuple(waiting)
+
     def _is_seen(self, picture: PictureReceived) -> bool:
         endpoint = self._driver.gateway.endpoints.get(picture.endpoint)
         return endpoint is not None and endpoint.seen.incarnation >= picture.incarnation
