--- /dev/null
+++ b/specs/leases_and_orders.pml
@@ -0,0 +1,178 @@
+/* Orders to endpoints under a lease: two holders, an endpoint that checks order numbers and one that
+ * ignores them, and a wanted state that an operator changes.
+ *
+ * A message in flight takes effect at any later time or never. A holder may rest between any two
+ * steps, so it may send an order that it checked long ago; resting for good is a crash. A holder may
+ * stop waiting for a reply at any time, so a reply may be lost or come late. Time is left out: a term
+ * may end at any moment, and a candidate takes the lease over only after the term has ended on the
+ * holder's own clock (rattangate/core/leases.py). Numbers are those of rattangate/core/orders.py.
+ *
+ * At the end, when nothing can move, both endpoints must run the wanted state. The endpoint that
+ * checks numbers must never go back to an older wanted state.
+ *
+ * Mutants, each of which must break an assertion:
+ *   NO_FENCE       orders carry no number that the endpoint could check
+ *   FENCE_ONLY     all orders of one lease carry the same number
+ *   NO_READ_BACK   an order that was sent is believed to hold
+ *   BLIND_ACQUIRE  the lease is written without regard to its version
+ *   NEVER_TAKEN    reachability: it is wrong that no lease is ever taken over
+ */
+
+#define HOLDERS 2
+#define ENDPOINTS 2     /* 0 checks order numbers, 1 ignores them */
+#define SLOTS 2         /* orders in flight of one holder to one endpoint */
+#define MAX_TERMS 3
+#ifndef MAX_LOST
+#define MAX_LOST 1      /* orders that the holder gave up waiting for */
+#endif
+#define ORDERS_PER_FENCE 10
+#define NOBODY HOLDERS
+
+byte fence = 0;                 /* the record in the table */
+byte lease_holder = NOBODY;
+bool term_ended = true;         /* on the clock of the record's holder */
+
+byte wanted = 1;
+byte state[ENDPOINTS];
+byte highest[ENDPOINTS];
+byte lost = 0;
+
+byte flying_number[HOLDERS * ENDPOINTS * SLOTS];    /* 0: the slot is free */
+byte flying_state[HOLDERS * ENDPOINTS * SLOTS];
+
+proctype Operator()
+{
+    wanted = 2
+}
+
+proctype Clock()
+{
+end:
+    do
+    :: atomic { !term_ended && fence < MAX_TERMS -> term_ended = true }
+    od
+}
+
+proctype Wire(byte slot; byte endpoint)
+{
+end:
+    do
+    :: atomic {
+        flying_number[slot] ->
+        if
+        :: endpoint == 0 && flying_number[slot] < highest[0] -> skip    /* refused */
+        :: else ->
+           assert(endpoint != 0 || flying_state[slot] >= state[0]);
+           state[endpoint] = flying_state[slot];
+#ifndef NO_FENCE
+           highest[endpoint] = flying_number[slot]
+#endif
+        fi;
+        flying_number[slot] = 0;
+        flying_state[slot] = 0
+       }
+    od
+}
+
+proctype Holder(byte me)
+{
+    byte own_fence = 0;
+    byte seen_fence = 0;
+    byte sent = 0;
+    byte goal = 0;
+    byte endpoint = 0;
+    byte slot = 0;
+    bool believed[ENDPOINTS];
+
+watching:
+end:
+    atomic { term_ended && lease_holder != me && fence < MAX_TERMS -> seen_fence = fence };
+
+acquiring:
+    atomic {
+        if
+#ifdef BLIND_ACQUIRE
+        :: true ->
+#else
+        :: fence == seen_fence ->
+#endif
+           own_fence = seen_fence + 1;
+#ifdef NEVER_TAKEN
+           assert(fence == 0);
+#endif
+           assert(own_fence > fence);
+           fence = own_fence;
+           lease_holder = me;
+           term_ended = false;
+           sent = 0
+        :: fence != seen_fence -> goto watching
+        fi
+    };
+
+holding:
+end_holding:
+    if
+    :: atomic { own_fence != fence || term_ended -> goto watching }
+    :: atomic { state[0] != wanted && !believed[0] -> endpoint = 0 }    /* read back */
+    :: atomic { state[1] != wanted && !believed[1] -> endpoint = 1 }
+    fi;
+    goal = wanted;
+
+checking:
+    if
+    :: atomic { own_fence != fence || term_ended -> goto watching }
+    :: own_fence == fence && !term_ended    /* the last check before the first byte */
+    fi;
+
+sending:
+    atomic {
+        slot = (me * ENDPOINTS + endpoint) * SLOTS;
+        if
+        :: flying_number[slot] == 0
+        :: flying_number[slot] != 0 && flying_number[slot + 1] == 0 -> slot++
+        :: else -> goto holding
+        fi;
+        if
+        :: sent < ORDERS_PER_FENCE - 1 -> sent++
+        :: else
+        fi;
+#ifdef FENCE_ONLY
+        flying_number[slot] = own_fence;
+#else
+        flying_number[slot] = own_fence * ORDERS_PER_FENCE + sent;
+#endif
+        flying_state[slot] = goal;
+#ifdef NO_READ_BACK
+        believed[endpoint] = true;
+#endif
+        goal = 0
+    };
+
+confirming:
+    if
+    :: atomic { flying_number[slot] == 0 -> slot = 0; goto holding }
+    :: atomic { lost < MAX_LOST -> lost++; slot = 0; goto holding } /* the reply is lost or late */
+    fi
+}
+
+proctype Monitor()
+{
+    timeout ->
+    assert(state[0] == wanted && state[1] == wanted)
+}
+
+init
+{
+    byte i = 0;
+    atomic {
+        do
+        :: i < HOLDERS * ENDPOINTS * SLOTS -> run Wire(i, (i / SLOTS) % ENDPOINTS); i++
+        :: else -> i = 0; break
+        od;
+        run Operator();
+        run Clock();
+        run Holder(0);
+        run Holder(1);
+        run Monitor()
+    }
+}
--- /dev/null
+++ b/tests/core/test_specs.py
@@ -0,0 +1,19 @@
+"""The code names the states of the specifications."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from rattangate.core.once_messages import AttemptState, RecordState
+
+SPEC = Path(__file__).parents[2] / "specs" / "at_most_once.pml"
+WRITING = {AttemptState.SAVING, AttemptState.ABANDONING}
+
+
+def test_attempts_and_records_have_the_states_of_the_specification() -> None:
+    text = SPEC.read_text()
+    labels = set(re.findall(r"^(\w+):", text, re.MULTILINE))
+    (states,) = re.findall(r"^mtype = \{ ABSENT, ([^}]*), REFUSED, RAN \}", text, re.MULTILINE)
+    assert {state.value for state in set(AttemptState) - WRITING} <= labels
+    assert set(states.split(", ")) == {state.name for state in RecordState}
