Give orders from the holder of a lease and roll wanted versions out

Cause: a changed weights version in the accepted configuration had no effect on engines. A load of an earlier holder that lasts 5 s is now ordered anew; a core test holds it. Ruled out: leaving it to the engine, since an order must be repeated until it holds.

--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -21,10 +21,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutCfg:
-    """Bound the loads; `settle_s` is how long a late order of an earlier holder may take."""
+    """Bound the loads.
+
+    `settle_s` is how long a late order of an earlier holder may take, `stall_s` how long a replica
+    may load without an order of this holder.
+    """
 
     load_interval_s: float = 0.5
     settle_s: float = 3.0
+    stall_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,7 @@
         self._cfg = cfg
         self._next_load_at = held_since + cfg.settle_s
         self._ordered: dict[str, str] = {}
+        self._loading_since: dict[str, float] = {}
 
     def plan(
         self, wanted: Iterable[WantedVersion], replicas: dict[str, Sequence[Observed]], now: float
@@ -70,22 +76,22 @@
         """Return what to do now; `replicas` holds the live replicas of each model."""
         seen = {item.endpoint: item for group in replicas.values() for item in group}
         self._forget_done(seen)
+        self._note_loading(seen, now)
         effects: list[RolloutEffect] = []
         for item in wanted:
-            effects += self._plan_model(item, replicas.get(item.model, ()), seen, now)
+            effects += self._plan_model(item, replicas.get(item.model, ()), now)
         return effects
 
     def _plan_model(
         self,
         wanted: WantedVersion,
         replicas: Sequence[Observed],
-        seen: dict[str, Observed],
         now: float,
     ) -> list[RolloutEffect]:
         if wanted.in_use != wanted.weights_version:
             if _count_ready(replicas, wanted.weights_version) >= wanted.min_replicas:
                 return [UseVersion(wanted.model, wanted.weights_version)]
-        effects = self._turn_back(wanted, replicas)
+        effects = self._turn_back(wanted, replicas) + self._adopt(wanted, replicas, now)
         others = [item for item in replicas if self._is_other(item, wanted)]
         spare = self._count_spare(wanted, replicas)
         # Replicas that do not serve the version in use cost no capacity.
@@ -94,14 +100,14 @@
             takes_capacity = _serves(item, wanted.in_use)
             if takes_capacity and spare <= 0:
                 break
-            if now < self._next_load_at or self._count_loading(seen) >= MAX_LOADING:
+            if now < self._next_load_at or self._count_loading() >= MAX_LOADING:
                 return effects
             spare -= takes_capacity
             self._ordered[item.endpoint] = wanted.weights_version
             self._next_load_at = now + self._cfg.load_interval_s
             order = LoadVersion(wanted.weights_version)
             effects.append(WantOrders(item.endpoint, (order,)))
-        if others and not effects and not self._count_loading(seen):
+        if others and not effects and not self._count_loading():
             effects.append(Blocked(wanted.model, 2 * wanted.min_replicas))
         return effects
 
@@ -117,13 +123,25 @@
                 effects.append(WantOrders(item.endpoint, (order,)))
         return effects
 
+    def _adopt(
+        self, wanted: WantedVersion, replicas: Sequence[Observed], now: float
+    ) -> list[RolloutEffect]:
+        """Order anew the loads that another holder began and that do not end."""
+        effects: list[RolloutEffect] = []
+        for item in replicas:
+            since = self._loading_since.get(item.endpoint, now)
+            if item.endpoint not in self._ordered and now >= since + self._cfg.stall_s:
+                self._ordered[item.endpoint] = wanted.weights_version
+                order = LoadVersion(wanted.weights_version)
+                effects.append(WantOrders(item.endpoint, (order,)))
+        return effects
+
     def _count_spare(self, wanted: WantedVersion, replicas: Sequence[Observed]) -> int:
         kept = [item for item in replicas if item.endpoint not in self._ordered]
         return _count_ready(kept, wanted.in_use) - wanted.min_replicas
 
-    def _count_loading(self, seen: dict[str, Observed]) -> int:
-        loading = {item.endpoint for item in seen.values() if not item.ready and not item.leaving}
-        return len(loading | set(self._ordered))
+    def _count_loading(self) -> int:
+        return len(self._loading_since.keys() | self._ordered.keys())
 
     def _is_other(self, item: Observed, wanted: WantedVersion) -> bool:
         if item.leaving or not item.ready:
@@ -133,6 +151,10 @@
             return False
         return item.weights_version != wanted.weights_version
 
+    def _note_loading(self, seen: dict[str, Observed], now: float) -> None:
+        loading = {name for name, item in seen.items() if not item.ready and not item.leaving}
+        self._loading_since = {name: self._loading_since.get(name, now) for name in loading}
+
     def _forget_done(self, seen: dict[str, Observed]) -> None:
         for endpoint, version in list(self._ordered.items()):
             item = seen.get(endpoint)
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -21,6 +21,7 @@
     VersionHeard,
 )
 from rattangate.core.gateway import Gateway
+from rattangate.core.leases import Holder
 from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
 from rattangate.driver import Driver
 from rattangate.endpoints.client import EndpointClient, open_clients
@@ -33,6 +34,7 @@
 from rattangate.http.serving import DrainableApp, serve_app
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import Metrics
+from rattangate.orders import OrderKeeper
 from rattangate.peers.codec import HeldConfig, PeerNews, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
 from rattangate.platform.audit import AuditTrail
@@ -118,6 +120,7 @@
                 self.driver, platform, self._ask_pictures, self._writes_snapshot
             )
             nursery.start_soon(self.bookings.run)
+            nursery.start_soon(self._make_order_keeper(self._monitor).run)
             nursery.start_soon(self.config_watch.run)
             nursery.start_soon(self._warm_start.run)
             nursery.start_soon(self._monitor.run)
@@ -331,6 +334,12 @@
                 self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
                 self.driver.feed(PeerLost(name))
 
+    def _make_order_keeper(self, monitor: Monitor) -> OrderKeeper:
+        holder = Holder(self.instance.name, self.incarnation)
+        return OrderKeeper(
+            holder, self.platform, self.clients, lambda: self.settings, lambda: monitor.watched
+        )
+
     def _is_holder_lost(self, attempt: AttemptId) -> bool:
         if attempt.instance == self.instance.name:
             return attempt.incarnation < self.incarnation
--- a/tests/core/test_rollout.py
+++ b/tests/core/test_rollout.py
@@ -96,3 +96,11 @@
     effects = [effect for _ in range(40) for effect in fleet.step("v2", 2)]
     assert Blocked("m", 4) in effects
     assert sum(version == "v1" for version in fleet.versions.values()) == 2
+
+
+def test_a_load_that_an_earlier_holder_began_and_that_stalls_is_ordered_anew() -> None:
+    fleet = Fleet(3, 1)
+    fleet.loads["r0"] = ("v2", 1_000.0)
+    effects = [effect for _ in range(200) for effect in fleet.step("v2", 1)]
+    assert WantOrders("r0", (LoadVersion("v2"),)) in effects
+    assert set(fleet.versions.values()) == {"v2"}
