--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,11 @@
 test: check
 	$(PY) -m pytest
 
+check-model:
+	specs/check.sh
+
+bench-policy: setup
+	$(PY) -m bench.policy
+
 binary: setup
 	$(PY) -m tools.build_binary
--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -15,9 +15,16 @@
     RoundRobin,
     StaticRendezvous,
 )
-from bench.policy_workload import PIECE_TOKENS, WORKSPACE_SHARES, Demand, make_arrivals
+from bench.policy_workload import (
+    CAPACITY_HIT_RATE,
+    PIECE_TOKENS,
+    WORKSPACE_SHARES,
+    Demand,
+    make_arrivals,
+)
 from bench.policy_world import DEADLINE_S, Conditions, Fault, World
 from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.limits import WorkspaceLimit
 from rattangate.standins.engine_model import Eviction
 
 if TYPE_CHECKING:
@@ -31,8 +38,10 @@
 CHANGE_S = 150.0
 DURATION_S = 240.0
 DRAIN_S = 120.0
+OVERLOAD_S = 60.0
 WINDOW_S = 2.0
 LOSS = 0.05
+RATE_LIMIT_FACTOR = 2.0
 ORACLE_WEIGHTS = (0.0, 1.0, 3.0)
 
 
@@ -60,6 +69,8 @@
     Scenario("steady-1.0", _steady(1.0)),
     Scenario("not-lru-fifo", _steady(0.8), Conditions(eviction=Eviction.FIFO)),
     Scenario("not-lru-random", _steady(0.8), Conditions(eviction=Eviction.RANDOM)),
+    Scenario("not-lru-fifo-0.5", _steady(0.5), Conditions(eviction=Eviction.FIFO)),
+    Scenario("not-lru-random-0.3", _steady(0.3), Conditions(eviction=Eviction.RANDOM)),
     Scenario("capacity-under", _steady(0.8), Conditions(declared_capacity=0.75)),
     Scenario("capacity-over", _steady(0.8), Conditions(declared_capacity=1.25)),
     Scenario("capacity-unknown", _steady(0.8), Conditions(declared_capacity=0.0)),
@@ -95,8 +106,9 @@
     ),
     Scenario(
         "overload-1.5",
-        (Demand(0.0, 0.8), Demand(CHANGE_S, 1.5), Demand(CHANGE_S + 60.0, 0.6)),
+        (Demand(0.0, 0.8), Demand(CHANGE_S, 1.5), Demand(CHANGE_S + OVERLOAD_S, 0.6)),
         change_s=CHANGE_S,
+        settle_s=OVERLOAD_S + 15.0,
     ),
     Scenario("weight-rollout", _steady(0.6), faults=_ROLLOUT, change_s=CHANGE_S, settle_s=15.0),
     Scenario(
@@ -153,6 +165,10 @@
         cfg = GatewayCfg(PIECE_TOKENS, deployment.recompute_weight)
     if rule == FIXED:
         cfg = replace(cfg, learn_caches=False)
+    limits = tuple(
+        WorkspaceLimit(str(number), share, tokens_per_s=_rate_limit(deployment, share))
+        for number, share in enumerate(WORKSPACE_SHARES)
+    )
 
     def make_router(world: World, entry: int, router_seed: int) -> Router:
         own_seed = router_seed * 1000 + entry
@@ -161,7 +177,14 @@
         if rule in ORACLES:
             futures = {str(n): engine.future for n, engine in enumerate(world.engines)}
             return Oracle(own_seed, futures, ORACLES[rule])
-        return Gateway(cfg, own_seed)
+        intake = replace(
+            cfg.intake,
+            instance=str(entry),
+            instances=deployment.entries,
+            workspaces=limits,
+            first_token_s=DEADLINE_S,
+        )
+        return Gateway(replace(cfg, intake=intake), own_seed)
 
     return World(deployment, scenario.conditions, make_router, seed)
 
@@ -177,6 +200,11 @@
     return _figures(world, scenario)
 
 
+def _rate_limit(deployment: Deployment, share: float) -> float:
+    """Return a workspace's limit in prompt tokens a second, a multiple of its share."""
+    return RATE_LIMIT_FACTOR * share * deployment.prefill_tokens_per_s / (1 - CAPACITY_HIT_RATE)
+
+
 def _figures(world: World, scenario: Scenario) -> Figures:
     counted = [o for o in world.outcomes.values() if o.at >= WARM_UP_S]
     served = [o for o in counted if o.first_token_s >= 0]
@@ -223,7 +251,7 @@
 def _served_of_capacity(world: World, scenario: Scenario) -> float:
     """Return the rate served within the deadline in the overload, as a share of capacity."""
     peak = max(scenario.demands, key=lambda demand: demand.load)
-    end = peak.start + 60.0 if peak.start else DURATION_S
+    end = peak.start + OVERLOAD_S if peak.start else DURATION_S
     start = max(peak.start, WARM_UP_S)
     offered = [o for o in world.outcomes.values() if start <= o.at < end]
     good = sum(0 <= o.first_token_s <= DEADLINE_S for o in offered)
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,6 +40,7 @@
 
 OWN = ""
 RESEND_S = 1.0
+USAGE_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +65,7 @@
         self._number = 0
         self._seq = 0
         self._told = LimitsNews()
-        self._tell_at = 0.0
+        self._told_at = -RESEND_S
         self._peers: dict[str, tuple[int, int]] = {}
         # Binding a singledispatchmethod wraps its function anew at each access.
         self._apply: Callable[[Message, float], list[Effect]] = self._handle
@@ -189,7 +190,7 @@
 
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
-        weight = self.cfg.recompute_weight
+        weight = self.cfg.recompute_weight + self.intake.extra_recompute_weight(run)
         candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
         return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
@@ -221,6 +222,7 @@
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
             run.retry_reason,
+            req.priority,
         )
 
     def release(self, run: Run, now: float) -> None:
@@ -235,12 +237,9 @@
         return run if run is not None and run.attempt == attempt else None
 
     def _send_news(self, now: float) -> list[Effect]:
-        limits = self.intake.news(now)
-        unchanged = limits == self._told and now < self._tell_at
-        if not self._placements and not self._departures and unchanged:
+        limits = self._limits_news(now)
+        if not self._placements and not self._departures and limits is None:
             return []
-        self._told = limits
-        self._tell_at = now + RESEND_S
         self._seq += 1
         placements = tuple(replace(sent, age_s=now - at) for at, sent in self._placements)
         departures = tuple(replace(sent, age_s=now - at) for at, sent in self._departures)
@@ -248,6 +247,20 @@
         self._departures.clear()
         return [SendNews(self._seq, placements, departures, limits)]
 
+    def _limits_news(self, now: float) -> LimitsNews | None:
+        """Return what changed, at once for suspects and at intervals for use and queue."""
+        limits = self.intake.news(now)
+        told = self._told
+        urgent = (limits.suspicions, limits.claims) != (told.suspicions, told.claims)
+        age_s = now - self._told_at
+        if not urgent and age_s < USAGE_INTERVAL_S:
+            return None
+        if limits == told and age_s < RESEND_S:
+            return None
+        self._told = limits
+        self._told_at = now
+        return limits
+
     def _depart(self, run: Run, cached_tokens: int | None, now: float) -> None:
         assert run.placed_on is not None
         seen = run.placed_on.seen
