List and release quarantined requests through the administration API

Cause: operators had no way to see or release a digest. Releasing is no edit of the configuration: it feeds the core, whose cleared marks reach the peers with the news, and is audited like an edit.

--- a/rattangate/http/admin.py
+++ b/rattangate/http/admin.py
@@ -13,7 +13,7 @@
 from rattangate.config.model import Role
 from rattangate.errors import ErrorKind, Failure
 from rattangate.http.admin_edits import EditRequest, carry_out_edit, new_change_id
-from rattangate.http.admin_handlers import EDITS, READS, Call
+from rattangate.http.admin_handlers import ACTS, EDITS, READS, Call
 from rattangate.http.admin_operations import (
     CHANGE_ID,
     CHANGE_REASON,
@@ -85,6 +85,8 @@
             return error_response(Failure(ErrorKind.FORBIDDEN), "")
         if operation.edits:
             return await _edit(entry, operation, key, params)
+        if operation.acts:
+            return await _act(entry, operation, key, params)
         call = Call(entry, params, dict(request.args), {})
         return _answer(entry, await READS[operation.name](call))
 
@@ -105,6 +107,19 @@
     return resp
 
 
+async def _act(
+    entry: Entry, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
+) -> Response:
+    req = _read_reason(key, 0)
+    if isinstance(req, Failure):
+        return error_response(req, "")
+    outcome = await ACTS[operation.name](Call(entry, params, {}, {}, key.name))
+    await _write_audit(entry, key, req, outcome)
+    resp = _answer(entry, outcome)
+    resp.headers[CHANGE_ID] = req.change_id
+    return resp
+
+
 async def _edit(
     entry: Entry, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
 ) -> Response:
@@ -131,6 +146,10 @@
     etag = _ETAG.fullmatch(request.headers.get(IF_MATCH, ""))
     if etag is None:
         return Failure(ErrorKind.BAD_REQUEST, f'{IF_MATCH}: must be the ETag read, such as "12"')
+    return _read_reason(key, int(etag[1]))
+
+
+def _read_reason(key: AdminKeyCfg, edited_from: int) -> EditRequest | Failure:
     reason = request.headers.get(CHANGE_REASON, "").strip()
     if not 0 < len(reason) <= MAX_REASON_CHARS:
         return Failure(
@@ -139,7 +158,7 @@
     change_id = request.headers.get(CHANGE_ID) or new_change_id()
     if not _CHANGE_ID.fullmatch(change_id):
         return Failure(ErrorKind.BAD_REQUEST, f"{CHANGE_ID}: must match {_CHANGE_ID.pattern}")
-    return EditRequest(int(etag[1]), change_id, key.name, reason)
+    return EditRequest(edited_from, change_id, key.name, reason)
 
 
 async def _read_body(operation: Operation) -> dict[str, Any] | Failure:
@@ -169,7 +188,7 @@
         call,
         req.reason,
         outcome.kind.value if failed else "accepted",
-        0 if failed else outcome.version,
+        getattr(outcome, "version", 0),
     )
     log(LogEvent.ADMIN_CHANGED, who=key.name, action=request.method, object=request.path)
     await entry.audit.write(audited)
--- a/rattangate/http/admin_handlers.py
+++ b/rattangate/http/admin_handlers.py
@@ -9,11 +9,14 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+import trio
 
 from rattangate.config.edit import PutEntry, RemoveEntry, SetValues, find_entry
 from rattangate.config.view import view_settings
 from rattangate.core.config_follower import ReadFailed
+from rattangate.core.messages import QuarantineReleased
 from rattangate.errors import ErrorKind, Failure
+from rattangate.log_events import LogEvent, log
 from rattangate.platform.client import Unavailable
 
 if TYPE_CHECKING:
@@ -21,11 +24,13 @@
 
     from rattangate.config.edit import Edit
     from rattangate.config.model import WorkspaceCfg
+    from rattangate.core.quarantine import Listed, Quarantine
     from rattangate.entry import Entry
 
 KEY_ID_DIGITS = 12
 DEFAULT_VERSIONS = 20
 MAX_VERSIONS = 200
+_DIGEST = re.compile(r"(?:[0-9a-f]{2}){1,32}")
 _DAY = re.compile(r"\d{4}-\d{2}-\d{2}")
 
 
@@ -37,6 +42,7 @@
     params: dict[str, str]
     query: dict[str, str]
     body: dict[str, Any]
+    who: str = ""
 
 
 def key_id_of(key_hash: str) -> str:
@@ -114,6 +120,28 @@
     return {"calls": msgspec.to_builtins(entries)}
 
 
+async def list_quarantine(call: Call) -> object:
+    """List suspected and quarantined digests as known here."""
+    now = trio.current_time()
+    listing = _quarantine(call).listing(now)
+    return {"digests": [_view_listed(listed, now) for listed in listing]}
+
+
+# Acts that make no configuration version
+
+
+async def release_quarantine(call: Call) -> object:
+    """Release a digest; the peers hear of it with the next news."""
+    if not _DIGEST.fullmatch(call.params["digest"]):
+        return Failure(ErrorKind.BAD_REQUEST, "digest: must be hexadecimal, as listed")
+    digest = bytes.fromhex(call.params["digest"])
+    listed = {item.digest for item in _quarantine(call).listing(trio.current_time())}
+    if digest in listed:
+        call.entry.driver.feed(QuarantineReleased(digest))
+        log(LogEvent.QUARANTINE_RELEASED, digest=digest.hex(), who=call.who)
+    return {"released": digest in listed}
+
+
 # Edits: each takes the call and the base's plain data, and returns the edit
 
 
@@ -176,8 +204,10 @@
         get_config,
         list_versions,
         list_audit,
+        list_quarantine,
     )
 }
+ACTS: dict[str, Callable[[Call], Awaitable[object]]] = {"release_quarantine": release_quarantine}
 EDITS: dict[str, Callable[[Call, dict[str, Any]], Edit | Failure]] = {
     handler.__name__: handler
     for handler in (
@@ -193,6 +223,19 @@
 }
 
 
+def _quarantine(call: Call) -> Quarantine:
+    return call.entry.driver.gateway.intake.suspects.quarantine
+
+
+def _view_listed(listed: Listed, now: float) -> dict[str, Any]:
+    return {
+        "digest": listed.digest.hex(),
+        "verdict": listed.verdict.value,
+        "crashed": [{"endpoint": name, "incarnation": life} for name, life in listed.crashed],
+        "remaining_s": round(max(0.0, listed.deadline - now), 1),
+    }
+
+
 def _view_workspace(workspace: WorkspaceCfg) -> dict[str, Any]:
     return {
         "name": workspace.name,
--- a/rattangate/http/admin_operations.py
+++ b/rattangate/http/admin_operations.py
@@ -19,7 +19,7 @@
 CHANGE_ID = "Change-Id"
 CHANGE_REASON = "Change-Reason"
 
-_READ_STATUSES = (200, 401, 403, 404)
+_READ_STATUSES = (200, 400, 401, 403, 404, 503)
 _EDIT_STATUSES = (200, 400, 401, 403, 404, 409, 413, 422, 503, 504)
 _KEY_HASH = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
 
@@ -47,12 +47,17 @@
         """Return the names of the path's parameters."""
         return tuple(re.findall(r"\{(\w+)\}", self.path))
 
+    @property
+    def acts(self) -> bool:
+        """Say whether the operation changes something, and so needs a reason and an audit."""
+        return self.method != "GET"
+
     @property
     def statuses(self) -> tuple[int, ...]:
         """Return the statuses that the operation can answer with."""
         if self.edits:
             return _EDIT_STATUSES
-        return _READ_STATUSES if self.method == "GET" else (200, 400, 401, 403, 404, 503)
+        return (200, 400, 401, 403) if self.acts else _READ_STATUSES
 
 
 def _entry_body(section: str, without: tuple[str, ...]) -> dict[str, Any]:
@@ -153,6 +158,20 @@
         True,
     ),
     Operation("list_instances", "GET", "/v1/instances", READERS, "List instances and states."),
+    Operation(
+        "list_quarantine",
+        "GET",
+        "/v1/quarantine",
+        READERS,
+        "List the digests of requests that are suspected or known to crash endpoints.",
+    ),
+    Operation(
+        "release_quarantine",
+        "DELETE",
+        "/v1/quarantine/{digest}",
+        OPERATORS,
+        "Release a digest at every instance; a repeat changes nothing.",
+    ),
     Operation(
         "get_config", "GET", "/v1/config", READERS, "Show the version in force and the newest one."
     ),
@@ -220,9 +239,11 @@
 def _describe(operation: Operation) -> dict[str, Any]:
     params = [_param(name, "path") for name in operation.params]
     params += [{**_param(name, "query"), "required": False} for name in operation.query]
-    if operation.edits:
-        params += [_param(IF_MATCH, "header"), _param(CHANGE_REASON, "header")]
+    if operation.acts:
+        params.append(_param(CHANGE_REASON, "header"))
         params.append({**_param(CHANGE_ID, "header"), "required": False})
+    if operation.edits:
+        params.append(_param(IF_MATCH, "header"))
     described: dict[str, Any] = {
         "operationId": operation.name,
         "summary": operation.summary,
--- a/tests/operators/test_admin.py
+++ b/tests/operators/test_admin.py
@@ -4,13 +4,25 @@
 
 import uuid
 from hashlib import sha256
+from types import SimpleNamespace
 
 import httpx
 import pytest
+import trio
+import trio.testing
 import yaml
 
 from rattangate.config.model import Role
-from rattangate.http.admin_handlers import EDITS, READS
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.messages import EndpointState
+from rattangate.http.admin_handlers import (
+    ACTS,
+    EDITS,
+    READS,
+    Call,
+    list_quarantine,
+    release_quarantine,
+)
 from rattangate.http.admin_operations import OPERATIONS, describe_api
 from rattangate.http.auth import hash_key
 from tests.operators.applied import apply_files, wait_in_force
@@ -71,7 +83,8 @@
 
 def test_table_has_one_handler_for_each_operation():
     assert {op.name for op in OPERATIONS if op.edits} == EDITS.keys()
-    assert {op.name for op in OPERATIONS if not op.edits} == READS.keys()
+    assert {op.name for op in OPERATIONS if op.acts and not op.edits} == ACTS.keys()
+    assert {op.name for op in OPERATIONS if not op.acts} == READS.keys()
 
 
 def test_description_is_served(api):
@@ -81,7 +94,9 @@
 def test_every_operation_answers_as_described(api):
     paths = describe_api()["paths"]
     for op in OPERATIONS:
-        path = op.path.format(workspace="absent", endpoint="absent", key_id="absent")
+        path = op.path.format(
+            workspace="absent", endpoint="absent", key_id="absent", digest="absent"
+        )
         resp = api.edit(op.method, path, {"share": "x"} if op.body else None)
         assert str(resp.status_code) in paths[op.path][op.method.lower()]["responses"], op.name
         assert resp.status_code != 500
@@ -89,7 +104,7 @@
 
 def test_every_operation_holds_to_its_roles(api):
     for op in OPERATIONS:
-        path = op.path.format(workspace="beta", endpoint="absent", key_id="absent")
+        path = op.path.format(workspace="beta", endpoint="absent", key_id="absent", digest="00")
         for role in Role:
             resp = api.call(op.method, path, role, {} if op.body else None)
             permitted = role in op.roles and role is not Role.WORKSPACE_OWNER
@@ -180,6 +195,39 @@
     assert resp.json()["error"]["run_state"] == "not run"
 
 
+def test_release_needs_a_digest_and_is_audited(api):
+    assert api.call("GET", "/v1/quarantine").json() == {"digests": []}
+    assert api.edit("DELETE", "/v1/quarantine/xyz").status_code == 400
+    resp = api.edit("DELETE", "/v1/quarantine/00ff", Change_Reason="mended upstream")
+    assert (resp.status_code, resp.json()) == (200, {"released": False})
+    calls = api.call("GET", "/v1/audit").json()["calls"]
+    assert "mended upstream" in {call["reason"] for call in calls}
+
+
+def test_quarantined_digest_is_listed_and_released():
+    async def main() -> None:
+        now = trio.current_time()
+        gateway = Gateway(GatewayCfg(100, 1.0), seed=1)
+        quarantine = gateway.intake.suspects.quarantine
+        for number in range(3):
+            name = f"engine-{number}"
+            quarantine.note_endpoint(name, 1, EndpointState.LIVE, now)
+            quarantine.note_failure(b"bad", (name, 1), 0.1, now)
+            quarantine.note_endpoint(name, 2, EndpointState.LIVE, now)
+        driver = SimpleNamespace(
+            gateway=gateway, feed=lambda msg: gateway.handle(msg, trio.current_time())
+        )
+        entry = SimpleNamespace(driver=driver)
+        listed = await list_quarantine(Call(entry, {}, {}, {}))
+        assert [item["digest"] for item in listed["digests"]] == [b"bad".hex()]
+        release = Call(entry, {"digest": b"bad".hex()}, {}, {}, "ann")
+        assert await release_quarantine(release) == {"released": True}
+        assert await release_quarantine(release) == {"released": False}
+        assert await list_quarantine(Call(entry, {}, {}, {})) == {"digests": []}
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_versions_and_audit_name_who_and_why(api):
     done = api.edit("PUT", "/v1/limits", {"max_streams": 700}, Change_Reason="summer")
     versions = api.call("GET", "/v1/config/versions").json()["versions"]
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import hmac
-import os
 import random
 
-import pytest
 import trio
 
-from rattangate.log_events import open_log
 from rattangate.peers.codec import encode_message, idl, news_of
 from rattangate.peers.link import FRAME_HEAD, PeerIdentity, PeerLinks
 from tests.small_deployment import free_addresses
@@ -17,15 +14,6 @@
 SECRET = b"secret"
 
 
-@pytest.fixture(autouse=True)
-def _silent_log():
-    """Write the log nowhere, as eliot would keep it for the first reader to come."""
-    with open(os.devnull, "wb") as nowhere:
-        _, close = open_log("a", nowhere.fileno())
-        yield
-        close()
-
-
 HELLO = encode_message(idl.Hello(instance="b", incarnation=1, nonce=b"n" * 16, proof=b""))
 
 
