Say ready only once the caller port listens

Cause: /readyz on the administration port said ready before the caller port was bound; a caller that came in between met a refused connection. An instance that is told to stop before it listens stays not ready.

--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -238,15 +238,18 @@
                 self.config_watch.feed(ContentRead(record, news.config.content, ConfigSource.PEER))
 
     async def _serve_callers(self) -> None:
-        self.ready = True
+        address = self.instance.caller_address
+        limits = self.settings.limits
+        await serve_app(self._callers, address, limits, self._stop, self._note_listening)
+
+    def _note_listening(self) -> None:
+        self.ready = not self.leaving
         log(
             LogEvent.INSTANCE_STARTED,
             instance=self.instance.name,
             version=rattangate.__version__,
             address=self.instance.caller_address,
         )
-        address = self.instance.caller_address
-        await serve_app(self._callers, address, self.settings.limits, self._stop)
 
     async def _serve_admin(self) -> None:
         app = DrainableApp(make_admin_app(self))
--- a/rattangate/http/serving.py
+++ b/rattangate/http/serving.py
@@ -60,7 +60,13 @@
                 idle_since = trio.current_time()
 
 
-async def serve_app(app: DrainableApp, address: str, limits: LimitsCfg, stop: trio.Event) -> None:
+async def serve_app(
+    app: DrainableApp,
+    address: str,
+    limits: LimitsCfg,
+    stop: trio.Event,
+    on_listening: Callable[[], None] | None = None,
+) -> None:
     """Serve until the event, then take no connections and finish the last answer."""
     cfg = Config()
     cfg.bind = [address]
@@ -70,7 +76,9 @@
     cfg.keep_alive_timeout = KEEP_ALIVE_S
     cfg.h11_max_incomplete_size = limits.max_header_bytes
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_serve, app, cfg, stop)
+        await nursery.start(_serve, app, cfg, stop)
+        if on_listening is not None:
+            on_listening()
         await stop.wait()
         app.draining = True
         # The server itself would wait for idle connections too, until they time out.
@@ -78,5 +86,10 @@
         nursery.cancel_scope.cancel()
 
 
-async def _serve(app: DrainableApp, cfg: Config, stop: trio.Event) -> None:
-    await serve(app, cfg, mode="asgi", shutdown_trigger=stop.wait)
+async def _serve(
+    app: DrainableApp,
+    cfg: Config,
+    stop: trio.Event,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve(app, cfg, mode="asgi", shutdown_trigger=stop.wait, task_status=task_status)
