--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 binary: setup
 	$(PY) -m tools.build_binary
+
+bench-capacity: setup
+	$(PY) -m bench.capacity
