--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,12 @@
 test: check
 	$(PY) -m pytest
 
+check-model:
+	specs/check.sh
+
+bench-policy: setup
+	$(PY) -m bench.policy
+
 binary: setup
 	$(PY) -m tools.build_binary
 
--- a/bench/policy_rules.py
+++ b/bench/policy_rules.py
@@ -22,7 +22,7 @@
     Refuse,
     RequestArrived,
 )
-from rattangate.errors import ErrorKind, Failure
+from rattangate.core.refusals import RefusalReason, make_failure
 from rattangate.standins.engine_model import Eviction
 
 if TYPE_CHECKING:
@@ -121,7 +121,9 @@
         ]
         if not live or attempt.number >= MAX_ATTEMPTS:
             del self.attempts[req_id]
-            return [Refuse(req_id, Failure(ErrorKind.NO_ENDPOINT))]
+            return [
+                Refuse(req_id, make_failure(RefusalReason.NO_ENDPOINT), RefusalReason.NO_ENDPOINT)
+            ]
         chosen = self.choose(attempt.req, live, now)
         attempt.number += 1
         attempt.endpoint = chosen.endpoint
