Let the log test begin after the events that other tests have logged

Cause: eliot keeps events that are logged before any destination is added and gives them to the first one; in the whole run the test met 403 of another test before its own 511. The fixture takes them first; the assertions are unchanged.

--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -7,6 +7,7 @@
 import re
 from pathlib import Path
 
+import eliot
 import pytest
 
 from rattangate.log_events import LogEvent, is_secret, log, open_log
@@ -15,6 +16,14 @@
 PACKAGE = Path(__file__).parent.parent / "rattangate"
 
 
+@pytest.fixture
+def no_early_events():
+    """Take what other tests have logged, which eliot keeps for the first destination."""
+    early: list[object] = []
+    eliot.add_destinations(early.append)
+    eliot.remove_destination(early.append)
+
+
 def test_catalogue_is_generated_from_the_code():
     assert (REFERENCE / "log-events.md").read_text() == render_log_events()
 
@@ -43,7 +52,7 @@
         log(LogEvent.PLATFORM_UP, colour="red")
 
 
-def test_blocked_output_drops_lines_and_reports_them():
+def test_blocked_output_drops_lines_and_reports_them(no_early_events):
     reader, writer_fd = os.pipe()
     writer, close = open_log("a1", writer_fd)
     writer._max_lines = 10
