--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 binary: setup
 	$(PY) -m tools.build_binary
+
+bench-capacity: setup
+	$(PY) -m bench.capacity
