--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 binary: setup
 	$(PY) -m tools.build_binary
+
+bench-policy: setup
+	$(PY) -m bench.policy
