Bound the cost of the quarantine and of the news of limits

And the news of limits changed on each tick of 20 ms, as demand decays. Ruled out: dropping cleared marks at once, since a peer that missed the clearing would bring them back.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,6 +40,7 @@
 
 OWN = ""
 RESEND_S = 1.0
+LIMITS_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +65,8 @@
         self._number = 0
         self._seq = 0
         self._told = LimitsNews()
-        self._tell_at = 0.0
+        self._next_limits_at = 0.0
+        self._resend_at = 0.0
         self._peers: dict[str, tuple[int, int]] = {}
         # Binding a singledispatchmethod wraps its function anew at each access.
         self._apply: Callable[[Message, float], list[Effect]] = self._handle
@@ -125,7 +127,7 @@
 
     @_handle.register
     def _on_released(self, msg: QuarantineReleased, now: float) -> list[Effect]:
-        self.intake.suspects.quarantine.clear(msg.digest)
+        self.intake.suspects.quarantine.release(msg.digest)
         return []
 
     @_handle.register
@@ -231,17 +233,26 @@
             self._depart(run, None, now)
         run.placed_on = None
 
+    def _limits_news(self, now: float) -> LimitsNews | None:
+        """Return the news of limits where it is due and has changed, or was sent long ago."""
+        if now < self._next_limits_at and not self.intake.suspects.quarantine.has_unsent:
+            return None
+        self._next_limits_at = now + LIMITS_INTERVAL_S
+        limits = self.intake.news(now)
+        if limits == self._told and now < self._resend_at:
+            return None
+        self._told = limits
+        self._resend_at = now + RESEND_S
+        return limits
+
     def _find_run(self, req_id: int, attempt: int) -> Run | None:
         run = self.intake.runs.get(req_id)
         return run if run is not None and run.attempt == attempt else None
 
     def _send_news(self, now: float) -> list[Effect]:
-        limits = self.intake.news(now)
-        unchanged = limits == self._told and now < self._tell_at
-        if not self._placements and not self._departures and unchanged:
+        limits = self._limits_news(now)
+        if not self._placements and not self._departures and limits is None:
             return []
-        self._told = limits
-        self._tell_at = now + RESEND_S
         self._seq += 1
         placements = tuple(replace(sent, age_s=now - at) for at, sent in self._placements)
         departures = tuple(replace(sent, age_s=now - at) for at, sent in self._departures)
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -132,7 +132,7 @@
         """Finish a request or decide on its next attempt."""
         if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
             if msg.result is AttemptResult.COMPLETED:
-                self._note_completed(run)
+                self._note_completed(run, now)
             self._forget(run, now)
             return self._pump(now)
         assert run.placed_on is not None
@@ -333,8 +333,8 @@
         self.queue.push_first(_queue_item(run))
         return []
 
-    def _note_completed(self, run: Run) -> None:
-        self.suspects.quarantine.clear(run.digest)
+    def _note_completed(self, run: Run, now: float) -> None:
+        self.suspects.quarantine.clear(run.digest, now)
         if run.digest:
             self.flights.note_completed(run.digest)
 
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -74,6 +75,7 @@
         self._cases: dict[bytes, _Case] = {}
         self._lives: dict[str, tuple[int, EndpointState]] = {}
         self._crashes: dict[Life, float] = {}
+        self._explained: set[Life] = set()
         self._unsent: set[tuple[bytes, Life]] = set()
         self._resend_at = 0.0
 
@@ -94,16 +96,13 @@
         """Make a suspect of a request whose attempt was lost with the endpoint."""
         self._add(digest, life, _Mark(ran_s, now, now + QUARANTINE_S), now)
 
-    def clear(self, digest: bytes) -> None:
-        """Settle a case: the request ran to its end, or an operator releases it."""
-        case = self._cases.get(digest)
-        if case is None:
-            return
-        for life, mark in case.marks.items():
-            if not mark.cleared:
-                mark.cleared = True
-                self._unsent.add((digest, life))
-        case.guilty = False
+    def clear(self, digest: bytes, now: float) -> None:
+        """Settle the case of a request that ran to its end."""
+        self._clear(digest, now + SUSPECT_S)
+
+    def release(self, digest: bytes) -> None:
+        """Settle a case by order of an operator."""
+        self._clear(digest, math.inf)
 
     def merge(self, suspicions: Iterable[Suspicion], now: float) -> list[bytes]:
         """Take in a peer's cases and return the digests with new marks."""
@@ -115,6 +114,11 @@
                 news.append(told.digest)
         return news
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether peers have yet to hear of a mark."""
+        return bool(self._unsent)
+
     def suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Return what peers have yet to hear; all marks are repeated from time to time."""
         if now >= self._resend_at:
@@ -185,7 +189,9 @@
             case.marks = {life: mark for life, mark in case.marks.items() if mark.deadline > now}
             if not case.marks:
                 del self._cases[digest]
-            self.judge(digest, now)
+            elif not case.guilty and len(case.marks) >= GUILTY_CRASHES:
+                self._try_convict(digest, case, now)
+        self._note_explained()
 
     def listing(self, now: float) -> tuple[Listed, ...]:
         """Return the suspects and the guilty, for operators."""
@@ -207,10 +213,29 @@
         known.confirmed = known.confirmed or mark.confirmed
         if mark.cleared and not known.cleared:
             known.cleared = True
+            known.deadline = min(known.deadline, mark.deadline)
             case.guilty = False
             self._unsent.add((digest, life))
+            self._note_explained()
         return False
 
+    def _clear(self, digest: bytes, deadline: float) -> None:
+        case = self._cases.get(digest)
+        if case is None:
+            return
+        for life, mark in case.marks.items():
+            if not mark.cleared:
+                mark.cleared = True
+                mark.deadline = min(mark.deadline, deadline)
+                self._unsent.add((digest, life))
+        case.guilty = False
+        self._note_explained()
+
+    def _note_explained(self) -> None:
+        """Collect the failures that guilty digests explain."""
+        guilty = [case for case in self._cases.values() if case.guilty]
+        self._explained = {life for case in guilty for life in case.marks}
+
     def _try_convict(self, digest: bytes, case: _Case, now: float) -> None:
         if not self.settled(digest, now):
             return
@@ -218,11 +243,12 @@
         if len(lives) < self._crashes_needed(digest) or self._has_rival(digest, lives, now):
             return
         case.guilty = True
+        self._note_explained()
 
     def _crashes_needed(self, digest: bytes) -> int:
         """Ask for one crash more while endpoints crash without the request, too."""
         unrelated = sum(
-            life not in self._cases[digest].marks and not self._explained(life)
+            life not in self._cases[digest].marks and life not in self._explained
             for life in self._crashes
         )
         return GUILTY_CRASHES + (unrelated >= UNRELATED_CRASHES)
@@ -252,12 +278,9 @@
             if not mark.cleared
             and now < mark.deadline
             and (self._is_crash(life, mark) or now < mark.noted_at + CONFIRM_S)
-            and (case.guilty or not self._explained(life))
+            and (case.guilty or life not in self._explained)
         }
 
-    def _explained(self, life: Life) -> bool:
-        return any(case.guilty and life in case.marks for case in self._cases.values())
-
     def _is_crash(self, life: Life, mark: _Mark) -> bool:
         is_down = self._lives.get(life[0]) == (life[1], EndpointState.DOWN)
         return mark.confirmed or is_down or self._is_replaced(life)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -79,7 +79,7 @@
     _crash(quarantine, "a", GOOD)
     peer.merge(quarantine.suspicions(0.1), 0.1)
     assert peer.judge(GOOD, 0.2) is Verdict.SUSPECT
-    peer.clear(GOOD)
+    peer.clear(GOOD, 0.3)
     quarantine.merge(peer.suspicions(0.3), 0.3)
     assert quarantine.judge(GOOD, 0.4) is Verdict.FREE
     peer.merge(quarantine.suspicions(5.0), 5.0)
@@ -110,7 +110,7 @@
     condemned.judge(BAD, LATER)
     peer.merge(condemned.suspicions(LATER), LATER)
     assert peer.judge(BAD, 2 * LATER) is Verdict.GUILTY
-    condemned.clear(BAD)
+    condemned.release(BAD)
     peer.merge(condemned.suspicions(2 * LATER), 2 * LATER)
     assert condemned.judge(BAD, 3 * LATER) is Verdict.FREE
     assert peer.judge(BAD, 3 * LATER) is Verdict.FREE
