--- a/rattangate/core/fairness.py
+++ b/rattangate/core/fairness.py
@@ -34,10 +34,12 @@
         self._shares = dict(shares or {})
         self._used: dict[str, tuple[float, float]] = {}
         self._total = (0.0, 0.0)
+        self._active_shares = 0.0
 
     def configure(self, shares: Mapping[str, float]) -> None:
         """Take new shares."""
         self._shares = dict(shares)
+        self._active_shares = sum(self.share(name) for name in self._used)
 
     def share(self, workspace: str) -> float:
         """Return the configured share of a workspace."""
@@ -45,6 +47,8 @@
 
     def charge(self, workspace: str, tokens: float, now: float) -> None:
         """Count work of a workspace."""
+        if workspace not in self._used:
+            self._active_shares += self.share(workspace)
         self._used[workspace] = (self.used(workspace, now) + tokens, now)
         self._total = (_decay(self._total, now) + tokens, now)
 
@@ -62,8 +66,7 @@
         A band is a doubling; a small fraction of all work is never above a share.
         """
         total = _decay(self._total, now)
-        shares = sum(self.share(name) for name in self._used)
-        fraction = self.share(workspace) / shares if shares else 1.0
+        fraction = self.share(workspace) / max(self._active_shares, self.share(workspace))
         entitled = total * max(SMALL_FRACTION, fraction)
         used = self.used(workspace, now)
         band = 0
--- a/rattangate/core/limits.py
+++ b/rattangate/core/limits.py
@@ -93,12 +93,15 @@
         self._peers.pop(instance, None)
 
     def usage(self, now: float) -> tuple[WorkspaceUsage, ...]:
-        """Return this instance's own use, for its peers."""
-        return tuple(
-            WorkspaceUsage(name, own.streams, round(_decayed(own, now) / DEMAND_WINDOW_S))
-            for name, own in self._own.items()
-            if own.streams or _decayed(own, now) >= 1.0
-        )
+        """Return this instance's own use, for its peers, and forget what is idle."""
+        usages = []
+        for name, own in list(self._own.items()):
+            tokens_per_s = round(_decayed(own, now) / DEMAND_WINDOW_S)
+            if own.streams or tokens_per_s:
+                usages.append(WorkspaceUsage(name, own.streams, tokens_per_s))
+            elif own.tokens >= 0:
+                del self._own[name]
+        return tuple(usages)
 
     def _known_instances(self) -> int:
         return max(self._instances, 1 + len(self._peers))
