--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -15,9 +15,16 @@
     RoundRobin,
     StaticRendezvous,
 )
-from bench.policy_workload import PIECE_TOKENS, WORKSPACE_SHARES, Demand, make_arrivals
+from bench.policy_workload import (
+    CAPACITY_HIT_RATE,
+    PIECE_TOKENS,
+    WORKSPACE_SHARES,
+    Demand,
+    make_arrivals,
+)
 from bench.policy_world import DEADLINE_S, Conditions, Fault, World
 from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.limits import WorkspaceLimit
 from rattangate.standins.engine_model import Eviction
 
 if TYPE_CHECKING:
@@ -34,6 +41,7 @@
 OVERLOAD_S = 60.0
 WINDOW_S = 2.0
 LOSS = 0.05
+RATE_LIMIT_FACTOR = 2.0
 ORACLE_WEIGHTS = (0.0, 1.0, 3.0)
 
 
@@ -157,6 +165,10 @@
         cfg = GatewayCfg(PIECE_TOKENS, deployment.recompute_weight)
     if rule == FIXED:
         cfg = replace(cfg, learn_caches=False)
+    limits = tuple(
+        WorkspaceLimit(str(number), share, tokens_per_s=_rate_limit(deployment, share))
+        for number, share in enumerate(WORKSPACE_SHARES)
+    )
 
     def make_router(world: World, entry: int, router_seed: int) -> Router:
         own_seed = router_seed * 1000 + entry
@@ -165,7 +177,14 @@
         if rule in ORACLES:
             futures = {str(n): engine.future for n, engine in enumerate(world.engines)}
             return Oracle(own_seed, futures, ORACLES[rule])
-        return Gateway(cfg, own_seed)
+        intake = replace(
+            cfg.intake,
+            instance=str(entry),
+            instances=deployment.entries,
+            workspaces=limits,
+            first_token_s=DEADLINE_S,
+        )
+        return Gateway(replace(cfg, intake=intake), own_seed)
 
     return World(deployment, scenario.conditions, make_router, seed)
 
@@ -181,6 +200,11 @@
     return _figures(world, scenario)
 
 
+def _rate_limit(deployment: Deployment, share: float) -> float:
+    """Return a workspace's limit in prompt tokens a second, a multiple of its share."""
+    return RATE_LIMIT_FACTOR * share * deployment.prefill_tokens_per_s / (1 - CAPACITY_HIT_RATE)
+
+
 def _figures(world: World, scenario: Scenario) -> Figures:
     counted = [o for o in world.outcomes.values() if o.at >= WARM_UP_S]
     served = [o for o in counted if o.first_token_s >= 0]
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,7 +40,7 @@
 
 OWN = ""
 RESEND_S = 1.0
-LIMITS_INTERVAL_S = 0.1
+USAGE_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +65,7 @@
         self._number = 0
         self._seq = 0
         self._told = LimitsNews()
-        self._next_limits_at = 0.0
-        self._resend_at = 0.0
+        self._told_at = -RESEND_S
         self._peers: dict[str, tuple[int, int]] = {}
         # Binding a singledispatchmethod wraps its function anew at each access.
         self._apply: Callable[[Message, float], list[Effect]] = self._handle
@@ -233,18 +232,6 @@
             self._depart(run, None, now)
         run.placed_on = None
 
-    def _limits_news(self, now: float) -> LimitsNews | None:
-        """Return the news of limits where it is due and has changed, or was sent long ago."""
-        if now < self._next_limits_at and not self.intake.suspects.quarantine.has_unsent:
-            return None
-        self._next_limits_at = now + LIMITS_INTERVAL_S
-        limits = self.intake.news(now)
-        if limits == self._told and now < self._resend_at:
-            return None
-        self._told = limits
-        self._resend_at = now + RESEND_S
-        return limits
-
     def _find_run(self, req_id: int, attempt: int) -> Run | None:
         run = self.intake.runs.get(req_id)
         return run if run is not None and run.attempt == attempt else None
@@ -260,6 +247,18 @@
         self._departures.clear()
         return [SendNews(self._seq, placements, departures, limits)]
 
+    def _limits_news(self, now: float) -> LimitsNews | None:
+        """Return what changed, at once for suspects and at intervals for use and queue."""
+        age_s = now - self._told_at
+        if age_s < USAGE_INTERVAL_S and not self.intake.has_urgent_news(self._told):
+            return None
+        limits = self.intake.news(now)
+        if limits == self._told and age_s < RESEND_S:
+            return None
+        self._told = limits
+        self._told_at = now
+        return limits
+
     def _depart(self, run: Run, cached_tokens: int | None, now: float) -> None:
         assert run.placed_on is not None
         seen = run.placed_on.seen
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -173,6 +173,10 @@
         self.suspects.drop_peer(instance)
         self._peer_queues.pop(instance, None)
 
+    def has_urgent_news(self, told: LimitsNews) -> bool:
+        """Tell whether suspects changed since the last news."""
+        return self.suspects.quarantine.has_unsent or self.suspects.claims() != told.claims
+
     def news(self, now: float) -> LimitsNews:
         """Return what peers should know."""
         return LimitsNews(
