--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -126,7 +126,7 @@
 
     @_handle.register
     def _on_released(self, msg: QuarantineReleased, now: float) -> list[Effect]:
-        self.intake.suspects.quarantine.clear(msg.digest)
+        self.intake.suspects.quarantine.release(msg.digest)
         return []
 
     @_handle.register
@@ -249,13 +249,11 @@
 
     def _limits_news(self, now: float) -> LimitsNews | None:
         """Return what changed, at once for suspects and at intervals for use and queue."""
-        limits = self.intake.news(now)
-        told = self._told
-        urgent = (limits.suspicions, limits.claims) != (told.suspicions, told.claims)
         age_s = now - self._told_at
-        if not urgent and age_s < USAGE_INTERVAL_S:
+        if age_s < USAGE_INTERVAL_S and not self.intake.has_urgent_news(self._told):
             return None
-        if limits == told and age_s < RESEND_S:
+        limits = self.intake.news(now)
+        if limits == self._told and age_s < RESEND_S:
             return None
         self._told = limits
         self._told_at = now
