--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,15 @@
 test: check
 	$(PY) -m pytest
 
+check-model:
+	specs/check.sh
+
 bench-policy: setup
 	$(PY) -m bench.policy_lookup
 	$(PY) -m bench.policy
 
 binary: setup
 	$(PY) -m tools.build_binary
+
+bench-capacity: setup
+	$(PY) -m bench.capacity
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -126,7 +126,7 @@
 
     @_handle.register
     def _on_released(self, msg: QuarantineReleased, now: float) -> list[Effect]:
-        self.intake.suspects.quarantine.clear(msg.digest)
+        self.intake.suspects.quarantine.release(msg.digest)
         return []
 
     @_handle.register
@@ -190,7 +190,7 @@
 
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
-        weight = self.cfg.recompute_weight
+        weight = self.cfg.recompute_weight + self.intake.extra_recompute_weight(run)
         candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
         return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
@@ -222,6 +222,7 @@
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
             run.retry_reason,
+            req.priority,
         )
 
     def release(self, run: Run, now: float) -> None:
@@ -248,11 +249,11 @@
 
     def _limits_news(self, now: float) -> LimitsNews | None:
         """Return what changed, at once for suspects and at intervals for use and queue."""
-        limits = self.intake.news(now)
-        told = self._told
         age_s = now - self._told_at
-        urgent = bool(limits.suspicions) or limits.claims != told.claims
-        if not urgent and age_s < (RESEND_S if limits == told else USAGE_INTERVAL_S):
+        if age_s < USAGE_INTERVAL_S and not self.intake.has_urgent_news(self._told):
+            return None
+        limits = self.intake.news(now)
+        if limits == self._told and age_s < RESEND_S:
             return None
         self._told = limits
         self._told_at = now
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -74,6 +75,7 @@
         self._cases: dict[bytes, _Case] = {}
         self._lives: dict[str, tuple[int, EndpointState]] = {}
         self._crashes: dict[Life, float] = {}
+        self._explained: set[Life] = set()
         self._unsent: set[tuple[bytes, Life]] = set()
         self._resend_at = 0.0
 
@@ -92,18 +94,15 @@
 
     def note_failure(self, digest: bytes, life: Life, ran_s: float, now: float) -> None:
         """Make a suspect of a request whose attempt was lost with the endpoint."""
-        self._add(digest, life, _Mark(ran_s, now, now + SUSPECT_S), now)
+        self._add(digest, life, _Mark(ran_s, now, now + QUARANTINE_S), now)
 
-    def clear(self, digest: bytes) -> None:
-        """Settle a case: the request ran to its end, or an operator releases it."""
-        case = self._cases.get(digest)
-        if case is None:
-            return
-        for life, mark in case.marks.items():
-            if not mark.cleared:
-                mark.cleared = True
-                self._unsent.add((digest, life))
-        case.guilty = False
+    def clear(self, digest: bytes, now: float) -> None:
+        """Settle the case of a request that ran to its end."""
+        self._clear(digest, now + SUSPECT_S)
+
+    def release(self, digest: bytes) -> None:
+        """Settle a case by order of an operator."""
+        self._clear(digest, math.inf)
 
     def merge(self, suspicions: Iterable[Suspicion], now: float) -> list[bytes]:
         """Take in a peer's cases and return the digests with new marks."""
@@ -115,6 +114,11 @@
                 news.append(told.digest)
         return news
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether peers have yet to hear of a mark."""
+        return bool(self._unsent)
+
     def suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Return what peers have yet to hear; all marks are repeated from time to time."""
         if now >= self._resend_at:
@@ -147,8 +151,10 @@
         return Verdict.SUSPECT if self.count(digest, now) else Verdict.FREE
 
     def count(self, digest: bytes, now: float) -> int:
-        """Count the failures that speak against a digest."""
-        return len(self._open_marks(digest, now))
+        """Count the late failures that speak against a digest."""
+        suspect_until = QUARANTINE_S - SUSPECT_S
+        marks = self._open_marks(digest, now).values()
+        return sum(now < mark.deadline - suspect_until for mark in marks)
 
     def settled(self, digest: bytes, now: float) -> bool:
         """Tell whether all instances have heard of the last change."""
@@ -159,7 +165,7 @@
         """Tell whether a digest has failures enough, but not yet a verdict."""
         if self.count(digest, now) < self._crashes_needed(digest):
             return False
-        unconfirmed = self.count(digest, now) > len(self._confirmed(digest, now))
+        unconfirmed = len(self._open_marks(digest, now)) > len(self._confirmed(digest, now))
         return unconfirmed or not self.settled(digest, now)
 
     def longest_run_s(self, digest: bytes) -> float:
@@ -177,12 +183,15 @@
         self._resend_at = 0.0
 
     def expire(self, now: float) -> None:
-        """Drop the marks whose deadline has passed."""
+        """Drop the marks whose deadline has passed and judge the other cases."""
         self._crashes = {life: at for life, at in self._crashes.items() if now < at + UNRELATED_S}
         for digest, case in list(self._cases.items()):
             case.marks = {life: mark for life, mark in case.marks.items() if mark.deadline > now}
             if not case.marks:
                 del self._cases[digest]
+            elif not case.guilty and len(case.marks) >= GUILTY_CRASHES:
+                self._try_convict(digest, case, now)
+        self._note_explained()
 
     def listing(self, now: float) -> tuple[Listed, ...]:
         """Return the suspects and the guilty, for operators."""
@@ -204,10 +213,29 @@
         known.confirmed = known.confirmed or mark.confirmed
         if mark.cleared and not known.cleared:
             known.cleared = True
+            known.deadline = min(known.deadline, mark.deadline)
             case.guilty = False
             self._unsent.add((digest, life))
+            self._note_explained()
         return False
 
+    def _clear(self, digest: bytes, deadline: float) -> None:
+        case = self._cases.get(digest)
+        if case is None:
+            return
+        for life, mark in case.marks.items():
+            if not mark.cleared:
+                mark.cleared = True
+                mark.deadline = min(mark.deadline, deadline)
+                self._unsent.add((digest, life))
+        case.guilty = False
+        self._note_explained()
+
+    def _note_explained(self) -> None:
+        """Collect the failures that guilty digests explain."""
+        guilty = [case for case in self._cases.values() if case.guilty]
+        self._explained = {life for case in guilty for life in case.marks}
+
     def _try_convict(self, digest: bytes, case: _Case, now: float) -> None:
         if not self.settled(digest, now):
             return
@@ -215,13 +243,12 @@
         if len(lives) < self._crashes_needed(digest) or self._has_rival(digest, lives, now):
             return
         case.guilty = True
-        for mark in case.marks.values():
-            mark.deadline = now + QUARANTINE_S
+        self._note_explained()
 
     def _crashes_needed(self, digest: bytes) -> int:
         """Ask for one crash more while endpoints crash without the request, too."""
         unrelated = sum(
-            life not in self._cases[digest].marks and not self._explained(life)
+            life not in self._cases[digest].marks and life not in self._explained
             for life in self._crashes
         )
         return GUILTY_CRASHES + (unrelated >= UNRELATED_CRASHES)
@@ -237,25 +264,22 @@
         return False
 
     def _confirmed(self, digest: bytes, now: float) -> list[Life]:
-        marks = self._cases[digest].marks
-        return [life for life in self._open_marks(digest, now) if self._is_crash(life, marks[life])]
+        marks = self._open_marks(digest, now)
+        return [life for life, mark in marks.items() if self._is_crash(life, mark)]
 
-    def _open_marks(self, digest: bytes, now: float) -> list[Life]:
+    def _open_marks(self, digest: bytes, now: float) -> dict[Life, _Mark]:
         """Return the failures that neither a guilty digest nor a live endpoint explains."""
         case = self._cases.get(digest)
         if case is None:
-            return []
-        return [
-            life
+            return {}
+        return {
+            life: mark
             for life, mark in case.marks.items()
             if not mark.cleared
             and now < mark.deadline
             and (self._is_crash(life, mark) or now < mark.noted_at + CONFIRM_S)
-            and (case.guilty or not self._explained(life))
-        ]
-
-    def _explained(self, life: Life) -> bool:
-        return any(case.guilty and life in case.marks for case in self._cases.values())
+            and (case.guilty or life not in self._explained)
+        }
 
     def _is_crash(self, life: Life, mark: _Mark) -> bool:
         is_down = self._lives.get(life[0]) == (life[1], EndpointState.DOWN)
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -21,17 +21,20 @@
     VersionHeard,
 )
 from rattangate.core.gateway import Gateway
+from rattangate.core.leases import Holder
 from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
 from rattangate.driver import Driver
 from rattangate.endpoints.client import EndpointClient, open_clients
 from rattangate.endpoints.monitor import Monitor
 from rattangate.http.admin import make_admin_app
 from rattangate.http.auth import Keyring
+from rattangate.http.bookings import Bookings
 from rattangate.http.caller import make_caller_app
 from rattangate.http.services import Services
-from rattangate.http.serving import serve_app
+from rattangate.http.serving import DrainableApp, serve_app
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import Metrics
+from rattangate.orders import OrderKeeper
 from rattangate.peers.codec import HeldConfig, PeerNews, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
 from rattangate.platform.audit import AuditTrail
@@ -39,13 +42,13 @@
 from rattangate.platform.config_store import ConfigStore, decode_record, encode_record
 from rattangate.platform.config_watch import ConfigWatch
 from rattangate.reconfigure import gateway_cfg, reconfigure
+from rattangate.warm_start import PictureSource, WarmStart
 
 if TYPE_CHECKING:
-    from quart_trio import QuartTrio
-
     from rattangate.config.model import InstanceCfg, Settings
     from rattangate.core.config_follower import Enforce
     from rattangate.core.messages import SendNews
+    from rattangate.core.once_messages import AttemptId
 
 TICK_S = 0.02
 METRICS_WINDOW_S = 60.0
@@ -91,12 +94,14 @@
         self._stop = trio.Event()
         self._monitor: Monitor | None = None
         self.platform = PlatformClient(settings.platform.address)
+        self.bookings = Bookings(name, self.incarnation, self.platform, self._is_holder_lost)
         self.config_store = ConfigStore(self.platform)
         self.audit = AuditTrail(self.platform)
         self.config_watch = ConfigWatch(
             self.follower, self.config_store, self._enforce, self._ask_config
         )
-        self._caller_app: QuartTrio | None = None
+        self._caller_app = make_caller_app(self)
+        self._callers = DrainableApp(self._caller_app)
 
     @property
     def config_version(self) -> int:
@@ -111,7 +116,13 @@
             self.clients = await stack.enter_async_context(open_clients(addresses))
             self._monitor = Monitor(self.settings.endpoints, self.clients, platform, self.driver)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            self._warm_start = WarmStart(
+                self.driver, platform, self._ask_pictures, self._writes_snapshot
+            )
+            nursery.start_soon(self.bookings.run)
+            nursery.start_soon(self._make_order_keeper(self._monitor).run)
             nursery.start_soon(self.config_watch.run)
+            nursery.start_soon(self._warm_start.run)
             nursery.start_soon(self._monitor.run)
             nursery.start_soon(self.links.run, self.instance.peer_address)
             nursery.start_soon(self._tick)
@@ -120,6 +131,8 @@
             nursery.start_soon(self._stop_on_signal)
             await self.config_watch.wait_settled(CONFIG_GRACE_S)
             await self._serve_callers()
+            with trio.move_on_after(self.settings.limits.request_timeout_s):
+                await self.bookings.wait_idle()
             log(LogEvent.INSTANCE_STOPPED, instance=self.instance.name, streams_cut=0)
             nursery.cancel_scope.cancel()
 
@@ -173,10 +186,9 @@
 
     def apply_limits(self) -> None:
         """Apply the limits of the present settings to the caller API."""
-        if self._caller_app is not None:
-            limits = self.settings.limits
-            self._caller_app.config["BODY_TIMEOUT"] = limits.body_timeout_s
-            self._caller_app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
+        limits = self.settings.limits
+        self._caller_app.config["BODY_TIMEOUT"] = limits.body_timeout_s
+        self._caller_app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
 
     def _enforce(self, effect: Enforce) -> bool:
         version = effect.record.version
@@ -199,6 +211,26 @@
             config = HeldConfig(encode_record(held.record), held.content)
             self.links.send_to(peer, replace(self._wrap(None), config=config))
 
+    def _ask_pictures(self) -> None:
+        self.links.send(replace(self._wrap(None), wants_pictures=True))
+
+    def _receive_pictures(self, news: PeerNews) -> None:
+        if self._warm_start is None:
+            return
+        if news.wants_pictures and self._warm_start.is_settled:
+            pictures = tuple(p for p in self.driver.gateway.pictures() if p.pieces)
+            if pictures:
+                self.links.send_to(news.instance, replace(self._wrap(None), pictures=pictures))
+        if news.pictures:
+            self._warm_start.take(news.pictures, PictureSource.PEER)
+
+    def _writes_snapshot(self) -> bool:
+        """Tell whether this is the first by name of the instances that stay."""
+        staying = [
+            name for name, peer in self.peers.items() if peer.is_live and not peer.is_leaving
+        ]
+        return not self.leaving and all(self.instance.name < name for name in staying)
+
     def _receive_config(self, news: PeerNews) -> None:
         self.config_watch.feed(VersionHeard(news.instance, news.config_version))
         if news.wants_config:
@@ -209,20 +241,23 @@
                 self.config_watch.feed(ContentRead(record, news.config.content, ConfigSource.PEER))
 
     async def _serve_callers(self) -> None:
-        app = self._caller_app = make_caller_app(self)
-        self.ready = True
+        address = self.instance.caller_address
+        limits = self.settings.limits
+        await serve_app(self._callers, address, limits, self._stop, self._note_listening)
+
+    def _note_listening(self) -> None:
+        self.ready = not self.leaving
         log(
             LogEvent.INSTANCE_STARTED,
             instance=self.instance.name,
             version=rattangate.__version__,
             address=self.instance.caller_address,
         )
-        await serve_app(app, self.instance.caller_address, self.settings.limits, self._stop.wait)
 
     async def _serve_admin(self) -> None:
-        app = make_admin_app(self)
+        app = DrainableApp(make_admin_app(self))
         address = self.instance.admin_address
-        await serve_app(app, address, self.settings.limits, trio.sleep_forever)
+        await serve_app(app, address, self.settings.limits, trio.Event())
 
     async def _stop_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -230,6 +265,7 @@
                 break
         self.ready = False
         self.leaving = True
+        self._callers.draining = True
         log(LogEvent.INSTANCE_DRAINING, instance=self.instance.name, streams=self.open_streams)
         await trio.sleep(self.settings.shutdown.balancer_notice_s)
         self._stop.set()
@@ -278,6 +314,7 @@
         peer.is_leaving = news.leaving
         self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
         self._receive_config(news)
+        self._receive_pictures(news)
         if self._monitor is not None:
             self._monitor.take_marks(news.leaving_endpoints)
         if news.seq:
@@ -300,6 +337,20 @@
                 self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
                 self.driver.feed(PeerLost(name))
 
+    def _make_order_keeper(self, monitor: Monitor) -> OrderKeeper:
+        holder = Holder(self.instance.name, self.incarnation)
+        return OrderKeeper(
+            holder, self.platform, self.clients, lambda: self.settings, lambda: monitor.watched
+        )
+
+    def _is_holder_lost(self, attempt: AttemptId) -> bool:
+        if attempt.instance == self.instance.name:
+            return attempt.incarnation < self.incarnation
+        peer = self.peers.get(attempt.instance)
+        if peer is None:
+            return True
+        return bool(peer.heard_at) and (not peer.is_live or attempt.incarnation < peer.incarnation)
+
     def _describe_peer(self, peer: InstanceCfg) -> dict[str, Any]:
         known = self.peers[peer.name]
         state = "lost"
