Soak the whole system with seeded schedules of faults; pick ports that no client is given

Cause: the promises were tried one fault at a time. Found on the way: test deployments took ports from the system's range for clients, so that a client or another deployment could hold a port when a process came up (Address already in use); such a process was even taken for ready by its neighbour's answer. That explains the engine that was gone in tests/promises/test_not_run.py.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,9 @@
 
 bench-capacity: setup
 	$(PY) -m bench.capacity
+
+SEED ?= 1
+SECONDS ?= 60
+
+soak: setup
+	$(PY) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/bench/soak_journal.py
@@ -0,0 +1,60 @@
+"""The journal of a soak run and the checks of the promises on it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class Violation:
+    """Name a promise that a run broke, and the evidence."""
+
+    promise: str
+    evidence: str
+
+
+@dataclass
+class Journal:
+    """Hold what callers, operators and endpoints saw."""
+
+    streams_whole: int = 0
+    streams_refused: int = 0
+    streams_broken: int = 0
+    bookings_answered: set[str] = field(default_factory=set)
+    bookings_not_run: Counter[str] = field(default_factory=Counter)
+    bookings_unknown: set[str] = field(default_factory=set)
+    booking_tries: Counter[str] = field(default_factory=Counter)
+    booking_answers: dict[str, set[str]] = field(default_factory=dict)
+    refused_requests: set[str] = field(default_factory=set)
+    engine_runs: set[str] = field(default_factory=set)
+    service_runs: Counter[str] = field(default_factory=Counter)
+    versions: dict[str, list[int]] = field(default_factory=dict)
+    accepted: set[int] = field(default_factory=set)
+    faults: list[str] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+
+    def violate(self, promise: str, evidence: str) -> None:
+        """Record a broken promise."""
+        self.violations.append(Violation(promise, evidence))
+
+    def check(self) -> list[Violation]:
+        """Check what only the whole run can tell, and return all violations."""
+        for key, runs in self.service_runs.items():
+            if runs > 1:
+                self.violate("at most once", f"{key} ran {runs} times")
+        for key, count in self.bookings_not_run.items():
+            if count == self.booking_tries[key] and self.service_runs[key]:
+                self.violate("not run", f"{key} was refused {count} times and ran")
+        for key in self.bookings_answered:
+            if not self.service_runs[key]:
+                self.violate("own answer", f"{key} was answered and never ran")
+        for key, answers in self.booking_answers.items():
+            if len(answers) > 1:
+                self.violate("own answer", f"{key} got {len(answers)} answers")
+        for request_id in self.refused_requests & self.engine_runs:
+            self.violate("not run", f"{request_id} was refused as not run and ran")
+        for instance, versions in self.versions.items():
+            if versions != sorted(versions):
+                self.violate("configuration", f"{instance} went back: {versions}")
+        return self.violations
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -26,7 +26,7 @@
     from rattangate.endpoints.client import CacheEvent, EndpointClient, EndpointReport
     from rattangate.platform.client import PlatformClient
 
-LOAD_INTERVAL_S = 0.1
+LOAD_INTERVAL_S = 0.5
 MISSED_REPORTS = 2
 EVENTS_RETRY_S = 0.2
 INSTANCE_LIST_INTERVAL_S = 0.5
--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -23,6 +24,10 @@
 PIECE_TOKENS = 100
 PIECE_BYTES = 400
 WORKSPACES = ("alpha", "beta")
+# Below the range from which the system gives ports to clients, and apart from the examples.
+FIRST_PORT = 23_000
+LAST_PORT = 32_000
+_PORTS = random.SystemRandom()
 
 
 @dataclass(frozen=True)
@@ -43,14 +48,19 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
+    """Return loopback addresses whose ports are free now and that no client is given."""
+    found: list[str] = []
+    for port in _PORTS.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(f"127.0.0.1:{port}")
+        if len(found) == count:
+            return found
+    raise RuntimeError("no free ports")
 
 
 def small_deployment(folder: Path, shape: Shape = Shape()) -> Deployment:
