--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,8 @@
 if TYPE_CHECKING:
     from rattangate.core.messages import LimitsNews, PictureReceived, SendNews
 
+MAX_CONFIG_BYTES = 16_000_000
+
 _factory = TBinaryProtocolFactory()
 
 
@@ -87,7 +90,7 @@
             leaving_endpoints=dict(news.leaving_endpoints),
             wants_config=news.wants_config or None,
             config_record=news.config.record if news.config is not None else None,
-            config_content=news.config.content if news.config is not None else None,
+            config_content=zlib.compress(news.config.content) if news.config is not None else None,
             limits=limits_struct(news.limits) if news.limits is not None else None,
             wants_pictures=news.wants_pictures or None,
             pictures=pictures_struct(news.pictures) if news.pictures else None,
@@ -137,7 +140,8 @@
 def _held_config(raw: Any) -> HeldConfig | None:
     if raw.config_record is None or raw.config_content is None:
         return None
-    return HeldConfig(raw.config_record, raw.config_content)
+    content = zlib.decompressobj().decompress(raw.config_content, MAX_CONFIG_BYTES)
+    return HeldConfig(raw.config_record, content)
 
 
 def _placed(placement: Placement) -> Any:
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -97,7 +97,7 @@
   8: map<string, i64> leaving_endpoints
   /** Asks the receiver for the configuration that it has in force. */
   9: optional bool wants_config
-  /** A configuration record and its content, on request. */
+  /** A configuration record and its content, deflated, on request. */
   10: optional binary config_record
   11: optional binary config_content
   12: optional Limits limits
