--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -94,8 +94,11 @@
         self._peer_queues: dict[str, int] = {}
         self._doubts = Doubts()
 
-    def configure(self, instances: int, workspaces: Iterable[WorkspaceLimit]) -> None:
-        """Take new limits and the number of entry instances."""
+    def configure(
+        self, instances: int, workspaces: Iterable[WorkspaceLimit], first_token_s: float
+    ) -> None:
+        """Take new limits, the number of entry instances and the bound of the first token."""
+        self._cfg = replace(self._cfg, first_token_s=first_token_s)
         self.limits.configure(instances, workspaces)
         self.meter.configure(self.limits.shares())
 
--- a/rattangate/reconfigure.py
+++ b/rattangate/reconfigure.py
@@ -49,7 +49,9 @@
     entry.models = {model.name: model for model in settings.models}
     gateway = entry.driver.gateway
     gateway.cfg = replace(gateway.cfg, recompute_weight=placement.recompute_weight)
-    gateway.intake.configure(len(settings.instances), workspace_limits(settings))
+    gateway.intake.configure(
+        len(settings.instances), workspace_limits(settings), placement.first_token_s
+    )
     _replace_clients(entry, before)
     entry.watch_endpoints()
     entry.connect_peers()
