Compute when a stream ends from those that ended, and let copies part before they are late

Cause: the answer to a full stream limit named a fixed second; copies of a prompt were refused where the endpoint that runs the first was full, though others had room. Tests: tests/core/test_limits.py test_released_stream_makes_room; tests/faults as before: pass.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -201,7 +201,9 @@
         found = self._doubts.filter(self._pool.candidates(run, now), now)
         untried = [one for one in found if life_of(one.endpoint) not in run.tried]
         flight = self.flights.endpoint_of(run.digest, now)
-        return [one for one in untried if life_of(one.endpoint) == flight] or untried
+        together = [one for one in untried if life_of(one.endpoint) == flight]
+        in_time = [one for one in together if now + one.first_token_s < run.deadline]
+        return in_time or untried
 
     def deadline(self, req_id: int) -> float:
         """Return the deadline of the next first token of a request."""
@@ -353,7 +355,7 @@
         self._pool.release(run, now)
         self.queue.remove(run.req.req_id)
         self.suspects.discard(run, now)
-        self.limits.release(run.req.scope.workspace)
+        self.limits.release(run.req.scope.workspace, now)
 
     def _engine_priority(self, req: RequestArrived, now: float) -> int:
         """Order requests by the caller's priority, then by use against the share."""
--- a/rattangate/core/limits.py
+++ b/rattangate/core/limits.py
@@ -16,6 +16,7 @@
 EXCHANGE_S = 0.3
 BURST_S = 2.0
 DEMAND_WINDOW_S = 5.0
+MAX_WAIT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,8 @@
     tokens: float = math.inf
     filled_at: float = 0.0
     starts: deque[float] = field(default_factory=deque)
+    ends: float = 0.0
+    ends_at: float = 0.0
 
 
 class WorkspaceLimits:
@@ -79,10 +82,12 @@
             own.starts.append(now)
         return denial
 
-    def release(self, workspace: str) -> None:
+    def release(self, workspace: str, now: float) -> None:
         """Count a request out."""
         own = self._own[workspace]
         own.streams -= 1
+        own.ends = _decayed_ends(own, now) + 1.0
+        own.ends_at = now
 
     def take_usage(self, instance: str, usages: Iterable[WorkspaceUsage]) -> None:
         """Replace what is known of a peer's use."""
@@ -115,8 +120,12 @@
         heard = (1 + len(self._peers)) / self._known_instances()
         if total < max(1, math.floor(limit.max_streams * heard)):
             return None
-        wait_s = EXCHANGE_S if unseen else 1.0
-        return Denial(RefusalReason.STREAM_LIMIT, wait_s)
+        return Denial(RefusalReason.STREAM_LIMIT, self._next_end_s(own, now))
+
+    def _next_end_s(self, own: _Own, now: float) -> float:
+        """Estimate the seconds until a stream ends, from the ends that this instance saw."""
+        ends_per_s = _decayed_ends(own, now) * (1 + len(self._peers)) / DEMAND_WINDOW_S
+        return min(MAX_WAIT_S, max(EXCHANGE_S, 1.0 / max(ends_per_s, 1.0 / MAX_WAIT_S)))
 
     def _deny_rate(
         self, limit: WorkspaceLimit, own: _Own, tokens: int, now: float
@@ -148,3 +157,7 @@
 
 def _decayed(own: _Own, now: float) -> float:
     return own.demand * math.exp((own.demand_at - now) / DEMAND_WINDOW_S)
+
+
+def _decayed_ends(own: _Own, now: float) -> float:
+    return own.ends * math.exp((own.ends_at - now) / DEMAND_WINDOW_S)
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rattangate.core.limits import WorkspaceLimit, WorkspaceLimits
+from rattangate.core.limits import MAX_WAIT_S, WorkspaceLimit, WorkspaceLimits
 from rattangate.core.refusals import RefusalReason
 
 LIMIT = WorkspaceLimit("festival", max_streams=70, tokens_per_s=7000.0)
@@ -66,9 +66,11 @@
 def test_released_stream_makes_room():
     limits = WorkspaceLimits(1, [WorkspaceLimit("festival", max_streams=1)])
     assert limits.admit("festival", 1, 0.0) is None
-    assert limits.admit("festival", 1, 1.0) is not None
-    limits.release("festival")
-    assert limits.admit("festival", 1, 1.0) is None
+    assert limits.admit("festival", 1, 1.0).retry_after_s == MAX_WAIT_S
+    for step in range(1, 100):
+        limits.release("festival", 0.5 * step)
+        assert limits.admit("festival", 1, 0.5 * step) is None
+    assert 0.3 <= limits.admit("festival", 1, 50.0).retry_after_s <= 1.0
 
 
 def test_rate_holds_wherever_the_requests_come():
