--- a/rattangate/core/admission.py
+++ b/rattangate/core/admission.py
@@ -82,6 +82,12 @@
             if decision is not None:
                 yield decision
 
+    def plan_one(self, requests: Planned, req_id: int, now: float) -> Iterator[Decision]:
+        """Yield what to do with one waiting request, as if it were the first."""
+        decision = self._decide(req_id, requests, {}, 1.0, now)
+        if decision is not None:
+            yield decision
+
     def retry_after_s(self, wait_s: float) -> float:
         """Return advice near a wait, spread so that callers do not return in step."""
         spread = wait_s * (1 + JITTER * self._rng.random())
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from rattangate.core.admission import Decision
     from rattangate.core.limits import WorkspaceLimit
     from rattangate.core.messages import (
         AttemptEnded,
@@ -41,6 +42,8 @@
 
 MAX_FAILURES = 3
 BORROW_RECOMPUTE_WEIGHT = 2.0
+SHORT_QUEUE = 8
+PLAN_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,7 @@
         self._pool = pool
         self._peer_queues: dict[str, int] = {}
         self._doubts = Doubts()
+        self._next_plan_at = 0.0
 
     def configure(self, instances: int, workspaces: Iterable[WorkspaceLimit]) -> None:
         """Take new limits and the number of entry instances."""
@@ -117,7 +121,7 @@
             self.suspects.hold(run, now)
             return self._step_suspects(now)
         displaced = self.queue.push(_queue_item(run), now)
-        effects = self._pump(now)
+        effects = self._pump(now, req.req_id)
         if displaced is not None:
             wait_s = self._admission.retry_after_s(self._admission.longest_wait_s / 2)
             effects.extend(self._drop(self.runs[displaced], RefusalReason.QUEUE_FULL, now, wait_s))
@@ -222,10 +226,19 @@
         """Keep a workspace above its share from pushing others' pieces out of many caches."""
         return BORROW_RECOMPUTE_WEIGHT * _band(run)
 
-    def _pump(self, now: float) -> list[Effect]:
+    def _pump(self, now: float, arrived: int | None = None) -> list[Effect]:
+        """Plan the queue; a long one is planned at intervals, and only the newcomer at once."""
+        if len(self.queue) <= SHORT_QUEUE or now >= self._next_plan_at:
+            self._next_plan_at = now + PLAN_INTERVAL_S
+            return self._decide(self._admission.plan(self, self._contention(), now), now)
+        if arrived is not None and arrived in self.queue:
+            return self._decide(self._admission.plan_one(self, arrived, now), now)
+        return []
+
+    def _decide(self, decisions: Iterable[Decision], now: float) -> list[Effect]:
         effects: list[Effect] = []
         owing = 0
-        for decision in self._admission.plan(self, self._contention(), now):
+        for decision in decisions:
             run = self.runs[decision.req_id]
             if isinstance(decision, Reject):
                 reason = run.late_reason(now)
