--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,7 +40,7 @@
 
 OWN = ""
 RESEND_S = 1.0
-USAGE_INTERVAL_S = 0.1
+USAGE_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -12,6 +12,8 @@
 from tests.small_deployment import free_addresses
 
 SECRET = b"secret"
+
+
 HELLO = encode_message(idl.Hello(instance="b", incarnation=1, nonce=b"n" * 16, proof=b""))
 
 
