--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -19,7 +19,7 @@
 from bench.processes import ROOT, Deployment
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 BASE = ROOT / "deploy" / "magnolia-bend" / "base.yaml"
 PORTS = ("127.0.0.1:21", "127.0.0.1:27")
@@ -70,19 +70,22 @@
 
 
 def _idle(instances: int, engines: int) -> Usage:
-    with _deployment(instances, engines) as deployment:
+    with open_deployment(instances, engines) as deployment:
         time.sleep(SETTLE_S)
-        return _watch(deployment, lambda: time.sleep(WATCH_S))
+        return watch(deployment, lambda: time.sleep(WATCH_S))
 
 
 def _loaded() -> Iterator[tuple[int, Usage]]:
-    with _deployment(max(INSTANCES), max(ENGINES)) as deployment:
+    with open_deployment(max(INSTANCES), max(ENGINES)) as deployment:
         time.sleep(SETTLE_S)
         for rate in LOADS_PER_S:
-            yield rate, _watch(deployment, lambda rate=rate: trio.run(_send, deployment, rate))
+            yield rate, watch(
+                deployment, lambda rate=rate: trio.run(send_requests, deployment, rate)
+            )
 
 
-def _deployment(instances: int, engines: int) -> Deployment:
+def open_deployment(instances: int, engines: int) -> Deployment:
+    """Prepare a deployment of this many instances and engines on ports of its own."""
     tree = yaml.safe_load(BASE.read_text().replace(*PORTS))
     tree["instances"] = tree["instances"][:instances]
     is_engine = [endpoint for endpoint in tree["endpoints"] if endpoint["kind"] == "engine"]
@@ -95,7 +98,8 @@
     return Deployment(base, {}, instances)
 
 
-def _watch(deployment: Deployment, pause) -> Usage:  # type: ignore[no-untyped-def]
+def watch(deployment: Deployment, pause: Callable[[], None]) -> Usage:
+    """Return what the first instance uses a second during a pause."""
     process = deployment.processes["entry-1"].popen
     assert process is not None
     began = time.monotonic()
@@ -134,7 +138,8 @@
     return peer_bytes, all_bytes
 
 
-async def _send(deployment: Deployment, rate: int) -> None:
+async def send_requests(deployment: Deployment, rate: int) -> None:
+    """Send streamed requests to the first instance at an even rate."""
     url = f"{deployment.caller_urls()[0]}/v1/completions"
     workspace = deployment.settings.workspaces[0].name
     headers = {"Authorization": f"Bearer demo-{workspace}"}
