--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	specs/check.sh
 
 bench-policy: setup
+	$(PY) -m bench.policy_lookup
 	$(PY) -m bench.policy
 
 binary: setup
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from rattangate.core.admission import Admission, Reject, Start
+from rattangate.core.doubts import Doubts
 from rattangate.core.fairness import BANDS, FairQueue, QueueItem, UsageMeter
 from rattangate.core.flights import Flights
 from rattangate.core.limits import WorkspaceLimits
@@ -21,13 +22,12 @@
 from rattangate.core.quarantine import SETTLE_S, Verdict
 from rattangate.core.refusals import RefusalReason, make_failure
 from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
-from rattangate.core.runs import Run
+from rattangate.core.runs import Run, life_of
 from rattangate.core.suspects import Absolve, Condemn, Probe, Suspects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from rattangate.core.endpoint_state import Endpoint
     from rattangate.core.limits import WorkspaceLimit
     from rattangate.core.messages import (
         AttemptEnded,
@@ -40,7 +40,6 @@
     from rattangate.core.suspects import Step
 
 MAX_FAILURES = 3
-DOUBT_S = 1.0
 BORROW_RECOMPUTE_WEIGHT = 2.0
 
 
@@ -93,7 +92,7 @@
         self._cfg = cfg
         self._pool = pool
         self._peer_queues: dict[str, int] = {}
-        self._doubted: dict[tuple[str, int], float] = {}
+        self._doubts = Doubts()
 
     def configure(self, instances: int, workspaces: Iterable[WorkspaceLimit]) -> None:
         """Take new limits and the number of entry instances."""
@@ -133,12 +132,12 @@
         """Finish a request or decide on its next attempt."""
         if msg.result in (AttemptResult.COMPLETED, AttemptResult.CANCELLED):
             if msg.result is AttemptResult.COMPLETED:
-                self._note_completed(run)
+                self._note_completed(run, now)
             self._forget(run, now)
             return self._pump(now)
         assert run.placed_on is not None
         if msg.result is not AttemptResult.REFUSED:
-            self._doubted[_life(run.placed_on)] = now + DOUBT_S
+            self._doubts.note(life_of(run.placed_on), now)
         if msg.result is not AttemptResult.NOT_SENT:
             run.failures += 1
         if msg.result is AttemptResult.LOST:
@@ -174,6 +173,10 @@
         self.suspects.drop_peer(instance)
         self._peer_queues.pop(instance, None)
 
+    def has_urgent_news(self, told: LimitsNews) -> bool:
+        """Tell whether suspects changed since the last news."""
+        return self.suspects.quarantine.has_unsent or self.suspects.claims() != told.claims
+
     def news(self, now: float) -> LimitsNews:
         """Return what peers should know."""
         return LimitsNews(
@@ -187,7 +190,7 @@
         """Refuse what has become late and start what has its turn."""
         self.suspects.quarantine.expire(now)
         self.flights.expire(now)
-        self._doubted = {life: until for life, until in self._doubted.items() if until > now}
+        self._doubts.expire(now)
         return [*self._step_suspects(now), *self._pump(now)]
 
     # The plan's view of waiting requests
@@ -195,10 +198,10 @@
     def candidates(self, req_id: int, now: float) -> list[Candidate]:
         """Return the endpoints that may run a waiting request."""
         run = self.runs[req_id]
-        found = self._undoubted(self._pool.candidates(run, now), now)
-        untried = [one for one in found if _life(one.endpoint) not in run.tried]
+        found = self._doubts.filter(self._pool.candidates(run, now), now)
+        untried = [one for one in found if life_of(one.endpoint) not in run.tried]
         flight = self.flights.endpoint_of(run.digest, now)
-        return [one for one in untried if _life(one.endpoint) == flight] or untried
+        return [one for one in untried if life_of(one.endpoint) == flight] or untried
 
     def deadline(self, req_id: int) -> float:
         """Return the deadline of the next first token of a request."""
@@ -223,10 +226,10 @@
         for decision in self._admission.plan(self, self._contention(), now):
             run = self.runs[decision.req_id]
             if isinstance(decision, Reject):
-                reason = _late_reason(run, now)
+                reason = run.late_reason(now)
                 effects.extend(self._drop(run, reason, now, decision.retry_after_s))
             elif not isinstance(decision, Start):
-                effects.extend(self._drop(run, _stranded_reason(run), now))
+                effects.extend(self._drop(run, run.stranded_reason(), now))
             elif run.retry_reason is None or self.budget.take():
                 self.queue.remove(decision.req_id)
                 effects.append(self._start(run, decision.chosen, now))
@@ -248,15 +251,15 @@
         self.meter.charge(req.scope.workspace, req.prompt_tokens + req.max_tokens, now)
         run.placed_at = now
         run.first_token_at = None
-        run.tried.add(_life(chosen.endpoint))
-        self.flights.note(run.digest, _life(chosen.endpoint), now)
+        run.tried.add(life_of(chosen.endpoint))
+        self.flights.note(run.digest, life_of(chosen.endpoint), now)
         dispatch = self._pool.dispatch(run, chosen, now)
         run.retry_reason = None
         return dispatch
 
     def _end_lost(self, run: Run, now: float) -> list[Effect]:
         assert run.placed_on is not None
-        life = _life(run.placed_on)
+        life = life_of(run.placed_on)
         self._pool.release(run, now)
         run.may_have_run = True
         run.renew_deadline(now)
@@ -275,7 +278,7 @@
         if reason is None:
             return self._drop(run, RefusalReason.NOT_REPEATABLE, now)
         if run.failures >= MAX_FAILURES:
-            return self._drop(run, _stranded_reason(run), now)
+            return self._drop(run, run.stranded_reason(), now)
         run.retry_reason = reason
         if self.suspects.is_probed(run):
             self.suspects.hold(run, now)
@@ -316,7 +319,7 @@
             return self._drop(run, RefusalReason.QUARANTINED, now, step.retry_after_s)
         if isinstance(step, Absolve):
             return self._absolve(run, now)
-        return self._drop(run, _late_reason(run, now), now)
+        return self._drop(run, run.late_reason(now), now)
 
     def _probe(self, run: Run, endpoint: str, now: float) -> list[Effect]:
         chosen = [c for c in self._pool.candidates(run, now) if c.endpoint.name == endpoint]
@@ -334,8 +337,8 @@
         self.queue.push_first(_queue_item(run))
         return []
 
-    def _note_completed(self, run: Run) -> None:
-        self.suspects.quarantine.clear(run.digest)
+    def _note_completed(self, run: Run, now: float) -> None:
+        self.suspects.quarantine.clear(run.digest, now)
         if run.digest:
             self.flights.note_completed(run.digest)
 
@@ -361,16 +364,9 @@
         return (own + sum(self._peer_queues.values())) / own
 
     def _live_names(self, run: Run, now: float) -> list[str]:
-        found = self._undoubted(self._pool.candidates(run, now), now)
+        found = self._doubts.filter(self._pool.candidates(run, now), now)
         return [one.endpoint.name for one in found]
 
-    def _undoubted(self, found: list[Candidate], now: float) -> list[Candidate]:
-        """Leave out endpoints that lately lost an attempt, unless no other is left."""
-        if not self._doubted:
-            return found
-        sure = [c for c in found if self._doubted.get(_life(c.endpoint), now) <= now]
-        return sure or found
-
 
 def _queue_item(run: Run) -> QueueItem:
     req = run.req
@@ -378,25 +374,9 @@
     return QueueItem(req.req_id, req.scope.workspace, req.priority, tokens)
 
 
-def _life(endpoint: Endpoint) -> tuple[str, int]:
-    return (endpoint.name, endpoint.seen.incarnation)
-
-
 def _band(run: Run) -> int:
     return run.req.priority % BANDS
 
 
 def _refuse(req_id: int, reason: RefusalReason, retry_after_s: float | None = None) -> Refuse:
     return Refuse(req_id, make_failure(reason, retry_after_s), reason)
-
-
-def _late_reason(run: Run, now: float) -> RefusalReason:
-    if run.may_have_run:
-        return RefusalReason.DEADLINE_IN_RETRY
-    if now <= run.arrived_at:
-        return RefusalReason.DEADLINE_ON_ARRIVAL
-    return RefusalReason.DEADLINE_IN_QUEUE
-
-
-def _stranded_reason(run: Run) -> RefusalReason:
-    return RefusalReason.ATTEMPTS_USED if run.may_have_run else RefusalReason.NO_ENDPOINT
--- a/rattangate/core/runs.py
+++ b/rattangate/core/runs.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rattangate.core.refusals import RefusalReason
+
 if TYPE_CHECKING:
     from rattangate.core.endpoint_state import Endpoint
     from rattangate.core.messages import RequestArrived
@@ -47,3 +49,20 @@
     def renew_deadline(self, now: float) -> None:
         """Allow a lost request as long again as it had on arrival."""
         self.deadline = max(self.deadline, now + self.allowance_s)
+
+    def late_reason(self, now: float) -> RefusalReason:
+        """Return why the request is refused when its deadline is out of reach."""
+        if self.may_have_run:
+            return RefusalReason.DEADLINE_IN_RETRY
+        if now <= self.arrived_at:
+            return RefusalReason.DEADLINE_ON_ARRIVAL
+        return RefusalReason.DEADLINE_IN_QUEUE
+
+    def stranded_reason(self) -> RefusalReason:
+        """Return why the request is refused when no endpoint is left for it."""
+        return RefusalReason.ATTEMPTS_USED if self.may_have_run else RefusalReason.NO_ENDPOINT
+
+
+def life_of(endpoint: Endpoint) -> tuple[str, int]:
+    """Name one incarnation of an endpoint."""
+    return (endpoint.name, endpoint.seen.incarnation)
