--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: setup fix demo test check check-model bench bench-policy bench-capacity binary soak
+.PHONY: setup fix demo test check check-model bench bench-policy bench-capacity binary soak bench-control
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -37,3 +37,6 @@
 
 bench-capacity: setup
 	$(PY) -m bench.capacity
+
+bench-control: setup
+	$(PY) -m bench.control_cost
