--- a/rattangate/cmd/config_versions.py
+++ b/rattangate/cmd/config_versions.py
@@ -15,6 +15,7 @@
 import trio
 import typer
 
+from rattangate.cmd.admin_client import ADMIN_KEY_VARIABLE
 from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
 from rattangate.config.content import content_of, decode_content, encode_content
 from rattangate.config.faults import ConfigError
@@ -35,7 +36,6 @@
     from rattangate.config.model import InstanceCfg, Settings
     from rattangate.core.config_versions import ChangeOutcome, ConfigRecord
 
-ADMIN_KEY_VARIABLE = "RATTANGATE_ADMIN_KEY"
 APPLY_TIMEOUT_S = 10.0
 STATUS_TIMEOUT_S = 2.0
 HISTORY_ROWS = 10
--- /dev/null
+++ b/rattangate/cmd/fleet.py
@@ -0,0 +1,79 @@
+"""The commands that show instances and endpoints and drain endpoints."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from rattangate.cmd.admin_client import AdminClient
+from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
+from rattangate.config.faults import ConfigError
+
+endpoints_app = typer.Typer(help="List and drain endpoints.", no_args_is_help=True)
+
+BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
+
+INSTANCE_COLUMNS = ("name", "data_centre", "state", "incarnation", "config_version")
+ENDPOINT_COLUMNS = ("name", "kind", "data_centre", "serves", "state", "weights_version")
+
+
+def instances(config: BasePath, as_json: AsJson = False) -> None:
+    """List the entry instances as the first one that answers sees them.
+
+    The administration key comes from the variable RATTANGATE_ADMIN_KEY.
+
+    Exit codes: 0 listed, 1 refused, 3 the settings have faults, 5 no instance answers.
+    """
+    rows = _open(config).call("GET", "/v1/instances").json()["instances"]
+    _show(rows, INSTANCE_COLUMNS, as_json)
+
+
+@endpoints_app.command("list")
+def list_endpoints(config: BasePath, as_json: AsJson = False) -> None:
+    """List the endpoints as the first instance that answers sees them.
+
+    Exit codes: 0 listed, 1 refused, 3 the settings have faults, 5 no instance answers.
+    """
+    rows = _open(config).call("GET", "/v1/endpoints").json()["endpoints"]
+    _show(rows, ENDPOINT_COLUMNS, as_json)
+
+
+@endpoints_app.command()
+def drain(
+    config: BasePath,
+    name: Annotated[str, typer.Argument(help="Name of the endpoint.")],
+    why: Annotated[str, typer.Option(help="Reason, kept with the version.")],
+    as_json: AsJson = False,
+) -> None:
+    """Take an endpoint out of the configuration; running work ends whole, no new work is given.
+
+    Exit codes: 0 accepted, 1 refused, 3 the settings have faults, 5 no instance answers.
+    """
+    client = _open(config)
+    etag = client.call("GET", "/v1/endpoints").headers["ETag"]
+    edit = {"If-Match": etag, "Change-Reason": why}
+    version = client.call("DELETE", f"/v1/endpoints/{name}", edit).json()["version"]
+    if as_json:
+        print_json({"endpoint": name, "version": version})
+    else:
+        print_line(
+            f"{name} is out of version {version}; `config status` shows where it is in force"
+        )
+
+
+def _open(config: Path) -> AdminClient:
+    try:
+        return AdminClient(config)
+    except ConfigError as exc:
+        print_faults(exc.faults, as_json=False)
+        raise typer.Exit(ExitCode.CONFIG_INVALID) from exc
+
+
+def _show(rows: list[dict[str, Any]], columns: tuple[str, ...], as_json: bool) -> None:
+    if as_json:
+        print_json(rows)
+        return
+    print_table(columns, ([row.get(column) for column in columns] for row in rows))
--- a/rattangate/cmd/main.py
+++ b/rattangate/cmd/main.py
@@ -5,13 +5,17 @@
 import typer
 
 import rattangate
-from rattangate.cmd import config, standin
+from rattangate.cmd import config, fleet, standin
+from rattangate.cmd.bench import bench
 from rattangate.cmd.serve import serve
 
 app = typer.Typer(help=rattangate.__doc__, no_args_is_help=True)
 app.add_typer(config.app, name="config")
 app.add_typer(standin.app, name="standin")
+app.add_typer(fleet.endpoints_app, name="endpoints")
 app.command()(serve)
+app.command()(fleet.instances)
+app.command()(bench)
 
 
 @app.command()
