Judge no workspace by a meter that has just begun

Two tests of the limits judged use at the instant of the first charge; their meters now begin 10 s earlier, with the same assertions. Conclusion: a restarted instance treats all workspaces alike for 5 s.

--- a/rattangate/core/fairness.py
+++ b/rattangate/core/fairness.py
@@ -15,6 +15,7 @@
 BANDS = 4
 OVERUSE_FACTOR = 2.0
 SMALL_FRACTION = 0.1
+MIN_METERED_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,7 @@
         self._used: dict[str, tuple[float, float]] = {}
         self._total = (0.0, 0.0)
         self._active_shares = 0.0
+        self._metered_since = math.inf
 
     def configure(self, shares: Mapping[str, float]) -> None:
         """Take new shares."""
@@ -49,6 +51,7 @@
         """Count work of a workspace."""
         if workspace not in self._used:
             self._active_shares += self.share(workspace)
+        self._metered_since = min(self._metered_since, now)
         self._used[workspace] = (self.used(workspace, now) + tokens, now)
         self._total = (_decay(self._total, now) + tokens, now)
 
@@ -63,8 +66,11 @@
     def band(self, workspace: str, now: float) -> int:
         """Return how far a workspace is above its share, from 0 to `BANDS` - 1.
 
-        A band is a doubling; a small fraction of all work is never above a share.
+        A band is a doubling; a small fraction of all work is never above a share, and no use is
+        judged by a meter that has only just begun.
         """
+        if now - self._metered_since < MIN_METERED_S:
+            return 0
         total = _decay(self._total, now)
         fraction = self.share(workspace) / max(self._active_shares, self.share(workspace))
         entitled = total * max(SMALL_FRACTION, fraction)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -85,6 +85,7 @@
 
 def test_workspace_above_its_share_waits_and_goes_behind():
     gateway = _gateway(workspaces=(WorkspaceLimit("w"), WorkspaceLimit("greedy")))
+    gateway.intake.meter.charge("w", 0, -10.0)
     for workspace in ("w", "x", "y"):
         gateway.intake.meter.charge(workspace, 1000, 0.0)
     gateway.intake.meter.charge("greedy", 1_000_000, 0.0)
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -60,6 +60,7 @@
 
 def test_only_a_workspace_above_its_share_has_a_band():
     meter = UsageMeter({"a": 1.0, "b": 1.0, "tiny": 0.1})
+    meter.charge("a", 0, -10.0)
     meter.charge("a", 1000, 0.0)
     meter.charge("b", 1000, 0.0)
     meter.charge("tiny", 150, 0.0)
@@ -68,3 +69,12 @@
     assert meter.band("tiny", 0.0) == BANDS - 1
     meter.charge("a", 100_000, 200.0)
     assert meter.band("tiny", 200.0) == 0
+
+
+def test_new_meter_judges_no_use():
+    meter = UsageMeter({"a": 1.0, "b": 1.0, "c": 1.0})
+    meter.charge("b", 10, 100.0)
+    meter.charge("c", 10, 100.0)
+    meter.charge("a", 1000, 100.0)
+    assert meter.band("a", 104.9) == 0
+    assert meter.band("a", 105.0) > 0
