--- a/tools/build_reference.py
+++ b/tools/build_reference.py
@@ -4,6 +4,11 @@
 
 from pathlib import Path
 
+import typer
+from typer.cli import get_docs_for_click
+
+from rattangate.cmd.main import app
+from rattangate.errors import ANSWERS
 from rattangate.log_events import LogEvent
 from rattangate.metrics import Metric
 
@@ -54,7 +59,43 @@
     return "\n".join(lines) + "\n"
 
 
-PAGES = {"log-events.md": render_log_events, "metrics.md": render_metrics}
+def render_errors() -> str:
+    """Return the table of error kinds and answers."""
+    lines = [
+        "# Error kinds",
+        "",
+        NOTE,
+        "",
+        'Every refusal is a JSON body `{"error": {type, message, detail, run_state, retry_after_s}}`;',
+        "a stream that cannot go on ends with an event `error` of the same form. `Retry-After` repeats",
+        "the advice in whole seconds; the default stands here, and what was computed goes before it.",
+        "",
+        "| kind | status | run state | retry after, s | message |",
+        "|---|---|---|---|---|",
+    ]
+    for kind, answer in ANSWERS.items():
+        wait = "-" if answer.retry_after_s is None else f"{answer.retry_after_s:g}"
+        lines.append(
+            f"| `{kind.value}` | {answer.status} | {answer.run_state.value} | {wait} "
+            f"| {answer.message} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def render_commands() -> str:
+    """Return the reference of the command line."""
+    command = typer.main.get_command(app)
+    ctx = typer.Context(command, info_name="rattangate")
+    text = get_docs_for_click(obj=command, ctx=ctx, name="rattangate", title="Command line")
+    return text.strip() + "\n"
+
+
+PAGES = {
+    "log-events.md": render_log_events,
+    "metrics.md": render_metrics,
+    "errors.md": render_errors,
+    "commands.md": render_commands,
+}
 
 
 def main() -> None:
