--- /dev/null
+++ b/tests/promises/test_cache_scope.py
@@ -0,0 +1,179 @@
+"""Promise: no request uses cache of a dead engine, another workspace or older weights."""
+
+from __future__ import annotations
+
+import random
+
+import httpx
+import pytest
+import trio
+
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.messages import CacheChanged, EndpointSeen, EndpointState
+from rattangate.core.prefix import Scope, hash_pieces
+from rattangate.standins.text import expected_text
+from tests.small_deployment import (
+    MODEL,
+    PIECE_TOKENS,
+    VERSION,
+    Shape,
+    complete,
+    make_prompt,
+)
+
+TOKENS = 8
+LONG_TOKENS = 120
+NEW_VERSION = "v2"
+SEED = 3
+
+
+@pytest.fixture
+def deployment(start):
+    return start(Shape(engines=2, instances=1, services=0))
+
+
+def _post(url, body):
+    resp = httpx.post(url, json=body, trust_env=False, timeout=10.0)
+    resp.raise_for_status()
+    return resp.json()
+
+
+def _ask(deployment, prompt, tokens=TOKENS, workspace="alpha"):
+    async def main():
+        async with httpx.AsyncClient(timeout=30.0, trust_env=False) as client:
+            url = deployment.caller_urls()[0]
+            return await complete(client, url, prompt, tokens, workspace=workspace)
+
+    received = trio.run(main)
+    assert received.is_whole(prompt, tokens), received
+    return received
+
+
+def _load(deployment, name, version):
+    order = {"order": "load", "weights_version": version, "fencing": 1}
+    return _post(f"{deployment.endpoint_url(name)}/orders", order)
+
+
+def test_two_workspaces_with_the_same_text_share_nothing(deployment):
+    prompt = make_prompt("system ", "bulletin ")
+    _ask(deployment, prompt)
+    assert _ask(deployment, prompt).cached_tokens == 2 * PIECE_TOKENS
+    assert _ask(deployment, prompt, workspace="beta").cached_tokens == 0
+
+
+def test_an_engine_that_comes_back_empty_is_expected_to_be_empty(deployment):
+    prompt = make_prompt("system ", "bulletin ")
+    for _ in range(4):
+        _ask(deployment, prompt)
+    for name in ("engine-1", "engine-2"):
+        deployment.processes[name].kill()
+        deployment.processes[name].start()
+        deployment.processes[name].wait_ready()
+    deployment.wait_endpoints_live()
+    assert _ask(deployment, prompt).cached_tokens == 0
+    assert _ask(deployment, prompt).cached_tokens == 2 * PIECE_TOKENS
+
+
+def test_late_events_of_a_former_life_and_foreign_versions_are_ignored():
+    gateway = Gateway(GatewayCfg(piece_tokens=PIECE_TOKENS, recompute_weight=1.0), seed=1)
+    gateway.handle(EndpointSeen("a", 1, "v1", EndpointState.LIVE, MODEL, 8), 0.0)
+    gateway.handle(CacheChanged("a", 1, 1, 1, (1, 2), ()), 1.0)
+    assert gateway.endpoints["a"].cache.cached((1, 2)) == 2
+    gateway.handle(EndpointSeen("a", 2, "v1", EndpointState.LIVE, MODEL, 8), 2.0)
+    gateway.handle(CacheChanged("a", 1, 2, 2, (3,), ()), 3.0)
+    assert gateway.endpoints["a"].cache.cached((1,)) == 0
+    assert gateway.endpoints["a"].cache.cached((3,)) == 0
+    gateway.handle(CacheChanged("a", 2, 1, 1, (1,), ()), 4.0)
+    gateway.handle(EndpointSeen("a", 2, "v2", EndpointState.LIVE, MODEL, 8), 5.0)
+    assert gateway.endpoints["a"].cache.cached((1,)) == 0
+
+
+def test_each_part_of_the_scope_changes_every_piece():
+    prompt = make_prompt("system ", "bulletin ").encode()
+    scope = Scope("alpha", MODEL, "", VERSION)
+    others = [
+        Scope("beta", MODEL, "", VERSION),
+        Scope("alpha", "other", "", VERSION),
+        Scope("alpha", MODEL, "adapter", VERSION),
+        Scope("alpha", MODEL, "", NEW_VERSION),
+    ]
+    own = set(hash_pieces(scope.salt, prompt, PIECE_TOKENS))
+    for other in others:
+        assert own.isdisjoint(hash_pieces(other.salt, prompt, PIECE_TOKENS)), other
+
+
+def test_weights_changed_in_mid_stream_mix_into_no_answer(deployment):
+    """The engine goes on with new weights under its running streams, as a careless one may."""
+    url = deployment.caller_urls()[0]
+    prompts = [make_prompt(f"stream {number} ") for number in range(6)]
+    answers = {}
+
+    async def one(client, number):
+        answers[number] = await complete(client, url, prompts[number], LONG_TOKENS)
+
+    async def main():
+        async with httpx.AsyncClient(timeout=30.0, trust_env=False) as client:
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    nursery.start_soon(one, client, number)
+                await trio.sleep(0.2)
+                await client.post(
+                    f"{deployment.endpoint_url('engine-1')}/orders",
+                    json={"order": "load", "weights_version": NEW_VERSION, "fencing": 1},
+                )
+
+    trio.run(main)
+    for number, received in answers.items():
+        assert received.is_whole(prompts[number], LONG_TOKENS), received
+
+
+def test_an_engine_on_another_version_serves_no_request_of_this_one(deployment):
+    """Requests placed before the change is seen are refused by the engine or by their answer."""
+    for name in ("engine-1", "engine-2"):
+        deployment.set_faults(name, ignore_expected=True)
+    rng = random.Random(SEED)
+    _load(deployment, "engine-1", NEW_VERSION)
+    for number in range(8):
+        prompt = make_prompt(f"after {rng.random()} {number} ")
+        received = _ask_any(deployment, prompt)
+        wanted = {expected_text(MODEL, v, prompt.encode(), TOKENS) for v in (VERSION, NEW_VERSION)}
+        assert received.text in wanted, received
+
+
+def _ask_any(deployment, prompt):
+    async def main():
+        async with httpx.AsyncClient(timeout=30.0, trust_env=False) as client:
+            return await complete(client, deployment.caller_urls()[0], prompt, TOKENS)
+
+    received = trio.run(main)
+    assert received.done, received
+    return received
+
+
+def test_kept_cache_of_an_older_version_or_another_workspace_is_not_imported(deployment):
+    prompt = make_prompt("system ", "bulletin ")
+    for name in ("engine-1", "engine-2"):
+        deployment.set_faults(name, ignore_expected=True)
+    _ask(deployment, prompt)
+    salt = Scope("alpha", MODEL, "", VERSION).salt
+    pieces = [f"{piece:016x}" for piece in hash_pieces(salt, prompt.encode(), PIECE_TOKENS)]
+    exported = [
+        _post(f"{deployment.endpoint_url(name)}/kv/export", {"pieces": pieces})["exported"]
+        for name in ("engine-1", "engine-2")
+    ]
+    assert pieces in exported
+    foreign = Scope("beta", MODEL, "", VERSION).salt
+    asked = [f"{piece:016x}" for piece in hash_pieces(foreign, prompt.encode(), PIECE_TOKENS)]
+    url = deployment.endpoint_url("engine-1")
+    assert _post(f"{url}/kv/import", {"pieces": asked})["imported"] == []
+    _load(deployment, "engine-1", NEW_VERSION)
+    assert _post(f"{url}/kv/import", {"pieces": pieces})["imported"] == []
+
+
+def test_lost_and_late_cache_events_cost_hits_only(deployment):
+    for name in ("engine-1", "engine-2"):
+        deployment.set_faults(name, event_loss=0.5, event_delay_s=0.5)
+    for number in range(12):
+        prompt = make_prompt("system ", f"bulletin {number % 4} ")
+        received = _ask(deployment, prompt)
+        assert received.cached_tokens <= 2 * PIECE_TOKENS
