--- a/bench/bookings.py
+++ b/bench/bookings.py
@@ -15,6 +15,7 @@
 CALLERS = 64
 SECONDS = 8.0
 TABLE_WRITES_PER_S = 300.0
+LAST_WRITES_S = 6.0
 
 
 @dataclass
@@ -58,6 +59,7 @@
                 deployment.set_faults("platform", writes_per_s=rate)
                 before = httpx.get(stats, trust_env=False).json()["writes"]
                 count = trio.run(_load, deployment.caller_urls(), callers)
+                time.sleep(LAST_WRITES_S)
                 writes = httpx.get(stats, trust_env=False).json()["writes"] - before
                 print(
                     f"callers {callers}, table {rate:.0f} writes/s (0: no limit): "
