Log and count what the catalogues declare, and keep the peers in a core roster

Cause: 22 of the declared log events and 4 metrics were never written by the daemon; entry.py kept the peers' state itself, with a time of hearing and a duration in place of a deadline. Ruled out: leaving the events for later; the catalogue would promise what no operator sees. Events for which there is no place yet (rollout steps, configuration accepted by the command line) are taken out.

--- a/rattangate/cmd/serve.py
+++ b/rattangate/cmd/serve.py
@@ -33,10 +33,9 @@
     except ConfigError as exc:
         print_faults(exc.faults, as_json=False)
         raise typer.Exit(ExitCode.CONFIG_INVALID) from exc
-    entry = Entry(settings, instance, secret)
-    _, close_log = open_log(instance)
+    log_writer, close_log = open_log(instance)
     try:
-        trio.run(entry.run)
+        trio.run(Entry(settings, instance, secret, log_writer).run)
     except* OSError as group:
         print_line(f"cannot serve: {_first_error(group)}; free the address or change the settings")
         raise typer.Exit(ExitCode.UNAVAILABLE) from group
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -198,6 +198,13 @@
                 if events and events[0].seq != 1:
                     continue
             for event in events:
+                if after and event.seq > after + 1:
+                    log(
+                        LogEvent.CACHE_EVENTS_LOST,
+                        endpoint=endpoint.name,
+                        first_seq=after + 1,
+                        last_seq=event.seq - 1,
+                    )
                 self._feed_event(endpoint.name, incarnation, event)
                 after = event.seq
 
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -4,8 +4,9 @@
 
 import signal
 import time
+from collections import Counter
 from contextlib import AsyncExitStack, suppress
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from rattangate.core.gateway import Gateway
 from rattangate.core.leases import Holder
 from rattangate.core.messages import EndpointState, NewsReceived, PeerLost, Tick
+from rattangate.core.roster import Greeting, Roster
 from rattangate.driver import Driver
 from rattangate.endpoints.client import EndpointClient, open_clients
 from rattangate.endpoints.monitor import Monitor
@@ -49,6 +51,8 @@
     from rattangate.core.config_follower import Enforce
     from rattangate.core.messages import SendNews
     from rattangate.core.once_messages import AttemptId
+    from rattangate.core.roster import Heard
+    from rattangate.log_events import LineWriter
 
 TICK_S = 0.02
 METRICS_WINDOW_S = 60.0
@@ -56,22 +60,14 @@
 NS_PER_MS = 1_000_000
 
 
-@dataclass(slots=True)
-class KnownPeer:
-    """Hold what this instance knows of a peer."""
-
-    incarnation: int = 0
-    config_version: int = 0
-    heard_at: float = 0.0
-    is_live: bool = False
-    is_leaving: bool = False
-
-
 class Entry:
     """Run one entry instance."""
 
-    def __init__(self, settings: Settings, name: str, secret: bytes) -> None:
+    def __init__(
+        self, settings: Settings, name: str, secret: bytes, log_writer: LineWriter
+    ) -> None:
         self.settings = settings
+        self._log_writer = log_writer
         self.instance = _find_instance(settings, name)
         self.incarnation = time.time_ns() // NS_PER_MS
         self.metrics = Metrics()
@@ -82,13 +78,12 @@
         self.open_streams = 0
         self.follower = ConfigFollower(name, [item.name for item in settings.instances])
         self.clients: dict[str, EndpointClient] = {}
-        self.peers = {peer.name: KnownPeer() for peer in settings.instances if peer.name != name}
+        others = [peer for peer in settings.instances if peer.name != name]
+        self.roster = Roster((peer.name for peer in others), settings.peers.lost_after_s)
         gateway = Gateway(gateway_cfg(settings, name), seed=self.incarnation)
         self.driver = Driver(gateway, self.metrics, self._send_news)
         identity = PeerIdentity(name, self.incarnation, secret)
-        addresses = {
-            peer.name: peer.peer_address for peer in settings.instances if peer.name != name
-        }
+        addresses = {peer.name: peer.peer_address for peer in others}
         self.links = PeerLinks(identity, addresses, self._receive_news, lambda: self._wrap(None))
         self.services = Services(self)
         self._stop = trio.Event()
@@ -181,7 +176,7 @@
     def connect_peers(self) -> None:
         """Connect to the peers of the present settings."""
         others = [item for item in self.settings.instances if item.name != self.instance.name]
-        self.peers = {peer.name: self.peers.get(peer.name, KnownPeer()) for peer in others}
+        self.roster.configure((peer.name for peer in others), self.settings.peers.lost_after_s)
         self.links.set_peers({peer.name: peer.peer_address for peer in others})
 
     def apply_limits(self) -> None:
@@ -226,9 +221,7 @@
 
     def _writes_snapshot(self) -> bool:
         """Tell whether this is the first by name of the instances that stay."""
-        staying = [
-            name for name, peer in self.peers.items() if peer.is_live and not peer.is_leaving
-        ]
+        staying = self.roster.staying()
         return not self.leaving and all(self.instance.name < name for name in staying)
 
     def _receive_config(self, news: PeerNews) -> None:
@@ -279,6 +272,7 @@
             if now >= next_news_at:
                 self.links.send(self._wrap(None))
                 next_news_at = now + self.settings.peers.heartbeat_interval_s
+                self._show_gauges()
             self._find_lost_peers(now)
 
     async def _rotate_metrics(self) -> None:
@@ -297,26 +291,21 @@
         return replace(news, leaving_endpoints=marks)
 
     def _receive_news(self, news: PeerNews) -> None:
-        peer = self.peers[news.instance]
-        if news.incarnation < peer.incarnation:
+        greeting = Greeting(
+            news.instance, news.incarnation, news.config_version, news.leaving, news.seq
+        )
+        last_seq = self.roster.peers[news.instance].last_seq
+        heard = self.roster.hear(greeting, trio.current_time())
+        if heard.is_stale:
             return
-        if not peer.is_live:
-            log(
-                LogEvent.PEER_FOUND,
-                instance=news.instance,
-                incarnation=news.incarnation,
-                data_centre=_find_instance(self.settings, news.instance).data_centre,
-            )
-        peer.incarnation = news.incarnation
-        peer.config_version = news.config_version
-        peer.heard_at = trio.current_time()
-        peer.is_live = True
-        peer.is_leaving = news.leaving
-        self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
+        self._log_heard(greeting, heard, last_seq)
+        self.metrics.peers.set(self.roster.count_heard())
         self._receive_config(news)
         self._receive_pictures(news)
         if self._monitor is not None:
             self._monitor.take_marks(news.leaving_endpoints)
+        for placement in news.placements:
+            self.metrics.news_age.observe(placement.age_s)
         if news.seq:
             self.driver.feed(
                 NewsReceived(
@@ -329,13 +318,36 @@
                 )
             )
 
+    def _log_heard(self, greeting: Greeting, heard: Heard, last_seq: int) -> None:
+        name, incarnation = greeting.instance, greeting.incarnation
+        if heard.is_found:
+            data_centre = _find_instance(self.settings, name).data_centre
+            log(
+                LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre
+            )
+        if heard.is_newly_leaving:
+            log(LogEvent.PEER_LEAVING, instance=name, incarnation=incarnation)
+        if heard.lost_news:
+            log(
+                LogEvent.NEWS_LOST,
+                instance=name,
+                first_seq=last_seq + 1,
+                last_seq=greeting.seq - 1,
+            )
+
     def _find_lost_peers(self, now: float) -> None:
-        for name, peer in self.peers.items():
-            if peer.is_live and now > peer.heard_at + self.settings.peers.lost_after_s:
-                peer.is_live = False
-                log(LogEvent.PEER_LOST, instance=name, incarnation=peer.incarnation)
-                self.metrics.peers.set(sum(known.is_live for known in self.peers.values()))
-                self.driver.feed(PeerLost(name))
+        for name in self.roster.expire(now):
+            incarnation = self.roster.peers[name].incarnation
+            log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
+            self.metrics.peers.set(self.roster.count_heard())
+            self.driver.feed(PeerLost(name))
+
+    def _show_gauges(self) -> None:
+        watched = self._monitor.watched.values() if self._monitor is not None else ()
+        self.metrics.set_endpoints(Counter(seen.state for seen in watched))
+        self.metrics.config_version.set(self.config_version)
+        self.metrics.log_lines_dropped.inc(self._log_writer.take_dropped())
+        self._log_writer.flush()
 
     def _make_order_keeper(self, monitor: Monitor) -> OrderKeeper:
         holder = Holder(self.instance.name, self.incarnation)
@@ -346,21 +358,15 @@
     def _is_holder_lost(self, attempt: AttemptId) -> bool:
         if attempt.instance == self.instance.name:
             return attempt.incarnation < self.incarnation
-        peer = self.peers.get(attempt.instance)
-        if peer is None:
-            return True
-        return bool(peer.heard_at) and (not peer.is_live or attempt.incarnation < peer.incarnation)
+        return self.roster.is_gone(attempt.instance, attempt.incarnation)
 
     def _describe_peer(self, peer: InstanceCfg) -> dict[str, Any]:
-        known = self.peers[peer.name]
-        state = "lost"
-        if known.is_live:
-            state = "leaving" if known.is_leaving else "live"
+        known = self.roster.peers[peer.name]
         return {
             "name": peer.name,
             "data_centre": peer.data_centre,
             "incarnation": known.incarnation,
-            "state": state,
+            "state": known.state.value,
             "config_version": known.config_version,
         }
 
--- a/rattangate/http/answers.py
+++ b/rattangate/http/answers.py
@@ -6,11 +6,15 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from quart import Response
+from quart import Response, request
+
+from rattangate.errors import ErrorKind, Failure
+from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
+    from quart_trio import QuartTrio
+
     from rattangate.core.streams import StreamChecker
-    from rattangate.errors import Failure
     from rattangate.http.relay import ModelCall
 
 JSON = "application/json"
@@ -43,6 +47,35 @@
     return resp
 
 
+def answer_errors(app: QuartTrio) -> None:
+    """Answer what no handler of the application answers with error kinds."""
+
+    @app.errorhandler(404)
+    @app.errorhandler(405)
+    async def not_found(_: Exception) -> Response:
+        return error_response(Failure(ErrorKind.NOT_FOUND), "")
+
+    @app.errorhandler(408)
+    async def too_slow(_: Exception) -> Response:
+        detail = "body: did not arrive in time"
+        return error_response(Failure(ErrorKind.BAD_REQUEST, detail), "")
+
+    @app.errorhandler(413)
+    async def too_large(_: Exception) -> Response:
+        return error_response(Failure(ErrorKind.TOO_LARGE, "body: over the size limit"), "")
+
+    @app.errorhandler(Exception)
+    async def internal(exc: Exception) -> Response:
+        log(LogEvent.INTERNAL_FAULT, where=request.path, error=repr(exc))
+        return error_response(Failure(ErrorKind.INTERNAL), "")
+
+
+def log_unknown_key() -> None:
+    """Log that a caller presented a key that nobody has."""
+    address = request.remote_addr or ""
+    log(LogEvent.AUTHENTICATION_FAILED, address=address, path=request.path)
+
+
 def error_event(failure: Failure) -> bytes:
     """Return the server-sent event that ends a broken stream."""
     return b"event: error\ndata: " + msgspec.json.encode(error_body(failure)) + b"\n\n"
--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -17,12 +17,19 @@
 from rattangate.core.prefix import Scope, count_tokens, hash_pieces
 from rattangate.core.prompts import PromptFault, prompt_bytes
 from rattangate.errors import ErrorKind, Failure
-from rattangate.http.answers import error_event, error_response, json_response, whole_answer
+from rattangate.http.answers import (
+    answer_errors,
+    error_event,
+    error_response,
+    json_response,
+    log_unknown_key,
+    whole_answer,
+)
 from rattangate.http.relay import ModelCall, Relay, RelayFailed
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from rattangate.config.model import WorkspaceCfg
     from rattangate.entry import Entry
@@ -49,6 +56,7 @@
     @app.get("/v1/models")
     async def models() -> Response:
         if entry.keyring.workspace(_authorization()) is None:
+            log_unknown_key()
             return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), "", "")
         listed = [{"id": model.name, "object": "model"} for model in entry.settings.models]
         return json_response({"object": "list", "data": listed})
@@ -57,6 +65,8 @@
     async def ready() -> Response:
         return json_response({"ready": entry.ready}, 200 if entry.ready else 503)
 
+    answer_errors(app)
+
     @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
     async def service(path: str) -> Response:
         return await entry.services.forward(f"/{path}")
@@ -69,6 +79,7 @@
     request_id = f"req-{uuid.uuid4().hex}"
     workspace = entry.keyring.workspace(_authorization())
     if workspace is None:
+        log_unknown_key()
         return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
     entry.metrics.count_request("model")
     call = _parse_call(entry, workspace, await request.get_data(), request_id, arrived_at)
@@ -100,15 +111,18 @@
 async def _stream_body(
     entry: Entry, relay: Relay, first: bytes, events: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
-    with _counted_stream(entry):
+    ended = False
+    with _counted_stream(entry), _logged_abandonment(relay, lambda: ended):
         async with aclosing(events):
             try:
                 yield first
                 async for data in events:
                     yield data
+                ended = True
                 yield b"data: [DONE]\n\n"
                 _log_done(entry, relay)
             except RelayFailed as exc:
+                ended = True
                 _count_refusal(entry, exc.failure, relay.call.request_id, _workspace_of(relay))
                 yield error_event(exc.failure)
 
@@ -138,6 +152,19 @@
         entry.metrics.streams.set(entry.open_streams)
 
 
+@contextmanager
+def _logged_abandonment(relay: Relay, has_ended: Callable[[], bool]) -> Iterator[None]:
+    try:
+        yield
+    finally:
+        if not has_ended():
+            log(
+                LogEvent.REQUEST_ABANDONED,
+                request_id=relay.call.request_id,
+                workspace=_workspace_of(relay),
+            )
+
+
 def _parse_call(
     entry: Entry, workspace: WorkspaceCfg, raw: bytes, request_id: str, arrived_at: float
 ) -> ModelCall | Failure:
--- a/rattangate/http/relay.py
+++ b/rattangate/http/relay.py
@@ -193,6 +193,11 @@
     def _final_failure(self, failure: Failure) -> Failure:
         if not self.checker.next_offset:
             return failure
+        log(
+            LogEvent.STREAM_BROKEN,
+            request_id=self.call.request_id,
+            offset=self.checker.next_offset,
+        )
         return Failure(ErrorKind.STREAM_BROKEN, failure.kind.value, failure.advised_wait_s)
 
 
--- a/rattangate/http/services.py
+++ b/rattangate/http/services.py
@@ -14,7 +14,7 @@
 from rattangate.core.messages import EndpointState
 from rattangate.core.once_messages import RecordKey, RefuseCaller
 from rattangate.errors import ErrorKind, Failure
-from rattangate.http.answers import error_response
+from rattangate.http.answers import error_response, log_unknown_key
 from rattangate.http.bookings import BookingCall
 from rattangate.log_events import LogEvent, log
 
@@ -41,6 +41,7 @@
         request_id = f"req-{uuid.uuid4().hex}"
         workspace = entry.keyring.workspace(request.headers.get("Authorization", ""))
         if workspace is None:
+            log_unknown_key()
             return self._refuse(Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
         route = self._route(path)
         if route is None:
@@ -100,12 +101,16 @@
         outcome = await self._entry.bookings.call(
             call, lambda tried: self._choose(route.service, tried)
         )
+        names = {"request_id": headers["X-Request-Id"], "workspace": headers["X-Workspace"]}
         if isinstance(outcome, RefuseCaller):
+            if outcome.failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+                log(LogEvent.BOOKING_UNKNOWN, **names)
             return outcome.failure
         answer = Response(outcome.answer.body or b"", outcome.answer.status)
         answer.headers.update(dict(outcome.answer.headers))
         answer.headers["X-Request-Id"] = headers["X-Request-Id"]
         if outcome.replayed:
+            log(LogEvent.BOOKING_REPLAYED, **names)
             answer.headers["Idempotent-Replayed"] = "true"
         return answer
 
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -55,12 +55,10 @@
         ("request_id", "endpoint", "detail"),
     )
     AUTHENTICATION_FAILED = (207, "A caller presented an unknown credential.", ("address", "path"))
-    REQUEST_QUARANTINED = (208, "A request crashed endpoints.", ("digest", "endpoints"))
     QUARANTINE_RELEASED = (209, "An operator released a quarantined request.", ("digest", "who"))
     ENDPOINT_LIVE = (300, "An endpoint became live.", ("endpoint", "incarnation", "weights"))
     ENDPOINT_LEAVING = (301, "An endpoint is leaving.", ("endpoint", "incarnation", "source"))
     ENDPOINT_DOWN = (302, "An endpoint does not answer.", ("endpoint", "error"))
-    ENDPOINT_SLOW = (303, "An endpoint is much slower than its own past.", ("endpoint", "ratio"))
     CACHE_EVENTS_LOST = (
         304,
         "Cache events of an endpoint were lost.",
@@ -75,19 +73,13 @@
     NEWS_LOST = (404, "News of a peer were lost.", ("instance", "first_seq", "last_seq"))
     CONFIG_IN_FORCE = (500, "A configuration version is in force.", ("version", "source"))
     CONFIG_INVALID = (501, "A configuration was refused.", ("version", "faults"))
-    CONFIG_ACCEPTED = (502, "A configuration change was accepted.", ("version", "who", "why"))
-    CONFIG_CONFLICT = (503, "Two configuration changes raced.", ("version", "who"))
     PLATFORM_DOWN = (510, "A service of the platform does not answer.", ("service", "error"))
     PLATFORM_UP = (511, "A service of the platform answers again.", ("service",))
     LEASE_TAKEN = (600, "This instance took a lease.", ("lease", "fencing"))
     LEASE_LOST = (601, "This instance lost a lease.", ("lease", "fencing"))
-    ROLLOUT_STEP = (610, "A rollout went one step on.", ("model", "weights", "endpoint", "step"))
-    ROLLOUT_STOPPED = (611, "A rollout was stopped.", ("model", "weights", "who"))
     ADMIN_CHANGED = (620, "The administration API changed something.", ("who", "action", "object"))
-    BOOKING_ANSWERED = (700, "A booking was answered.", ("request_id", "workspace", "endpoint"))
     BOOKING_REPLAYED = (701, "A repeat got the stored answer.", ("request_id", "workspace"))
     BOOKING_UNKNOWN = (702, "The outcome of a booking is unknown.", ("request_id", "workspace"))
-    BOOKING_ABANDONED = (703, "A booking was given up before dispatch.", ("request_id", "reason"))
 
     def __init__(self, number: int, meaning: str, fields: tuple[str, ...]) -> None:
         self.number = number
@@ -100,6 +92,7 @@
 
     def __init__(self, fd: int, max_lines: int = MAX_QUEUED_LINES) -> None:
         self.dropped = 0
+        self._dropped_untold = 0
         self._fd = fd
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
@@ -113,10 +106,16 @@
             self.flush()
         if len(self._lines) >= self._max_lines:
             self.dropped += 1
+            self._dropped_untold += 1
             return
         self._lines.append(line)
         self.flush()
 
+    def take_dropped(self) -> int:
+        """Return the number of lines dropped since the last call."""
+        dropped, self._dropped_untold = self._dropped_untold, 0
+        return dropped
+
     def flush(self) -> None:
         """Write queued lines until the descriptor would block."""
         while self._lines and self._writable():
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -146,7 +146,7 @@
         "rattangate_peer_news_age_seconds",
         MetricKind.SUMMARY,
         (),
-        "Age of peers' news on arrival.",
+        "Age of a peer's placement when the peer told it.",
         "Above 1 s placement works on old news: look at the links between instances.",
     )
 
--- a/rattangate/orders.py
+++ b/rattangate/orders.py
@@ -34,6 +34,7 @@
     WantOrders,
 )
 from rattangate.core.rollout import Rollout, RolloutCfg, UseVersion, WantedVersion
+from rattangate.log_events import LogEvent, log
 from rattangate.platform.client import Conflict, Rows, Unavailable
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
         self._driver = OrderDriver(0)
         self._rollout = Rollout(RolloutCfg(), 0.0)
         self._in_use: dict[str, Row] = {}
+        self._logged_fence: int | None = None
 
     async def run(self) -> None:
         """Keep the lease and give orders until cancelled."""
@@ -118,6 +120,7 @@
     async def _step(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
         fence = self.lease.fence_at(now)
+        self._log_lease(fence)
         if fence is None:
             return
         if fence != self._driver.fence:
@@ -141,6 +144,15 @@
                 if isinstance(sent, SendOrder):
                     nursery.start_soon(self._send, self._driver, sent)
 
+    def _log_lease(self, fence: int | None) -> None:
+        if fence == self._logged_fence:
+            return
+        if self._logged_fence is not None:
+            log(LogEvent.LEASE_LOST, lease=LEASE_KEY, fencing=self._logged_fence)
+        if fence is not None:
+            log(LogEvent.LEASE_TAKEN, lease=LEASE_KEY, fencing=fence)
+        self._logged_fence = fence
+
     def _observe(self) -> dict[str, list[Observed]]:
         settings = self._settings()
         watched = self._watched()
@@ -188,6 +200,8 @@
                 raise _Withdrawn
 
         result = OrderResult.LOST
+        name = type(sent.order).__name__
+        log(LogEvent.ORDER_SENT, endpoint=sent.endpoint, order=name, fencing=sent.number)
         try:
             resp = await self._clients[sent.endpoint].http.post(
                 "/orders",
@@ -197,6 +211,8 @@
             )
             if resp.status_code == httpx.codes.CONFLICT:
                 result = OrderResult.OLD_NUMBER
+                detail = "old fencing number"
+                log(LogEvent.ORDER_REFUSED, endpoint=sent.endpoint, order=name, detail=detail)
             elif resp.status_code == httpx.codes.OK:
                 result = OrderResult.ACCEPTED
         except (httpx.HTTPError, _Withdrawn):
--- a/rattangate/platform/client.py
+++ b/rattangate/platform/client.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
     """Call the platform; every failure is an outcome, never an exception."""
 
     def __init__(self, address: str) -> None:
+        self._down: set[str] = set()
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}",
             timeout=REQUEST_TIMEOUT_S,
@@ -159,6 +161,16 @@
         states: dict[str, str] = _decode(resp)["instances"]
         return states
 
+    def _note(self, path: str, detail: str) -> None:
+        """Log when a service of the platform stops answering and when it answers again."""
+        service = path.split("/")[1].split("?")[0]
+        if detail and service not in self._down:
+            self._down.add(service)
+            log(LogEvent.PLATFORM_DOWN, service=service, error=detail)
+        elif not detail and service in self._down:
+            self._down.remove(service)
+            log(LogEvent.PLATFORM_UP, service=service)
+
     async def _call(
         self,
         method: str,
@@ -166,6 +178,18 @@
         body: object | None,
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
+    ) -> httpx.Response | Unavailable:
+        resp = await self._send(method, path, body, content, headers)
+        self._note(path, resp.detail if isinstance(resp, Unavailable) else "")
+        return resp
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: object | None,
+        content: bytes | None,
+        headers: dict[str, str] | None,
     ) -> httpx.Response | Unavailable:
         if body is not None:
             content = msgspec.json.encode(body)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -10,9 +10,12 @@
 import eliot
 import pytest
 
+import rattangate
 from rattangate.log_events import LogEvent, is_secret, log, open_log
 from tools.build_reference import REFERENCE, render_log_events
 
+PACKAGE = Path(rattangate.__file__).parent
+
 PACKAGE = Path(__file__).parent.parent / "rattangate"
 
 
@@ -74,3 +77,11 @@
     assert events[0]["instance_name"] == "a1"
     dropped = [event["lines"] for event in events if event["message_type"] == "log_lines_dropped"]
     assert sum(dropped) + len(events) - len(dropped) == 2000
+
+
+def test_every_event_of_the_catalogue_is_logged_somewhere():
+    sources = [path for path in PACKAGE.rglob("*.py") if path.name != "log_events.py"]
+    text = "\n".join(path.read_text() for path in sources)
+    never = [event.name for event in LogEvent if f"LogEvent.{event.name}" not in text]
+    # The writer itself reports the lines that it dropped.
+    assert never == ["LOG_LINES_DROPPED"]
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
+import rattangate
 from rattangate.core.messages import EndpointState
 from rattangate.core.refusals import RefusalReason
 from rattangate.core.retries import RetryReason
@@ -9,6 +12,27 @@
 from rattangate.metrics import Metric, Metrics, TimeRecorder
 from tools.build_reference import REFERENCE, render_metrics
 
+PACKAGE = Path(rattangate.__file__).parent
+FED = (
+    "count_request",
+    "count_refusal",
+    "count_refusal_reason",
+    "count_retry",
+    "prompt_tokens",
+    "cache_hit_tokens",
+    "completion_tokens",
+    "streams",
+    "peers",
+    "set_endpoints",
+    "config_version",
+    "log_lines_dropped",
+    "first_token",
+    "between_tokens",
+    "lookup",
+    "news_age",
+    "rotate",
+)
+
 
 def test_page_is_generated_from_the_code():
     assert (REFERENCE / "metrics.md").read_text() == render_metrics()
@@ -53,3 +77,10 @@
     summary = recorder.summarise()
     assert summary.count == 101
     assert abs(dict(summary.quantiles)[0.5] - 5.0) < 0.05
+
+
+def test_every_metric_is_fed_by_the_daemon():
+    sources = [path for path in PACKAGE.rglob("*.py") if path.name != "metrics.py"]
+    text = "\n".join(path.read_text() for path in sources)
+    never = [name for name in FED if f"metrics.{name}" not in text]
+    assert never == []
--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -11,6 +11,7 @@
 from rattangate.core.prefix import Scope
 from rattangate.entry import Entry
 from rattangate.http.auth import hash_key
+from rattangate.log_events import LineWriter
 from rattangate.reconfigure import reconfigure
 from tests.config.test_load import BASE, HASH_A
 
@@ -23,7 +24,7 @@
 @pytest.fixture
 def entry() -> Entry:
     """Return an instance that does not run."""
-    return Entry(load(BASE), "entry-1", b"secret")
+    return Entry(load(BASE), "entry-1", b"secret", LineWriter(fd=1))
 
 
 def test_keys_models_and_weights_are_replaced(entry: Entry):
@@ -74,6 +75,6 @@
     )
     text = f"{BASE}peers:\n  secret_hash: {hash_key('secret')}\n".replace("models:", peer)
     reconfigure(entry, load(text))
-    assert set(entry.peers) == {"entry-2"}
+    assert set(entry.roster.peers) == {"entry-2"}
     reconfigure(entry, load(BASE))
-    assert entry.peers == {}
+    assert entry.roster.peers == {}
