Refuse an endpoint's malformed report or cache events instead of failing on them

Cause: tests/faults/test_fuzz.py: an endpoint that answers JSON of another shape (null, a number) raised TypeError in the monitor, which ends the whole instance. A piece beyond 64 bits would have failed later in the peers' encoding. Answers are now decoded into declared types with bounds.

--- a/rattangate/endpoints/client.py
+++ b/rattangate/endpoints/client.py
@@ -4,7 +4,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import httpx
 import msgspec
@@ -21,6 +21,7 @@
 EVENTS_TIMEOUT_S = 5.0
 MAX_IDLE_CONNECTIONS = 64
 IDLE_CONNECTION_S = 20.0
+PIECE_BOUND = 2**64
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,17 +53,21 @@
     status: int = 0
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointReport:
     """Hold an endpoint's own report of its state and load."""
 
-    incarnation: int
+    incarnation: Number
     weights_version: str
     model: str
     state: str
-    running: int
-    waiting: int
-    waiting_tokens: int
+    running: Count
+    waiting: Count
+    waiting_tokens: Count
     age_s: float
 
 
@@ -75,6 +80,21 @@
     evicted: tuple[int, ...]
 
 
+class _RawEvent(msgspec.Struct):
+    seq: Number
+    stored: list[str]
+    evicted: list[str]
+
+
+class _RawEvents(msgspec.Struct):
+    incarnation: Number
+    events: list[_RawEvent]
+
+
+_decode_report = msgspec.json.Decoder(EndpointReport).decode
+_decode_events = msgspec.json.Decoder(_RawEvents).decode
+
+
 class EndpointClient:
     """Call one endpoint over its own connections."""
 
@@ -116,29 +136,27 @@
             return await _open_failure(resp)
         if not _is_expected(resp, call):
             return OpenFailed(AttemptResult.REFUSED, "another incarnation or version")
-        cached = int(resp.headers.get("X-Cached-Tokens", "0"))
+        told = resp.headers.get("X-Cached-Tokens", "")
+        cached = int(told) if told.isdecimal() else 0
         return StreamOpened(resp, cached, f"{call.incarnation}.{call.weights_version}")
 
     async def report(self) -> EndpointReport | OpenFailed:
         """Ask the endpoint for its state and load."""
         try:
             resp = await self.http.get("/load", timeout=POLL_TIMEOUT_S)
-            raw = msgspec.json.decode(resp.content)
-            return msgspec.convert(
-                {name: raw[name] for name in EndpointReport.__dataclass_fields__}, EndpointReport
-            )
+            return _decode_report(resp.content)
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
             return OpenFailed(AttemptResult.NOT_SENT, repr(exc))
-        except (httpx.HTTPError, msgspec.MsgspecError, KeyError) as exc:
+        except (httpx.HTTPError, msgspec.MsgspecError, UnicodeDecodeError) as exc:
             return OpenFailed(AttemptResult.LOST, repr(exc))
 
     async def cache_events(self, after: int) -> tuple[int, tuple[CacheEvent, ...]] | OpenFailed:
         """Wait for cache events after a sequence number; return incarnation and events."""
         try:
             resp = await self.http.get(f"/cache-events?after={after}", timeout=EVENTS_TIMEOUT_S)
-            raw = msgspec.json.decode(resp.content)
-            return raw["incarnation"], tuple(_cache_event(event) for event in raw["events"])
-        except (httpx.HTTPError, msgspec.MsgspecError, KeyError, ValueError) as exc:
+            raw = _decode_events(resp.content)
+            return raw.incarnation, tuple(_cache_event(event) for event in raw.events)
+        except (httpx.HTTPError, msgspec.MsgspecError, ValueError) as exc:
             return OpenFailed(AttemptResult.LOST, repr(exc))
 
 
@@ -173,7 +191,12 @@
     return incarnation == str(call.incarnation) and version == call.weights_version
 
 
-def _cache_event(raw: dict[str, Any]) -> CacheEvent:
-    stored = tuple(int(piece, 16) for piece in raw["stored"])
-    evicted = tuple(int(piece, 16) for piece in raw["evicted"])
-    return CacheEvent(raw["seq"], stored, evicted)
+def _cache_event(raw: _RawEvent) -> CacheEvent:
+    return CacheEvent(raw.seq, tuple(map(_piece, raw.stored)), tuple(map(_piece, raw.evicted)))
+
+
+def _piece(text: str) -> int:
+    piece = int(text, 16)
+    if not 0 <= piece < PIECE_BOUND:
+        raise ValueError(f"piece {text!r} is no 64-bit hash")
+    return piece
