Count answers from their arrival, and close each attempt with its relay

Cause: the limit of streams saw only answers that had begun, so waiting requests were unbounded by it; an abandoned relay left its attempt's generator to the garbage collector, which closed the connection late. tests/promises/test_own_answer.py: 4 passed in 12.8 s.

--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -32,6 +32,7 @@
 from rattangate.http.auth import Keyring
 from rattangate.http.bookings import Bookings
 from rattangate.http.caller import make_caller_app
+from rattangate.http.relay import OpenStreams
 from rattangate.http.services import Services
 from rattangate.http.serving import DrainableApp, serve_app
 from rattangate.log_events import LogEvent, log
@@ -75,7 +76,7 @@
         self.models = {model.name: model for model in settings.models}
         self.ready = False
         self.leaving = False
-        self.open_streams = 0
+        self.streams = OpenStreams(self.metrics)
         self.follower = ConfigFollower(name, [item.name for item in settings.instances])
         self.clients: dict[str, EndpointClient] = {}
         others = [peer for peer in settings.instances if peer.name != name]
@@ -259,7 +260,7 @@
         self.ready = False
         self.leaving = True
         self._callers.draining = True
-        log(LogEvent.INSTANCE_DRAINING, instance=self.instance.name, streams=self.open_streams)
+        log(LogEvent.INSTANCE_DRAINING, instance=self.instance.name, streams=self.streams.count)
         await trio.sleep(self.settings.shutdown.balancer_notice_s)
         self._stop.set()
 
--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -85,9 +85,9 @@
     call = _parse_call(entry, workspace, await request.get_data(), request_id, arrived_at)
     if isinstance(call, Failure):
         return _refuse(entry, call, request_id, workspace.name)
-    if entry.open_streams >= entry.settings.limits.max_streams:
+    if entry.streams.count >= entry.settings.limits.max_streams:
         return _refuse(entry, Failure(ErrorKind.OVERLOADED), request_id, workspace.name)
-    relay = Relay(call, entry.driver, entry.clients, entry.metrics)
+    relay = Relay(call, entry.driver, entry.clients, entry.metrics, entry.streams)
     if call.body.get("stream"):
         return await _stream(entry, relay)
     return await _answer_whole(entry, relay)
@@ -112,7 +112,7 @@
     entry: Entry, relay: Relay, first: bytes, events: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
     ended = False
-    with _counted_stream(entry), _logged_abandonment(relay, lambda: ended):
+    with _logged_abandonment(relay, lambda: ended):
         async with aclosing(events):
             try:
                 yield first
@@ -128,30 +128,18 @@
 
 
 async def _answer_whole(entry: Entry, relay: Relay) -> Response:
-    with _counted_stream(entry):
-        async with aclosing(relay.events()) as events:
-            try:
-                async for _ in events:
-                    pass
-            except RelayFailed as exc:
-                return _refuse_relay(entry, relay, exc.failure)
+    async with aclosing(relay.events()) as events:
+        try:
+            async for _ in events:
+                pass
+        except RelayFailed as exc:
+            return _refuse_relay(entry, relay, exc.failure)
     _log_done(entry, relay)
     resp = json_response(whole_answer(relay.call, relay.checker))
     resp.headers["X-Request-Id"] = relay.call.request_id
     return resp
 
 
-@contextmanager
-def _counted_stream(entry: Entry) -> Iterator[None]:
-    entry.open_streams += 1
-    entry.metrics.streams.set(entry.open_streams)
-    try:
-        yield
-    finally:
-        entry.open_streams -= 1
-        entry.metrics.streams.set(entry.open_streams)
-
-
 @contextmanager
 def _logged_abandonment(relay: Relay, has_ended: Callable[[], bool]) -> Iterator[None]:
     try:
--- a/rattangate/http/relay.py
+++ b/rattangate/http/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, aclosing, contextmanager
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
@@ -18,7 +18,7 @@
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from rattangate.core.messages import RequestArrived
     from rattangate.core.prefix import Scope
@@ -49,6 +49,27 @@
         self.failure = failure
 
 
+class OpenStreams:
+    """Count the answers in progress, from arrival to end."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.count = 0
+        self._metrics = metrics
+
+    @contextmanager
+    def hold(self) -> Iterator[None]:
+        """Count one answer."""
+        self._add(1)
+        try:
+            yield
+        finally:
+            self._add(-1)
+
+    def _add(self, change: int) -> None:
+        self.count += change
+        self._metrics.streams.set(self.count)
+
+
 class Relay:
     """Relay one answer, continued at another endpoint when one is lost."""
 
@@ -58,6 +79,7 @@
         driver: Driver,
         clients: dict[str, EndpointClient],
         metrics: Metrics,
+        streams: OpenStreams,
     ) -> None:
         self.call = call
         self.checker = StreamChecker(call.request_id)
@@ -67,19 +89,21 @@
         self._driver = driver
         self._clients = clients
         self._metrics = metrics
+        self._streams = streams
         self._last_chunk_at = 0.0
         self._result: AttemptResult | None = None
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yield the answer's events; raise RelayFailed when it cannot be completed."""
-        with self._driver.exchange(self.call.req) as exchange:
+        with self._streams.hold(), self._driver.exchange(self.call.req) as exchange:
             while True:
                 effect = await exchange.next_effect()
                 if isinstance(effect, Refuse):
                     raise RelayFailed(self._final_failure(effect.failure))
                 self._count_retry(effect)
-                async for data in self._attempt(exchange, effect):
-                    yield data
+                async with aclosing(self._attempt(exchange, effect)) as chunks:
+                    async for data in chunks:
+                        yield data
                 if self._result is AttemptResult.COMPLETED:
                     return
 
