--- a/rattangate/cmd/admin_client.py
+++ b/rattangate/cmd/admin_client.py
@@ -23,7 +23,20 @@
         self._addresses = [instance.admin_address for instance in settings.instances]
         self._headers = {"Authorization": f"Bearer {os.environ.get(ADMIN_KEY_VARIABLE, '')}"}
 
-    def call(self, method: str, path: str, headers: dict[str, str] | None = None) -> httpx.Response:
+    def edit(self, method: str, path: str, why: str, body: object = None) -> int:
+        """Make an edit from the version in force and return the accepted version."""
+        etag = self.call("GET", "/v1/config").headers["ETag"]
+        headers = {"If-Match": etag, "Change-Reason": why}
+        version: int = self.call(method, path, headers, body).json()["version"]
+        return version
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: object = None,
+    ) -> httpx.Response:
         """Call the API; exit with a message when no instance answers or the call is refused."""
         for address in self._addresses:
             try:
@@ -31,6 +44,7 @@
                     method,
                     f"http://{address}{path}",
                     headers={**self._headers, **(headers or {})},
+                    json=body,
                     timeout=CALL_TIMEOUT_S,
                     trust_env=False,
                 )
--- a/rattangate/cmd/fleet.py
+++ b/rattangate/cmd/fleet.py
@@ -1,4 +1,4 @@
-"""The commands that show instances and endpoints and drain endpoints."""
+"""The commands that show instances and endpoints, drain endpoints and order versions."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
 from rattangate.config.faults import ConfigError
 
-endpoints_app = typer.Typer(help="List and drain endpoints.", no_args_is_help=True)
+endpoints_app = typer.Typer(help="List, drain and order endpoints.", no_args_is_help=True)
 
 BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
@@ -52,10 +52,7 @@
 
     Exit codes: 0 accepted, 1 refused, 3 the settings have faults, 5 no instance answers.
     """
-    client = _open(config)
-    etag = client.call("GET", "/v1/endpoints").headers["ETag"]
-    edit = {"If-Match": etag, "Change-Reason": why}
-    version = client.call("DELETE", f"/v1/endpoints/{name}", edit).json()["version"]
+    version = _open(config).edit("DELETE", f"/v1/endpoints/{name}", why)
     if as_json:
         print_json({"endpoint": name, "version": version})
     else:
@@ -64,6 +61,28 @@
         )
 
 
+@endpoints_app.command()
+def order(
+    config: BasePath,
+    model: Annotated[str, typer.Argument(help="Name of the model.")],
+    weights_version: Annotated[str, typer.Argument(help="Weights version to load.")],
+    why: Annotated[str, typer.Option(help="Reason, kept with the version.")],
+    as_json: AsJson = False,
+) -> None:
+    """Order all engines of a model to a weights version; the earlier version turns it back.
+
+    Exit codes: 0 accepted, 1 refused, 3 the settings have faults, 5 no instance answers.
+    """
+    body = {"weights_version": weights_version}
+    version = _open(config).edit("PUT", f"/v1/models/{model}", why, body)
+    if as_json:
+        print_json({"model": model, "weights_version": weights_version, "version": version})
+    else:
+        print_line(
+            f"version {version} wants {model} at {weights_version}; `endpoints list` follows it"
+        )
+
+
 def _open(config: Path) -> AdminClient:
     try:
         return AdminClient(config)
--- a/rattangate/http/admin_handlers.py
+++ b/rattangate/http/admin_handlers.py
@@ -71,6 +71,11 @@
     return {"limits": view_settings(call.entry.settings)["limits"]}
 
 
+async def list_models(call: Call) -> object:
+    """List the models with their wanted versions."""
+    return {"models": view_settings(call.entry.settings)["models"]}
+
+
 async def list_endpoints(call: Call) -> object:
     """List endpoints as seen from this instance."""
     return {"endpoints": call.entry.describe_endpoints()}
@@ -160,6 +165,11 @@
     return _put_entry("endpoints", call.params["endpoint"], call, data)
 
 
+def put_model(call: Call, data: dict[str, Any]) -> Edit | Failure:
+    """Add a model or change its wanted version."""
+    return _put_entry("models", call.params["model"], call, data)
+
+
 def remove_endpoint(call: Call, data: dict[str, Any]) -> Edit | Failure:
     """Remove an endpoint."""
     return _remove_entry("endpoints", call.params["endpoint"], data)
@@ -199,6 +209,7 @@
         list_workspaces,
         get_workspace,
         get_limits,
+        list_models,
         list_endpoints,
         list_instances,
         get_config,
@@ -213,6 +224,7 @@
     for handler in (
         put_workspace,
         remove_workspace,
+        put_model,
         put_endpoint,
         remove_endpoint,
         set_limits,
--- a/rattangate/http/admin_operations.py
+++ b/rattangate/http/admin_operations.py
@@ -139,6 +139,16 @@
         True,
         _limits_body(),
     ),
+    Operation("list_models", "GET", "/v1/models", READERS, "List models and wanted versions."),
+    Operation(
+        "put_model",
+        "PUT",
+        "/v1/models/{model}",
+        OPERATORS,
+        "Add a model, or order its engines to another weights version.",
+        True,
+        _entry_body("models", ("name",)),
+    ),
     Operation("list_endpoints", "GET", "/v1/endpoints", READERS, "List endpoints and states."),
     Operation(
         "put_endpoint",
--- a/tests/operators/test_admin.py
+++ b/tests/operators/test_admin.py
@@ -95,7 +95,7 @@
     paths = describe_api()["paths"]
     for op in OPERATIONS:
         path = op.path.format(
-            workspace="absent", endpoint="absent", key_id="absent", digest="absent"
+            workspace="absent", endpoint="absent", model="absent", key_id="absent", digest="absent"
         )
         resp = api.edit(op.method, path, {"share": "x"} if op.body else None)
         assert str(resp.status_code) in paths[op.path][op.method.lower()]["responses"], op.name
@@ -104,7 +104,9 @@
 
 def test_every_operation_holds_to_its_roles(api):
     for op in OPERATIONS:
-        path = op.path.format(workspace="beta", endpoint="absent", key_id="absent", digest="00")
+        path = op.path.format(
+            workspace="beta", endpoint="absent", model="absent", key_id="absent", digest="00"
+        )
         for role in Role:
             resp = api.call(op.method, path, role, {} if op.body else None)
             permitted = role in op.roles and role is not Role.WORKSPACE_OWNER
