--- a/rattangate/http/serving.py
+++ b/rattangate/http/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -24,6 +25,8 @@
 # A request that a caller sent before it saw its idle connection end arrives within this time.
 LAST_REQUEST_S = 0.25
 DRAIN_POLL_S = 0.02
+SLOW_CALLER_TIMEOUT_MS = 20_000
+SEND_BUFFER_BYTES = 256 * 1024
 CLOSE_HEADER = (b"connection", b"close")
 
 
@@ -68,8 +71,9 @@
     on_listening: Callable[[], None] | None = None,
 ) -> None:
     """Serve until the event, then take no connections and finish the last answer."""
+    listener = _listen(address)
     cfg = Config()
-    cfg.bind = [address]
+    cfg.bind = [f"fd://{listener.detach()}"]
     cfg.accesslog = None
     cfg.errorlog = None
     cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
@@ -86,6 +90,21 @@
         nursery.cancel_scope.cancel()
 
 
+def _listen(address: str) -> socket.socket:
+    """Open the listening socket; a caller that takes no data for a while loses its connection."""
+    host, port = address.rsplit(":", 1)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SLOW_CALLER_TIMEOUT_MS)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        listener.bind((host, int(port)))
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 async def _serve(
     app: DrainableApp,
     cfg: Config,
--- /dev/null
+++ b/tests/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the web applications."""
