Let the gateway fetch cache entries, bound runs and budget retries by model

Cause: the users' platform has engines that fetch cache entries from each other, routes that bound the number of replicas a request may run on, and a retry budget for each service. Ruled out: a second placement core for the platform; the messages differ only in these fields. Before and after: tests/core and tests/faults pass; defaults keep the behaviour of before.

--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -59,9 +59,13 @@
             seen = replace(seen, state=EndpointState.LEAVING)
         self.seen = seen
 
+    def cached_tokens(self, pieces: tuple[int, ...]) -> int:
+        """Predict the tokens of a prompt that the engine holds."""
+        return self.cache.cached(pieces) * self.piece_tokens
+
     def missing_tokens(self, pieces: tuple[int, ...], prompt_tokens: int) -> int:
         """Predict the tokens of a prompt that the engine must prefill."""
-        return max(1, prompt_tokens - self.cache.cached(pieces) * self.piece_tokens)
+        return max(1, prompt_tokens - self.cached_tokens(pieces))
 
     def wait_s(self, priority: int, now: float, s_per_token: float | None = None) -> float:
         """Estimate the seconds of prefill ahead of a new request of this priority."""
@@ -76,7 +80,7 @@
         head = next(iter(self.work.values()))
         head_s = head.missing_tokens * s_per_token
         done_s = min(head_s, max(0.0, now - self._head_since))
-        return max(0.0, tokens * s_per_token - done_s) + unknown
+        return max(0.0, tokens * s_per_token - done_s) / self.seen.lanes + unknown
 
     def s_per_token(self, now: float) -> float:
         """Return the learned speed, or a slower one where the oldest request is overdue."""
@@ -90,11 +94,20 @@
         return learned
 
     def place(
-        self, key: WorkKey, pieces: tuple[int, ...], prompt_tokens: int, priority: int, at: float
+        self,
+        key: WorkKey,
+        pieces: tuple[int, ...],
+        prompt_tokens: int,
+        priority: int,
+        at: float,
+        fetched_tokens: int = 0,
     ) -> None:
-        """Enter a placement into the work ahead and the cache picture."""
+        """Enter a placement into the work ahead and the cache picture.
+
+        `fetched_tokens` are those that the engine fetches from another one instead of prefilling.
+        """
         forecasts = self.cache.forecasts(pieces)
-        missing = self.missing_tokens(pieces, prompt_tokens)
+        missing = max(1, self.missing_tokens(pieces, prompt_tokens) - fetched_tokens)
         if not self.work:
             self._head_since = at
         self.work[key] = Work(pieces, prompt_tokens, priority, at, missing, forecasts)
@@ -102,13 +115,21 @@
         self._tokens[priority] = self._tokens.get(priority, 0) + missing
         self.cache.use(pieces, at + self.wait_s(priority, at))
 
-    def first_token(self, key: WorkKey, cached_tokens: int, at: float) -> None:
-        """Release the work of a request and learn from the engine's count and time."""
+    def predicted_cached(self, key: WorkKey) -> int:
+        """Return the tokens that a placed request was predicted not to prefill."""
+        work = self.work.get(key)
+        return 0 if work is None else work.prompt_tokens - work.missing_tokens
+
+    def first_token(self, key: WorkKey, cached_tokens: int | None, at: float) -> None:
+        """Release the work of a request and learn from the engine's count, if any, and time."""
         work = self.work.get(key)
         if work is None:
             return
-        self.cache.observe(work.pieces, work.forecasts, cached_tokens // self.piece_tokens)
-        self.speed.observe(work.placed_at, at, work.prompt_tokens - cached_tokens)
+        missing = work.missing_tokens
+        if cached_tokens is not None:
+            self.cache.observe(work.pieces, work.forecasts, cached_tokens // self.piece_tokens)
+            missing = work.prompt_tokens - cached_tokens
+        self.speed.observe(work.placed_at, at, missing)
         self.drop(key, at)
 
     def drop(self, key: WorkKey, at: float) -> None:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
@@ -29,7 +30,7 @@
     SendNews,
     Tick,
 )
-from rattangate.core.placement import find_candidates
+from rattangate.core.placement import PlacementCfg, find_candidates
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +52,8 @@
     recompute_weight: float
     learn_caches: bool = True
     intake: IntakeCfg = IntakeCfg()
+    fetch_s_per_token: float = math.inf
+    old_version_cost_s: float = 0.0
 
 
 class Gateway:
@@ -106,8 +109,11 @@
         if run is None or run.placed_on is None or run.first_token_at is not None:
             return []
         run.pinned_version = run.placed_on.seen.weights_version
+        cached = msg.cached_tokens
+        if cached is None:
+            cached = run.placed_on.predicted_cached((OWN, run.number))
         run.placed_on.first_token((OWN, run.number), msg.cached_tokens, now)
-        self._depart(run, msg.cached_tokens, now)
+        self._depart(run, cached, now)
         return self.intake.note_first_token(run, now)
 
     @_handle.register
@@ -191,7 +197,8 @@
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
         weight = self.cfg.recompute_weight + self.intake.extra_recompute_weight(run)
-        candidates = find_candidates(self.endpoints.values(), run.req, weight, now)
+        cfg = PlacementCfg(weight, self.cfg.fetch_s_per_token, self.cfg.old_version_cost_s)
+        candidates = find_candidates(self.endpoints.values(), run.req, cfg, now)
         return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
     def dispatch(self, run: Run, chosen: Candidate, now: float) -> Dispatch:
@@ -202,7 +209,14 @@
         run.attempt += 1
         run.number = self._number
         run.placed_on = endpoint
-        endpoint.place((OWN, run.number), chosen.pieces, req.prompt_tokens, req.priority, now)
+        endpoint.place(
+            (OWN, run.number),
+            chosen.pieces,
+            req.prompt_tokens,
+            req.priority,
+            now,
+            chosen.fetched_tokens,
+        )
         placement = Placement(
             endpoint.name,
             endpoint.seen.incarnation,
@@ -223,6 +237,7 @@
             endpoint.seen.weights_version,
             run.retry_reason,
             req.priority,
+            chosen.source.name if chosen.source is not None else "",
         )
 
     def release(self, run: Run, now: float) -> None:
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -52,7 +52,8 @@
 
     `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work, and
     `borrow_wait_s` that up to which it gets work of a workspace that is above its share;
-    `first_token_s` bounds the deadline of the first token; `can_withdraw` says that running attempts
+    `first_token_s` bounds the deadline of the first token; the retry budget of a model starts with
+    `retry_slack` and holds `retry_capacity` at the most; `can_withdraw` says that running attempts
     can be stopped.
     """
 
@@ -63,6 +64,8 @@
     bind_wait_s: float = math.inf
     borrow_wait_s: float = 0.0
     retry_ratio: float = 0.1
+    retry_slack: float = 20.0
+    retry_capacity: float = 200.0
     first_token_s: float = math.inf
     can_withdraw: bool = False
 
@@ -88,7 +91,7 @@
         self.limits = WorkspaceLimits(cfg.instances, cfg.workspaces)
         self.meter = UsageMeter(self.limits.shares())
         self.queue = FairQueue(self.meter, cfg.queue_bound)
-        self.budget = RetryBudget(cfg.retry_ratio)
+        self.budgets: dict[str, RetryBudget] = {}
         self.suspects = Suspects(cfg.instance, SETTLE_S if cfg.instances > 1 else 0.0)
         self.flights = Flights()
         self._admission = Admission(self.queue, random.Random(seed))
@@ -108,7 +111,7 @@
 
     def arrive(self, req: RequestArrived, now: float) -> list[Effect]:
         """Take a request in, or refuse it at once."""
-        self.budget.count_arrival(now)
+        self._budget_of(req).count_arrival(now)
         run = Run(req, now, min(req.deadline, now + self._cfg.first_token_s))
         verdict = self.suspects.quarantine.judge(run.digest, now)
         if verdict is Verdict.GUILTY:
@@ -248,7 +251,7 @@
                 effects.extend(self._drop(run, reason, now, decision.retry_after_s))
             elif not isinstance(decision, Start):
                 effects.extend(self._drop(run, run.stranded_reason(), now))
-            elif run.retry_reason is None or self.budget.take():
+            elif run.retry_reason is None or self._budget_of(run.req).take():
                 self.queue.remove(decision.req_id)
                 effects.append(self._start(run, decision.chosen, now))
             else:
@@ -258,7 +261,7 @@
 
     def _await_token(self, run: Run, owing: int, now: float) -> list[Effect]:
         """Refuse a retry for which the budget has no token before the deadline."""
-        wait_s = self.budget.wait_s(owing, now)
+        wait_s = self._budget_of(run.req).wait_s(owing, now)
         if now + wait_s <= run.deadline:
             return []
         wait_s = self._admission.retry_after_s(wait_s)
@@ -280,14 +283,18 @@
         life = life_of(run.placed_on)
         self._pool.release(run, now)
         run.may_have_run = True
+        run.runs += 1
         run.renew_deadline(now)
         self.flights.note_lost(run.digest)
-        if not run.digest:
+        if not run.digest and run.has_runs_left:
             return self._retry(run, retry_reason(AttemptResult.LOST, run.req.repeatable), now)
         ran_s = now - run.placed_at
-        self.suspects.quarantine.note_failure(run.digest, life, ran_s, now)
+        if run.digest:
+            self.suspects.quarantine.note_failure(run.digest, life, ran_s, now)
         if not run.req.repeatable:
             return self._drop(run, RefusalReason.NOT_REPEATABLE, now)
+        if not run.has_runs_left:
+            return self._drop(run, RefusalReason.ATTEMPTS_USED, now)
         run.retry_reason = RetryReason.SUSPECT_PROBED
         self.suspects.hold(run, now)
         return [*self._withdraw(run.digest, now), *self._step_suspects(now)]
@@ -343,7 +350,7 @@
         chosen = [c for c in self._pool.candidates(run, now) if c.endpoint.name == endpoint]
         if not chosen:
             return []
-        if run.retry_reason is not None and not self.budget.take():
+        if run.retry_reason is not None and not self._budget_of(run.req).take():
             return self._await_token(run, 0, now)
         dispatch = self._start(run, chosen[0], now)
         self.suspects.begin(run, now)
@@ -373,6 +380,14 @@
         self.suspects.discard(run, now)
         self.limits.release(run.req.scope.workspace, now)
 
+    def _budget_of(self, req: RequestArrived) -> RetryBudget:
+        """Return the budget of a model or service, so that none spends another's."""
+        name = req.scope.model
+        if name not in self.budgets:
+            cfg = self._cfg
+            self.budgets[name] = RetryBudget(cfg.retry_ratio, cfg.retry_capacity, cfg.retry_slack)
+        return self.budgets[name]
+
     def _engine_priority(self, req: RequestArrived, now: float) -> int:
         """Order requests by the caller's priority, then by use against the share."""
         return BANDS * max(0, req.priority) + self.meter.band(req.scope.workspace, now)
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -50,7 +50,8 @@
     """Ask for the placement of a new request.
 
     `pieces` are the chained hashes of the whole pieces of the prompt under the scope's weights
-    version; `other_versions` offers the same prompt under versions that still run.
+    version; `other_versions` offers the same prompt under versions that still run. `max_runs` bounds
+    the endpoints on which the request may have run, None for no bound of its own.
     """
 
     req_id: int
@@ -63,15 +64,19 @@
     deadline: float
     other_versions: tuple[VersionedPieces, ...] = ()
     repeatable: bool = True
+    max_runs: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class FirstTokenSeen:
-    """Report the first token of an attempt, with the engine's own count of cached tokens."""
+    """Report the first token of an attempt.
+
+    `cached_tokens` is the engine's own count, None where it tells none.
+    """
 
     req_id: int
     attempt: int
-    cached_tokens: int
+    cached_tokens: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +100,9 @@
 class EndpointSeen:
     """Report an endpoint's state, incarnation and weights version.
 
-    `serves` is the model, empty for any; `cache_pieces` is the declared cache size, 0 if unknown.
+    `serves` is the model, empty for any; `cache_pieces` is the declared cache size, 0 if unknown;
+    `lanes` is the number of requests that it works on side by side; `detour_s` is added to the cost
+    of an endpoint that is far away, in seconds.
     """
 
     endpoint: str
@@ -104,6 +111,8 @@
     state: EndpointState
     serves: str = ""
     cache_pieces: int = 0
+    lanes: int = 1
+    detour_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,7 +286,8 @@
 class Dispatch:
     """Send a request to an endpoint, which must still be of this incarnation and version.
 
-    `priority` is for the engine's own queue; a lower number goes first.
+    `priority` is for the engine's own queue; a lower number goes first. `cache_source` names the
+    endpoint from which the engine should fetch cache entries that it lacks, empty for none.
     """
 
     req_id: int
@@ -287,6 +297,7 @@
     weights_version: str
     retry_reason: RetryReason | None = None
     priority: int = 0
+    cache_source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -23,22 +23,64 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """Hold one endpoint with the cost of running a request there, in seconds."""
+    """Hold one endpoint with the cost of running a request there, in seconds.
+
+    `missing_tokens` are those to prefill after `fetched_tokens` came from `source`.
+    """
 
     endpoint: Endpoint
     pieces: tuple[int, ...]
     missing_tokens: int
     first_token_s: float
     cost_s: float
+    source: Endpoint | None = None
+    fetched_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Source:
+    endpoint: Endpoint
+    pieces: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementCfg:
+    """Hold the weights of placement.
+
+    `recompute_weight` multiplies the prefill time; `fetch_s_per_token` is the time to fetch the cache
+    entry of a token from another engine, infinite where engines cannot; `old_version_cost_s` is
+    added for an endpoint whose weights are not the newest.
+    """
+
+    recompute_weight: float
+    fetch_s_per_token: float = math.inf
+    old_version_cost_s: float = 0.0
 
 
 def find_candidates(
-    endpoints: Iterable[Endpoint], req: RequestArrived, recompute_weight: float, now: float
+    endpoints: Iterable[Endpoint], req: RequestArrived, cfg: PlacementCfg, now: float
 ) -> list[Candidate]:
     """Return the endpoints that may run a request, with their costs."""
     versions = {other.weights_version: other.pieces for other in req.other_versions}
     versions[req.scope.weights_version] = req.pieces
+    usable = _usable(endpoints, req, versions)
+    sources = {} if math.isinf(cfg.fetch_s_per_token) else _find_sources(usable)
     found = []
+    for endpoint, pieces in usable:
+        candidate = _weigh(endpoint, pieces, req, cfg, now)
+        source = sources.get(endpoint.seen.weights_version)
+        if source is not None:
+            candidate = _with_fetch(candidate, source, cfg, now)
+        if endpoint.seen.weights_version != req.scope.weights_version:
+            candidate = replace(candidate, cost_s=candidate.cost_s + cfg.old_version_cost_s)
+        found.append(candidate)
+    return found
+
+
+def _usable(
+    endpoints: Iterable[Endpoint], req: RequestArrived, versions: dict[str, tuple[int, ...]]
+) -> list[tuple[Endpoint, tuple[int, ...]]]:
+    usable = []
     for endpoint in endpoints:
         seen = endpoint.seen
         if seen.state is not EndpointState.LIVE:
@@ -46,10 +88,42 @@
         if seen.serves and seen.serves != req.scope.model:
             continue
         pieces = versions.get(seen.weights_version)
-        if pieces is None:
-            continue
-        found.append(_weigh(endpoint, pieces, req, recompute_weight, now))
-    return found
+        if pieces is not None:
+            usable.append((endpoint, pieces))
+    return usable
+
+
+def _find_sources(usable: list[tuple[Endpoint, tuple[int, ...]]]) -> dict[str, _Source]:
+    """Return the endpoint of each weights version that holds most of the prompt."""
+    sources: dict[str, _Source] = {}
+    for endpoint, pieces in usable:
+        held = endpoint.cache.cached(pieces)
+        known = sources.get(endpoint.seen.weights_version)
+        if held and (known is None or held > known.pieces):
+            sources[endpoint.seen.weights_version] = _Source(endpoint, held)
+    return sources
+
+
+def _with_fetch(
+    candidate: Candidate, source: _Source, cfg: PlacementCfg, now: float
+) -> Candidate:
+    """Fetch what the source holds beyond the candidate, where that is faster than prefill."""
+    endpoint = candidate.endpoint
+    tokens = source.pieces * endpoint.piece_tokens - endpoint.cached_tokens(candidate.pieces)
+    tokens = min(tokens, candidate.missing_tokens - 1)
+    s_per_token = endpoint.s_per_token(now)
+    if source.endpoint is endpoint or tokens <= 0 or s_per_token <= cfg.fetch_s_per_token:
+        return candidate
+    fetch_s = tokens * cfg.fetch_s_per_token
+    saved_s = tokens * s_per_token
+    return replace(
+        candidate,
+        missing_tokens=candidate.missing_tokens - tokens,
+        first_token_s=candidate.first_token_s - saved_s + fetch_s,
+        cost_s=candidate.cost_s - (1 + cfg.recompute_weight) * saved_s + fetch_s,
+        source=source.endpoint,
+        fetched_tokens=tokens,
+    )
 
 
 def choose(candidates: list[Candidate]) -> Candidate:
@@ -66,14 +140,14 @@
     endpoint: Endpoint,
     pieces: tuple[int, ...],
     req: RequestArrived,
-    recompute_weight: float,
+    cfg: PlacementCfg,
     now: float,
 ) -> Candidate:
     missing = endpoint.missing_tokens(pieces, req.prompt_tokens)
     s_per_token = endpoint.s_per_token(now)
     prefill_s = missing * s_per_token
     first_token_s = endpoint.wait_s(req.priority, now, s_per_token) + prefill_s
-    cost_s = first_token_s + recompute_weight * prefill_s
+    cost_s = first_token_s + cfg.recompute_weight * prefill_s + endpoint.seen.detour_s
     return Candidate(endpoint, pieces, missing, first_token_s, cost_s)
 
 
--- /dev/null
+++ b/rattangate/core/routes.py
@@ -0,0 +1,147 @@
+"""The configuration that callers meet: routes, workspaces' keys, services and connection limits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HASH_RANGE = 2**64
+
+
+class RouteKind(Enum):
+    """Name what may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """Give the weight with which a route's requests go to a service."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe one route; a lower `priority` is more urgent."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    priority: int
+    is_public: bool
+    has_prompt: bool
+    can_resume: bool
+    shares: tuple[ServiceShare, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.can_resume
+        return self.kind is RouteKind.IDEMPOTENT
+
+    def pick_service(self, attempt_id: str) -> str:
+        """Choose a service by weight; the same attempt always gets the same one."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        digest = blake2b(attempt_id.encode(), digest_size=8).digest()
+        point = int.from_bytes(digest, "big") / HASH_RANGE
+        point *= sum(share.weight for share in self.shares)
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Hold one workspace; `is_isolated` keeps its cache entries from all others."""
+
+    name: str
+    priority: int | None
+    is_isolated: bool
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describe a service; `cache_tokens` and `models` are set for model engines only."""
+
+    name: str
+    max_connections: int
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...]
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether the service runs models."""
+        return bool(self.models)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Bound what a caller may send and how long its connection may idle, in bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServingConfig:
+    """Hold one version of the configuration, indexed for lookup."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    workspaces: tuple[Workspace, ...]
+    limits: ConnectionLimits
+    _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False)
+    _by_key: dict[str, Workspace] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "_by_host", _index_routes(self.routes))
+        by_key = {key: item for item in self.workspaces for key in item.keys}
+        object.__setattr__(self, "_by_key", by_key)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Tell whether callers must name a workspace by a key."""
+        return bool(self.workspaces)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Return the workspace that holds a key."""
+        return self._by_key.get(key)
+
+
+def _index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: -len(route.path_prefix)))
+        for host, found in by_host.items()
+    }
--- a/rattangate/core/runs.py
+++ b/rattangate/core/runs.py
@@ -25,6 +25,7 @@
     allowance_s: float = field(init=False)
     attempt: int = 0
     failures: int = 0
+    runs: int = 0
     number: int = 0
     placed_on: Endpoint | None = None
     placed_at: float = 0.0
@@ -37,6 +38,11 @@
     def __post_init__(self) -> None:
         self.allowance_s = self.deadline - self.arrived_at
 
+    @property
+    def has_runs_left(self) -> bool:
+        """Tell whether the request may run at one more endpoint."""
+        return self.req.max_runs is None or self.runs < self.req.max_runs
+
     @property
     def digest(self) -> bytes:
         """Return the digest by which copies of the request are known."""
--- /dev/null
+++ b/rattangate/platform/operator.py
@@ -0,0 +1,201 @@
+"""Decode what the operator and the replicas write into the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from rattangate.core.fleet import ListedEndpoint, ModelVersion
+from rattangate.core.routes import (
+    ConnectionLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    ServingConfig,
+    Workspace,
+)
+from rattangate.platform.wire import MS_PER_S
+
+OPERATOR_TABLE = "op"
+ENDPOINT_TABLE = "servers"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+MAX_SLOTS = 1_000_000
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1_000
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    sticky: bool = False
+    can_resume: bool = False
+    service: str = ""
+    traffic_split: list[_Share] = []
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Workspace(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Limits(msgspec.Struct):
+    header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Workspace] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Running(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Listed(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    born: int
+    seq: int = 0
+    models: list[_Running] = []
+
+
+class _Named(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_config(value: bytes) -> ServingConfig:
+    """Decode the operator's configuration; raise DecodeError where it is malformed."""
+    raw = msgspec.json.decode(value, type=_Config)
+    limits = ConnectionLimits(
+        raw.limits.header_bytes,
+        raw.limits.max_body_bytes,
+        raw.limits.header_timeout_ms / MS_PER_S,
+        raw.limits.idle_timeout_ms / MS_PER_S,
+    )
+    return ServingConfig(
+        raw.version,
+        tuple(_route(item) for item in raw.routes),
+        {item.name: _service(item) for item in raw.services},
+        tuple(_workspace(item) for item in raw.tenants),
+        limits,
+    )
+
+
+def decode_endpoint(name: str, value: bytes) -> ListedEndpoint | None:
+    """Decode an endpoint's entry; return None for an entry that names no endpoint to use."""
+    try:
+        raw = msgspec.json.decode(value, type=_Listed)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    if raw.state not in ("ready", "draining") or not _is_address(raw.address):
+        return None
+    if not 0 < raw.slots <= MAX_SLOTS:
+        return None
+    return ListedEndpoint(
+        name,
+        raw.born,
+        raw.service,
+        raw.address,
+        raw.zone,
+        raw.slots,
+        raw.state == "draining",
+        raw.seq,
+        tuple(ModelVersion(item.name, item.version) for item in raw.models),
+    )
+
+
+def decode_named_version(value: bytes) -> ModelVersion:
+    """Decode the weights version that the operator named; raise DecodeError where malformed."""
+    raw = msgspec.json.decode(value, type=_Named)
+    return ModelVersion(raw.model, raw.version)
+
+
+def encode_order(model: str, version: int, holder: str, fence: int, order_seq: int) -> bytes:
+    """Encode the order to load a weights version after running requests have finished."""
+    order: dict[str, Any] = {
+        "op": "version",
+        "model": model,
+        "version": version,
+        "mode": "block",
+        "holder": holder,
+        "fence": fence,
+        "expected": order_seq,
+    }
+    return msgspec.json.encode(order)
+
+
+def _route(raw: _Route) -> Route:
+    shares = tuple(ServiceShare(item.service, item.weight) for item in raw.traffic_split)
+    if not shares:
+        shares = (ServiceShare(raw.service, 1.0),)
+    return Route(
+        raw.name,
+        raw.host,
+        raw.path_prefix,
+        RouteKind(raw.kind),
+        raw.timeout_ms / MS_PER_S,
+        raw.target_latency_ms / MS_PER_S,
+        raw.max_attempts,
+        raw.priority,
+        raw.public,
+        raw.sticky,
+        raw.can_resume,
+        shares,
+    )
+
+
+def _service(raw: _Service) -> Service:
+    engine = raw.engine or _Engine()
+    models = tuple(item.name for item in engine.models)
+    return Service(raw.name, raw.max_conns, engine.slots, engine.kv_capacity, models)
+
+
+def _workspace(raw: _Workspace) -> Workspace:
+    return Workspace(raw.name, raw.priority, raw.isolated, tuple(raw.api_keys))
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isdigit()
--- /dev/null
+++ b/rattangate/platform/wire.py
@@ -0,0 +1,55 @@
+"""The platform's names of headers and calls."""
+
+from __future__ import annotations
+
+ATTEMPT_ID = b"x-attempt-id"
+DEADLINE_MS = b"x-deadline-ms"
+MODEL = b"x-model"
+TOKEN_COUNTS = b"x-token-counts"
+PREFIX_PARTS = b"x-prefix-hash"
+LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
+RETRY_AFTER = b"retry-after"
+
+WORKSPACE = b"x-tenant"
+TARGET_ENDPOINT = b"x-target-instance"
+CACHE_SALT = b"x-cache-salt"
+URGENCY = b"x-request-urgency"
+EXPECT_VERSION = b"x-expect-version"
+CACHE_SOURCE = b"x-kv-source"
+CACHE_TARGET = b"x-kv-target"
+
+SIGNATURE = b"x-server-seal"
+NOT_RUN = b"x-not-executed"
+ENDPOINT_LOAD = b"x-server-load"
+ENDPOINT_ID = b"x-instance-id"
+
+# Callers must not set these: they direct replicas on behalf of the router.
+RESERVED = frozenset(
+    {
+        WORKSPACE,
+        TARGET_ENDPOINT,
+        CACHE_SALT,
+        URGENCY,
+        EXPECT_VERSION,
+        CACHE_SOURCE,
+        CACHE_TARGET,
+        b"x-kv-backup",
+        b"kv-from",
+        b"x-pin-ms",
+        b"x-hold",
+        b"x-weight-versions",
+        SIGNATURE,
+        NOT_RUN,
+        ENDPOINT_LOAD,
+        ENDPOINT_ID,
+    }
+)
+
+READY_PATH = "/readyz"
+ORDER_PATH = "/order"
+REPORT_PATH = "/report"
+
+MS_PER_S = 1000.0
+MOST_URGENT = 0
+LEAST_URGENT = 9
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -117,8 +117,9 @@
 
 def test_empty_budget_refuses_the_retry_and_says_that_it_may_have_run():
     gateway = _gateway(names=("a", "b"))
-    gateway.intake.budget.tokens = 0.0
     _send(gateway, 1)
+    for budget in gateway.intake.budgets.values():
+        budget.tokens = 0.0
     refusal = _refusal(gateway.handle(AttemptEnded(1, 1, AttemptResult.LOST), 0.1))
     assert refusal.reason is RefusalReason.RETRY_BUDGET_EMPTY
     assert refusal.failure.answer.run_state is RunState.MAY_HAVE_RUN
