--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -1,8 +1,16 @@
-"""What is known of the endpoints and instances that the platform lists."""
+"""What is known of the endpoints that the platform lists, joined from the list and from answers."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from rattangate.core.messages import EndpointSeen, EndpointState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from rattangate.core.routes import Service
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +45,117 @@
             if item.model == model:
                 return item.version
         return None
+
+
+@dataclass(frozen=True, slots=True)
+class ViewCfg:
+    """Hold the settings of the view; `far_cost_s` is the cost of another data centre."""
+
+    data_centre: str
+    piece_tokens: int
+    far_cost_s: float
+
+
+class FleetView:
+    """Join the list with what answers say, and report each endpoint's state when it changes.
+
+    Versions and order counts of one incarnation only rise, so the highest one seen holds.
+    """
+
+    def __init__(self, cfg: ViewCfg) -> None:
+        self.endpoints: dict[str, ListedEndpoint] = {}
+        self._cfg = cfg
+        self._services: Mapping[str, Service] = {}
+        self._loading: dict[tuple[str, int], float] = {}
+        self._told: dict[str, EndpointSeen] = {}
+
+    def configure(self, services: Mapping[str, Service], now: float) -> list[EndpointSeen]:
+        """Take the services of a new configuration."""
+        self._services = services
+        return self._changes(now)
+
+    def take_list(self, listed: Iterable[ListedEndpoint], now: float) -> list[EndpointSeen]:
+        """Take the platform's present list; an endpoint that is missing is gone."""
+        before = self.endpoints
+        self.endpoints = {item.endpoint: _join(before.get(item.endpoint), item) for item in listed}
+        return self._changes(now)
+
+    def note_version(
+        self, endpoint: str, incarnation: int, found: ModelVersion, order_seq: int, now: float
+    ) -> list[EndpointSeen]:
+        """Take an endpoint's own word on its weights, which the list tells later."""
+        known = self.endpoints.get(endpoint)
+        if known is None or known.incarnation != incarnation:
+            return []
+        told = replace(known, models=(found,), order_seq=order_seq)
+        self.endpoints[endpoint] = _join(known, told)
+        self._loading.pop((endpoint, incarnation), None)
+        return self._changes(now)
+
+    def note_loading(
+        self, endpoint: str, incarnation: int, deadline: float, now: float
+    ) -> list[EndpointSeen]:
+        """Keep new requests from an endpoint that loads weights, until the deadline at most."""
+        self._loading[(endpoint, incarnation)] = deadline
+        return self._changes(now)
+
+    def tick(self, now: float) -> list[EndpointSeen]:
+        """Let the deadlines of loads pass."""
+        expired = [life for life, deadline in self._loading.items() if deadline <= now]
+        for life in expired:
+            del self._loading[life]
+        return self._changes(now) if expired else []
+
+    def of_service(self, service: str) -> list[ListedEndpoint]:
+        """Return the listed endpoints of a service."""
+        return [item for item in self.endpoints.values() if item.service == service]
+
+    def _changes(self, now: float) -> list[EndpointSeen]:
+        seen = {item.endpoint: self._describe(item, now) for item in self.endpoints.values()}
+        changed = [item for name, item in seen.items() if self._told.get(name) != item]
+        for name, item in self._told.items():
+            if name not in seen and item.state is not EndpointState.DOWN:
+                gone = replace(item, state=EndpointState.DOWN)
+                seen[name] = gone
+                changed.append(gone)
+        self._told = seen
+        return changed
+
+    def _describe(self, item: ListedEndpoint, now: float) -> EndpointSeen:
+        service = self._services.get(item.service)
+        is_engine = service is not None and service.is_engine
+        cache_tokens = service.cache_tokens if service is not None else 0
+        return EndpointSeen(
+            item.endpoint,
+            item.incarnation,
+            str(item.models[0].version) if item.models else "",
+            self._state(item, now),
+            serves=item.service,
+            cache_pieces=cache_tokens // self._cfg.piece_tokens,
+            lanes=1 if is_engine else item.slots,
+            detour_s=0.0 if item.data_centre == self._cfg.data_centre else self._cfg.far_cost_s,
+        )
+
+    def _state(self, item: ListedEndpoint, now: float) -> EndpointState:
+        if item.is_leaving:
+            return EndpointState.LEAVING
+        if now < self._loading.get((item.endpoint, item.incarnation), 0.0):
+            return EndpointState.DOWN
+        return EndpointState.LIVE
+
+
+def _join(known: ListedEndpoint | None, told: ListedEndpoint) -> ListedEndpoint:
+    if known is None or known.incarnation != told.incarnation:
+        return told
+    models = tuple(_newest(item, known) for item in told.models)
+    return replace(
+        told,
+        is_leaving=known.is_leaving or told.is_leaving,
+        order_seq=max(known.order_seq, told.order_seq),
+        models=models,
+    )
+
+
+def _newest(item: ModelVersion, known: ListedEndpoint) -> ModelVersion:
+    version = known.version_of(item.model)
+    return item if version is None else replace(item, version=max(item.version, version))
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -104,9 +104,7 @@
     return sources
 
 
-def _with_fetch(
-    candidate: Candidate, source: _Source, cfg: PlacementCfg, now: float
-) -> Candidate:
+def _with_fetch(candidate: Candidate, source: _Source, cfg: PlacementCfg, now: float) -> Candidate:
     """Fetch what the source holds beyond the candidate, where that is faster than prefill."""
     endpoint = candidate.endpoint
     tokens = source.pieces * endpoint.piece_tokens - endpoint.cached_tokens(candidate.pieces)
--- /dev/null
+++ b/rattangate/front/app.py
@@ -0,0 +1,178 @@
+"""The application object of an entry instance on the users' platform: wires and owns all parts."""
+
+from __future__ import annotations
+
+import signal
+import time
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import trio
+
+import rattangate
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.intake import IntakeCfg
+from rattangate.core.messages import Tick
+from rattangate.core.routes import ConnectionLimits
+from rattangate.driver import Driver
+from rattangate.front.caller_conn import CallerConn
+from rattangate.front.endpoint_conn import tune_socket
+from rattangate.front.forward import Forwarder
+from rattangate.front.rollout import OrderHolder
+from rattangate.front.state import PIECE_TOKENS, FrontState
+from rattangate.front.watch import EndpointWatch, OperatorWatch
+from rattangate.log_events import LogEvent, log
+from rattangate.metrics import Metrics
+from rattangate.platform import wire
+from rattangate.platform.store import Store
+
+if TYPE_CHECKING:
+    from rattangate.core.messages import SendNews
+    from rattangate.front.caller_conn import CallerRequest, Handler, Responder
+    from rattangate.log_events import LineWriter
+    from rattangate.platform.boot import BootSettings
+
+TICK_S = 0.02
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+METRICS_WINDOW_S = 60.0
+RECOMPUTE_WEIGHT = 1.0
+FETCH_S_PER_TOKEN = 3e-6
+OLD_VERSION_COST_S = 0.3
+NS_PER_MS = 1_000_000
+# The balancer asks once a second and takes an instance out after two misses.
+BALANCER_NOTICE_S = 2.5
+DRAIN_POLL_S = 0.05
+EXIT_MARGIN_S = 0.3
+BACKLOG = 512
+
+
+class FrontApp:
+    """Run one entry instance."""
+
+    def __init__(self, boot: BootSettings, log_writer: LineWriter) -> None:
+        self.boot = boot
+        self.incarnation = time.time_ns() // NS_PER_MS
+        self.metrics = Metrics()
+        self.is_leaving = False
+        self.is_closing = False
+        self._log_writer = log_writer
+        self._idle_conns: set[CallerConn] = set()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what runs."""
+        async with AsyncExitStack() as stack:
+            store = await stack.enter_async_context(Store(self.boot.store_address))
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            driver = Driver(self._make_gateway(), self.metrics, self._send_news)
+            self.state = FrontState(self.boot, driver, nursery)
+            self.forwarder = Forwarder(self.state, self.metrics)
+            nursery.start_soon(self._serve, self.boot.ready_address, self._answer_ready)
+            nursery.start_soon(self._serve, f"{self.boot.ip}:{METRICS_PORT}", self._answer_metrics)
+            nursery.start_soon(self._serve, self.boot.caller_address, self.forwarder.handle)
+            nursery.start_soon(OperatorWatch(store, self.state).run)
+            nursery.start_soon(EndpointWatch(store, self.state).run)
+            nursery.start_soon(OrderHolder(store, self.state, self.incarnation).run)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._rotate_metrics)
+            log(
+                LogEvent.INSTANCE_STARTED,
+                instance=self.boot.instance,
+                version=rattangate.__version__,
+                address=self.boot.caller_address,
+            )
+            await self._wait_signal()
+            await self._drain()
+            log(
+                LogEvent.INSTANCE_STOPPED,
+                instance=self.boot.instance,
+                streams_cut=self.forwarder.in_flight,
+            )
+            nursery.cancel_scope.cancel()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send new connections here."""
+        return self.state.is_complete and not self.is_leaving
+
+    def _make_gateway(self) -> Gateway:
+        bounds = self.boot.bounds
+        intake = IntakeCfg(
+            instance=self.boot.instance,
+            retry_ratio=bounds.retry_ratio / 2,
+            retry_slack=bounds.retry_slack / 8,
+            retry_capacity=bounds.retry_slack / 8,
+        )
+        cfg = GatewayCfg(
+            PIECE_TOKENS,
+            RECOMPUTE_WEIGHT,
+            learn_caches=False,
+            intake=intake,
+            fetch_s_per_token=FETCH_S_PER_TOKEN,
+            old_version_cost_s=OLD_VERSION_COST_S,
+        )
+        return Gateway(cfg, seed=self.incarnation)
+
+    async def _wait_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for received in signals:
+                if received != signal.SIGHUP:
+                    return
+
+    async def _drain(self) -> None:
+        deadline = trio.current_time() + self.boot.bounds.grace_s - EXIT_MARGIN_S
+        self.is_leaving = True
+        in_flight = self.forwarder.in_flight
+        log(LogEvent.INSTANCE_DRAINING, instance=self.boot.instance, streams=in_flight)
+        await trio.sleep(BALANCER_NOTICE_S)
+        self.is_closing = True
+        for conn in list(self._idle_conns):
+            conn.close_if_idle()
+        with trio.move_on_at(deadline):
+            while self.forwarder.in_flight or self._idle_conns:
+                await trio.sleep(DRAIN_POLL_S)
+
+    async def _serve(self, address: str, handle: Handler) -> None:
+        host, port = address.rsplit(":", 1)
+        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+
+        async def serve_conn(stream: trio.SocketStream) -> None:
+            tune_socket(stream.socket)
+            conn = CallerConn(stream, handle, self._limits, lambda: self.is_closing)
+            self._idle_conns.add(conn)
+            try:
+                await conn.run()
+            finally:
+                self._idle_conns.discard(conn)
+
+        await trio.serve_listeners(serve_conn, listeners)
+
+    def _limits(self) -> ConnectionLimits:
+        config = self.state.config
+        return ConnectionLimits() if config is None else config.limits
+
+    async def _answer_ready(self, req: CallerRequest, responder: Responder) -> None:
+        is_ready = self.is_ready and req.target == wire.READY_PATH.encode()
+        await responder.answer(200 if is_ready else 503, [], b"")
+
+    async def _answer_metrics(self, req: CallerRequest, responder: Responder) -> None:
+        if req.target != METRICS_PATH.encode():
+            await responder.answer(404, [], b"")
+            return
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await responder.answer(200, headers, self.metrics.render())
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self.state.tick()
+            self.state.driver.feed(Tick())
+            self._log_writer.flush()
+
+    async def _rotate_metrics(self) -> None:
+        while True:
+            await trio.sleep(METRICS_WINDOW_S)
+            self.metrics.rotate()
+
+    def _send_news(self, sent: SendNews) -> None:
+        """Keep placements to this instance."""
--- /dev/null
+++ b/rattangate/front/caller_conn.py
@@ -0,0 +1,244 @@
+"""One caller's connection: reads requests, writes answers, notices when the caller leaves."""
+
+from __future__ import annotations
+
+import email.utils
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+if TYPE_CHECKING:
+    from rattangate.core.routes import ConnectionLimits
+    from rattangate.platform.requests import Header
+
+READ_BYTES = 65_536
+BODY_TIMEOUT_S = 10.0
+SEND_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold one whole request; header names keep the caller's spelling in `raw_headers`."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    raw_headers: tuple[Header, ...]
+    body: bytes
+    has_body: bool
+    arrived_at: float
+
+
+class CallerGone(Exception):
+    """Report that the caller closed its connection."""
+
+
+class RequestRefused(Exception):
+    """Report a request that is refused while it is read."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+Handler = Callable[[CallerRequest, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Write one answer; `is_started` tells whether its head went out."""
+
+    def __init__(self, conn: CallerConn) -> None:
+        self.is_started = False
+        self.is_complete = False
+        self._conn = conn
+
+    async def start(self, status: int, headers: list[Header]) -> None:
+        """Send the head of the answer."""
+        self.is_started = True
+        closing = [(b"Connection", b"close")] if self._conn.is_closing() else []
+        await self._conn.send(
+            h11.Response(status_code=status, headers=[*headers, *closing], reason=b"")
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._conn.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Mark the answer as complete."""
+        await self._conn.send(h11.EndOfMessage())
+        self.is_complete = True
+
+    async def answer(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        if body:
+            await self.send(body)
+        await self.finish()
+
+
+class CallerConn:
+    """Serve the requests of one connection, one after the other."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handle: Handler,
+        limits: Callable[[], ConnectionLimits],
+        is_closing: Callable[[], bool],
+    ) -> None:
+        self.is_closing = is_closing
+        self._idle_scope: trio.CancelScope | None = None
+        self._stream = stream
+        self._handle = handle
+        self._limits = limits
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().header_bytes + READ_BYTES
+        )
+
+    async def run(self) -> None:
+        """Serve until either side closes the connection."""
+        try:
+            while await self._serve_one():
+                self._parser.start_next_cycle()
+        except (CallerGone, OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has begun on it."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    async def send(self, event: h11.Event) -> None:
+        """Send one event of an answer."""
+        data = self._parser.send(event)
+        if data:
+            try:
+                with trio.fail_after(SEND_TIMEOUT_S):
+                    await self._stream.send_all(data)
+            except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+                raise CallerGone from exc
+
+    async def _serve_one(self) -> bool:
+        try:
+            req = await self._read_request()
+        except RequestRefused as exc:
+            await self._refuse(exc)
+            return False
+        if req is None:
+            return False
+        responder = Responder(self)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._handle(req, responder)
+            nursery.cancel_scope.cancel()
+        if not responder.is_complete or self.is_closing():
+            return False
+        return self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+
+    async def _read_request(self) -> CallerRequest | None:
+        event = await self._read_head()
+        if event is None:
+            return None
+        arrived_at = trio.current_time()
+        has_body = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in event.headers
+        )
+        if self._parser.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = await self._read_body()
+        return CallerRequest(
+            event.method,
+            event.target,
+            tuple(event.headers),
+            tuple(event.headers.raw_items()),
+            body,
+            has_body,
+            arrived_at,
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        """Read a request head; return None where the connection ends or idles before it."""
+        limits = self._limits()
+        if not self._parser.trailing_data[0]:
+            with trio.move_on_after(limits.idle_timeout_s) as scope:
+                self._idle_scope = scope
+                data = await self._stream.receive_some(READ_BYTES)
+            self._idle_scope = None
+            if scope.cancelled_caught or not data:
+                return None
+            self._parser.receive_data(data)
+        with trio.move_on_after(limits.header_timeout_s):
+            event = await self._next_event(limits.header_bytes)
+            return event if isinstance(event, h11.Request) else None
+        raise RequestRefused(408, "the head of the request came too slowly")
+
+    async def _read_body(self) -> bytes:
+        limits = self._limits()
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_after(BODY_TIMEOUT_S):
+            while True:
+                event = await self._next_event(limits.header_bytes)
+                if isinstance(event, h11.EndOfMessage):
+                    return b"".join(parts)
+                if not isinstance(event, h11.Data):
+                    raise CallerGone
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise RequestRefused(413, "the body exceeds the limit of its size")
+        raise RequestRefused(408, "the body of the request came too slowly")
+
+    async def _next_event(self, max_head_bytes: int) -> h11.Event:
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise RequestRefused(exc.error_status_hint, str(exc)) from exc
+            if event is h11.NEED_DATA:
+                if self._head_size() > max_head_bytes:
+                    raise RequestRefused(431, "the head of the request exceeds the limit")
+                self._parser.receive_data(await self._stream.receive_some(READ_BYTES))
+            elif isinstance(event, h11.Event):
+                return event
+            else:
+                raise CallerGone
+
+    def _head_size(self) -> int:
+        is_in_head = self._parser.their_state is h11.IDLE
+        return len(self._parser.trailing_data[0]) if is_in_head else 0
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel the handler when the caller closes; keep what it sends ahead."""
+        while True:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (OSError, trio.BrokenResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._parser.receive_data(data)
+            if len(self._parser.trailing_data[0]) > READ_BYTES:
+                return
+
+    async def _refuse(self, exc: RequestRefused) -> None:
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = str(exc).encode() + b"\n"
+        headers = [
+            (b"Content-Type", b"text/plain"),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Connection", b"close"),
+            (b"Date", email.utils.formatdate(usegmt=True).encode()),
+        ]
+        await self.send(h11.Response(status_code=exc.status, headers=headers))
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
--- /dev/null
+++ b/rattangate/front/prompts.py
@@ -0,0 +1,23 @@
+"""Turn a request's prompt parts into the chained pieces that placement works on."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.platform.requests import PromptPart
+
+HASH_BYTES = 8
+
+
+def chain_pieces(salt: str, parts: tuple[PromptPart, ...], piece_tokens: int) -> tuple[int, ...]:
+    """Return the chained 64-bit hashes of the parts, one for each `piece_tokens` of a part."""
+    parent = blake2b(salt.encode(), digest_size=HASH_BYTES).digest()
+    hashes = []
+    for part in parts:
+        for index in range(max(1, round(part.tokens / piece_tokens))):
+            text = f"{part.part_id}:{index}".encode()
+            parent = blake2b(text, key=parent, digest_size=HASH_BYTES).digest()
+            hashes.append(int.from_bytes(parent, "big"))
+    return tuple(hashes)
--- /dev/null
+++ b/rattangate/front/state.py
@@ -0,0 +1,132 @@
+"""What one instance believes: configuration, keys, endpoints, weights versions."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.core.fleet import FleetView, ViewCfg
+from rattangate.core.freshness import KeyLease
+from rattangate.core.messages import EndpointState
+from rattangate.front.endpoint_conn import EndpointPool
+from rattangate.log_events import LogEvent, log
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rattangate.core.fleet import ListedEndpoint, ModelVersion
+    from rattangate.core.messages import EndpointSeen
+    from rattangate.core.routes import ServingConfig
+    from rattangate.driver import Driver
+    from rattangate.platform.boot import BootSettings
+
+PIECE_TOKENS = 128
+FAR_COST_S = 0.01
+
+
+def boot_time() -> float:
+    """Return seconds on the clock that goes on while the instance is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class FrontState:
+    """Hold the beliefs that requests are decided on, and tell the gateway of changes."""
+
+    def __init__(self, boot: BootSettings, driver: Driver, nursery: trio.Nursery) -> None:
+        self.boot = boot
+        self.config: ServingConfig | None = None
+        self.keys = KeyLease(boot.bounds.revoke_s)
+        self.named_versions: dict[str, int] = {}
+        self.view = FleetView(ViewCfg(boot.data_centre, PIECE_TOKENS, FAR_COST_S))
+        self.list_read_at: float | None = None
+        self.driver = driver
+        self._nursery = nursery
+        self._pools: dict[tuple[str, int], EndpointPool] = {}
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether requests can be decided at all."""
+        return self.config is not None and self.list_read_at is not None
+
+    def take_config(self, config: ServingConfig) -> None:
+        """Take a configuration into force unless a newer one is."""
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        log(LogEvent.CONFIG_IN_FORCE, version=config.version, source="store")
+        self._tell(self.view.configure(config.services, trio.current_time()))
+
+    def take_named_version(self, named: ModelVersion) -> None:
+        """Take the weights version that the operator wants of a model."""
+        if named.version > self.named_versions.get(named.model, 0):
+            self.named_versions[named.model] = named.version
+            log(LogEvent.WEIGHTS_NAMED, model=named.model, version=named.version)
+
+    def take_list(self, listed: Iterable[ListedEndpoint], asked_at: float) -> None:
+        """Take the list of endpoints."""
+        self.list_read_at = asked_at
+        self._tell(self.view.take_list(listed, trio.current_time()))
+        self._drop_pools()
+
+    def note_version(
+        self, endpoint: str, incarnation: int, found: ModelVersion, order_seq: int
+    ) -> None:
+        """Take an endpoint's own word on its weights."""
+        now = trio.current_time()
+        self._tell(self.view.note_version(endpoint, incarnation, found, order_seq, now))
+
+    def note_loading(self, endpoint: str, incarnation: int, deadline: float) -> None:
+        """Keep new requests from an endpoint that loads weights."""
+        now = trio.current_time()
+        self._tell(self.view.note_loading(endpoint, incarnation, deadline, now))
+
+    def tick(self) -> None:
+        """Let deadlines pass."""
+        self._tell(self.view.tick(trio.current_time()))
+
+    def pool_of(self, endpoint: str, incarnation: int) -> EndpointPool | None:
+        """Return the connections to an incarnation of an endpoint, None where it is gone."""
+        listed = self.view.endpoints.get(endpoint)
+        if listed is None or listed.incarnation != incarnation:
+            return None
+        pool = self._pools.get((endpoint, incarnation))
+        if pool is None or pool.address != listed.address:
+            pool = EndpointPool(listed.address, self._nursery)
+            self._pools[(endpoint, incarnation)] = pool
+        return pool
+
+    def address_of(self, endpoint: str) -> str:
+        """Return an endpoint's address, empty where it is gone."""
+        listed = self.view.endpoints.get(endpoint)
+        return "" if listed is None else listed.address
+
+    def _drop_pools(self) -> None:
+        lives = {(item.endpoint, item.incarnation) for item in self.view.endpoints.values()}
+        for life in [life for life in self._pools if life not in lives]:
+            self._nursery.start_soon(self._pools.pop(life).aclose)
+
+    def _tell(self, changes: Iterable[EndpointSeen]) -> None:
+        for seen in changes:
+            _log_endpoint(seen)
+            self.driver.feed(seen)
+
+
+def _log_endpoint(seen: EndpointSeen) -> None:
+    if seen.state is EndpointState.LIVE:
+        log(
+            LogEvent.ENDPOINT_LIVE,
+            endpoint=seen.endpoint,
+            incarnation=seen.incarnation,
+            weights=seen.weights_version,
+        )
+    elif seen.state is EndpointState.LEAVING:
+        log(
+            LogEvent.ENDPOINT_LEAVING,
+            endpoint=seen.endpoint,
+            incarnation=seen.incarnation,
+            source="list",
+        )
+    else:
+        log(LogEvent.ENDPOINT_DOWN, endpoint=seen.endpoint, error="not listed or loading")
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -56,6 +56,26 @@
     )
     AUTHENTICATION_FAILED = (207, "A caller presented an unknown credential.", ("address", "path"))
     QUARANTINE_RELEASED = (209, "An operator released a quarantined request.", ("digest", "who"))
+    REQUEST_PLACED = (
+        210,
+        "An endpoint was chosen for a request.",
+        (
+            "request_id",
+            "attempt",
+            "endpoint",
+            "incarnation",
+            "weights",
+            "source",
+            "reason",
+            "config_version",
+            "list_age_ms",
+        ),
+    )
+    ATTEMPT_FAILED = (
+        211,
+        "An attempt at an endpoint failed.",
+        ("request_id", "attempt", "endpoint", "result", "detail"),
+    )
     ENDPOINT_LIVE = (300, "An endpoint became live.", ("endpoint", "incarnation", "weights"))
     ENDPOINT_LEAVING = (301, "An endpoint is leaving.", ("endpoint", "incarnation", "source"))
     ENDPOINT_DOWN = (302, "An endpoint does not answer.", ("endpoint", "error"))
@@ -75,6 +95,13 @@
     CONFIG_INVALID = (501, "A configuration was refused.", ("version", "faults"))
     PLATFORM_DOWN = (510, "A service of the platform does not answer.", ("service", "error"))
     PLATFORM_UP = (511, "A service of the platform answers again.", ("service",))
+    WEIGHTS_NAMED = (502, "The operator named a weights version.", ("model", "version"))
+    ENTRY_MALFORMED = (
+        503,
+        "An entry in the store cannot be used.",
+        ("table", "row", "error"),
+    )
+    HISTORY_LOST = (504, "The store dropped changes that were not read.", ("table", "version"))
     LEASE_TAKEN = (600, "This instance took a lease.", ("lease", "fencing"))
     LEASE_LOST = (601, "This instance lost a lease.", ("lease", "fencing"))
     ADMIN_CHANGED = (620, "The administration API changed something.", ("who", "action", "object"))
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -91,6 +91,16 @@
                 return StoreRows(tuple(rows), answer.body["ver"])
             start = rows[-1].key + "\x00"
 
+    async def read_row(self, table: str, key: str) -> StoreRow | Unavailable:
+        """Read one row."""
+        params = {"table": table, "part": "", "from": key, "to": key + "\x00", "limit": "1"}
+        answer = await self._call("GET", "/rows-get", params=params)
+        if isinstance(answer, Unavailable):
+            return answer
+        for raw in answer.body["rows"]:
+            return _row(raw)
+        return StoreRow(key, 0, None)
+
     async def watch_table(
         self, table: str, after: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
