--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -25,8 +25,7 @@
 class ListedEndpoint:
     """Hold one endpoint's entry in the platform's list.
 
-    `incarnation` is the Unix time of its start in milliseconds; `order_seq` counts the orders that
-    it accepted since.
+    `incarnation` is the Unix time of its start in milliseconds.
     """
 
     endpoint: str
@@ -36,7 +35,6 @@
     data_centre: str
     slots: int
     is_leaving: bool
-    order_seq: int
     models: tuple[ModelVersion, ...]
 
     def version_of(self, model: str) -> int | None:
@@ -59,7 +57,7 @@
 class FleetView:
     """Join the list with what answers say, and report each endpoint's state when it changes.
 
-    Versions and order counts of one incarnation only rise, so the highest one seen holds.
+    Versions of one incarnation only rise, so the highest one seen holds.
     """
 
     def __init__(self, cfg: ViewCfg) -> None:
@@ -81,13 +79,13 @@
         return self._changes(now)
 
     def note_version(
-        self, endpoint: str, incarnation: int, found: ModelVersion, order_seq: int, now: float
+        self, endpoint: str, incarnation: int, found: ModelVersion, now: float
     ) -> list[EndpointSeen]:
         """Take an endpoint's own word on its weights, which the list tells later."""
         known = self.endpoints.get(endpoint)
         if known is None or known.incarnation != incarnation:
             return []
-        told = replace(known, models=(found,), order_seq=order_seq)
+        told = replace(known, models=(found,))
         self.endpoints[endpoint] = _join(known, told)
         self._loading.pop((endpoint, incarnation), None)
         return self._changes(now)
@@ -151,7 +149,6 @@
     return replace(
         told,
         is_leaving=known.is_leaving or told.is_leaving,
-        order_seq=max(known.order_seq, told.order_seq),
         models=models,
     )
 
--- a/rattangate/core/orders.py
+++ b/rattangate/core/orders.py
@@ -16,9 +16,13 @@
 
 
 class OrderResult(Enum):
-    """Name the outcomes of an order; LOST may have taken effect or still may."""
+    """Name the outcomes of an order; LOST may have taken effect or still may.
+
+    BUSY says that another order is in progress or was accepted meanwhile.
+    """
 
     ACCEPTED = "accepted"
+    BUSY = "busy"
     OLD_NUMBER = "old_number"
     LOST = "lost"
 
@@ -153,7 +157,7 @@
         target.pending = 0
         if msg.result is OrderResult.OLD_NUMBER:
             return [SteppedDown(self.fence)]
-        if msg.result is OrderResult.LOST:
+        if msg.result is not OrderResult.ACCEPTED:
             target.retry_at = now + target.backoff_s
             target.backoff_s = min(MAX_RETRY_S, 2 * target.backoff_s)
         return []
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -32,7 +32,7 @@
 from rattangate.front.state import boot_time
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.client import Unavailable
-from rattangate.platform.orders import OrderClient
+from rattangate.platform.orders import OrderClient, Report
 from rattangate.platform.store import StoreConflict
 
 if TYPE_CHECKING:
@@ -153,13 +153,16 @@
             return OrderResult.LOST
         listed = target.listed
         fence = self._driver.fence
-        body = (target.found, self._name, fence, listed.order_seq)
+        report = await client.report(listed.address)
+        if report is None or report.incarnation != listed.incarnation:
+            return OrderResult.LOST
+        body = (target.found, self._name, fence, report.order_seq)
 
         def may_send() -> bool:
             return self.lease.fence_at(boot_time()) == fence
 
         result = await client.order(listed.address, listed.endpoint, *body, may_send)
-        self._log_order(order, listed, result)
+        self._log_order(order, report, result)
         if result is not OrderResult.ACCEPTED:
             return result
         deadline = trio.current_time() + LOAD_DEADLINE_S
@@ -176,9 +179,7 @@
             if report is not None and report.incarnation == listed.incarnation:
                 for found in report.models:
                     if found.model == target.found.model and found.version >= target.found.version:
-                        self._state.note_version(
-                            listed.endpoint, listed.incarnation, found, report.order_seq
-                        )
+                        self._state.note_version(listed.endpoint, listed.incarnation, found)
                         return
             await trio.sleep(REPORT_INTERVAL_S)
 
@@ -201,8 +202,8 @@
             log(LogEvent.LEASE_TAKEN, lease=LEASE_KEY, fencing=fence)
         self._logged_fence = fence
 
-    def _log_order(self, order: SendOrder, listed: ListedEndpoint, result: OrderResult) -> None:
-        text = f"weights version {order.order.weights_version}, seq {listed.order_seq}"
+    def _log_order(self, order: SendOrder, report: Report, result: OrderResult) -> None:
+        text = f"weights version {order.order.weights_version}, orders accepted {report.order_seq}"
         if result is OrderResult.ACCEPTED:
             fence = self._driver.fence
             log(LogEvent.ORDER_SENT, endpoint=order.endpoint, order=text, fencing=fence)
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -70,12 +70,10 @@
         self._tell(self.view.take_list(listed, trio.current_time()))
         self._drop_pools()
 
-    def note_version(
-        self, endpoint: str, incarnation: int, found: ModelVersion, order_seq: int
-    ) -> None:
+    def note_version(self, endpoint: str, incarnation: int, found: ModelVersion) -> None:
         """Take an endpoint's own word on its weights."""
         now = trio.current_time()
-        self._tell(self.view.note_version(endpoint, incarnation, found, order_seq, now))
+        self._tell(self.view.note_version(endpoint, incarnation, found, now))
 
     def note_loading(self, endpoint: str, incarnation: int, deadline: float) -> None:
         """Keep new requests from an endpoint that loads weights."""
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -96,7 +96,6 @@
     state: str
     slots: int
     born: int
-    seq: int = 0
     models: list[_Running] = []
 
 
@@ -141,7 +140,6 @@
         raw.zone,
         raw.slots,
         raw.state == "draining",
-        raw.seq,
         tuple(ModelVersion(item.name, item.version) for item in raw.models),
     )
 
--- a/rattangate/platform/orders.py
+++ b/rattangate/platform/orders.py
@@ -98,6 +98,8 @@
             return OrderResult.ACCEPTED
         if resp.status_code == httpx.codes.PRECONDITION_FAILED:
             return OrderResult.OLD_NUMBER
+        if resp.status_code == httpx.codes.CONFLICT:
+            return OrderResult.BUSY
         return OrderResult.LOST
 
     async def report(self, address: str) -> Report | None:
