--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -24,12 +24,13 @@
     """Bound the loads.
 
     `settle_s` is how long a late order of an earlier holder may take, `stall_s` how long a replica
-    may load without an order of this holder.
+    may load without an order of this holder, `max_loading` how many may load side by side.
     """
 
     load_interval_s: float = 0.5
     settle_s: float = 3.0
     stall_s: float = 5.0
+    max_loading: int = MAX_LOADING
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +63,7 @@
 
 
 class Rollout:
-    """Plan the loads of one holder; at most two replicas load at any time."""
+    """Plan the loads of one holder; few replicas load at any time, the oldest version first."""
 
     def __init__(self, cfg: RolloutCfg, held_since: float) -> None:
         self._cfg = cfg
@@ -95,12 +96,12 @@
         others = [item for item in replicas if self._is_other(item, wanted)]
         spare = self._count_spare(wanted, replicas)
         # Replicas that do not serve the version in use cost no capacity.
-        others.sort(key=lambda item: (_serves(item, wanted.in_use), item.endpoint))
+        others.sort(key=lambda item: (_serves(item, wanted.in_use), *_age_order(item)))
         for item in others:
             takes_capacity = _serves(item, wanted.in_use)
             if takes_capacity and spare <= 0:
                 break
-            if now < self._next_load_at or self._count_loading() >= MAX_LOADING:
+            if now < self._next_load_at or self._count_loading() >= self._cfg.max_loading:
                 return effects
             spare -= takes_capacity
             self._ordered[item.endpoint] = wanted.weights_version
@@ -166,5 +167,10 @@
     return sum(_serves(item, version) for item in replicas)
 
 
+def _age_order(item: Observed) -> tuple[int, str, str]:
+    """Sort version numbers of any length from the oldest to the newest."""
+    return len(item.weights_version), item.weights_version, item.endpoint
+
+
 def _serves(item: Observed, version: str) -> bool:
     return item.ready and not item.leaving and item.weights_version == version
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -50,6 +50,8 @@
 FIRST_REPORT_S = 1.0
 REPORT_INTERVAL_S = 0.15
 REPORTS = 20
+# Replicas finish what runs before they load, so that of three ordered about two load at once.
+MAX_LOADING = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +120,9 @@
         if fence != self._driver.fence:
             self._driver = OrderDriver(fence)
             settle_s = self._state.boot.bounds.lease_s
-            self._rollout = Rollout(RolloutCfg(load_interval_s=0.0, settle_s=settle_s), now)
+            self._rollout = Rollout(
+                RolloutCfg(load_interval_s=0.0, settle_s=settle_s, max_loading=MAX_LOADING), now
+            )
         wanted, replicas = self._observe()
         for effect in self._rollout.plan(wanted, replicas, now):
             if isinstance(effect, WantOrders):
