Tell peers of placements and of engines' loads on the platform

Ruled out: reading cache events from every replica (calls for each instance and replica). Instances find each other by rows in the store and use the links that the product has; the thrift messages gain fetched tokens and first-hand news of weights.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -45,6 +45,20 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class WeightsNews:
+    """Tell what an instance knows first-hand of an engine's weights.
+
+    `version` is the one that runs, 0 while the engine loads for `loading_s` more seconds at most.
+    """
+
+    endpoint: str
+    incarnation: int
+    model: str
+    version: int
+    loading_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class ViewCfg:
     """Hold the settings of the view; `far_cost_s` is the cost of another data centre."""
@@ -78,23 +92,18 @@
         self.endpoints = {item.endpoint: _join(before.get(item.endpoint), item) for item in listed}
         return self._changes(now)
 
-    def note_version(
-        self, endpoint: str, incarnation: int, found: ModelVersion, now: float
-    ) -> list[EndpointSeen]:
-        """Take an endpoint's own word on its weights, which the list tells later."""
-        known = self.endpoints.get(endpoint)
-        if known is None or known.incarnation != incarnation:
+    def take_weights(self, news: WeightsNews, now: float) -> list[EndpointSeen]:
+        """Take an endpoint's weights, or its load of others, before the list tells of them."""
+        known = self.endpoints.get(news.endpoint)
+        if known is None or known.incarnation != news.incarnation:
             return []
-        told = replace(known, models=(found,))
-        self.endpoints[endpoint] = _join(known, told)
-        self._loading.pop((endpoint, incarnation), None)
-        return self._changes(now)
-
-    def note_loading(
-        self, endpoint: str, incarnation: int, deadline: float, now: float
-    ) -> list[EndpointSeen]:
-        """Keep new requests from an endpoint that loads weights, until the deadline at most."""
-        self._loading[(endpoint, incarnation)] = deadline
+        life = (news.endpoint, news.incarnation)
+        if news.version == 0:
+            self._loading[life] = now + news.loading_s
+            return self._changes(now)
+        told = replace(known, models=(ModelVersion(news.model, news.version),))
+        self.endpoints[news.endpoint] = _join(known, told)
+        self._loading.pop(life, None)
         return self._changes(now)
 
     def tick(self, now: float) -> list[EndpointSeen]:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -227,6 +227,7 @@
             req.priority,
             run.number,
             digest=run.digest,
+            fetched_tokens=chosen.fetched_tokens,
         )
         self._placements.append((now, placement))
         return Dispatch(
@@ -299,6 +300,7 @@
             placement.prompt_tokens,
             placement.priority,
             now - placement.age_s,
+            placement.fetched_tokens,
         )
 
     def _apply_departure(self, peer: str, departure: Departure, now: float) -> None:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -156,6 +156,7 @@
     number: int = 0
     age_s: float = 0.0
     digest: bytes = b""
+    fetched_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -16,8 +16,8 @@
 from rattangate.core.routes import ConnectionLimits
 from rattangate.driver import Driver
 from rattangate.front.caller_conn import CallerConn
-from rattangate.front.endpoint_conn import tune_socket
 from rattangate.front.forward import Forwarder
+from rattangate.front.peers import Peers
 from rattangate.front.rollout import OrderHolder
 from rattangate.front.state import PIECE_TOKENS, FrontState
 from rattangate.front.watch import EndpointWatch, OperatorWatch
@@ -25,6 +25,7 @@
 from rattangate.metrics import Metrics
 from rattangate.platform import wire
 from rattangate.platform.store import Store
+from rattangate.sockets import tune_socket
 
 if TYPE_CHECKING:
     from rattangate.core.messages import SendNews
@@ -57,7 +58,8 @@
         self.is_leaving = False
         self.is_closing = False
         self._log_writer = log_writer
-        self._idle_conns: set[CallerConn] = set()
+        self._conns: set[CallerConn] = set()
+        self._peers: Peers | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what runs."""
@@ -72,7 +74,10 @@
             nursery.start_soon(self._serve, self.boot.caller_address, self.forwarder.handle)
             nursery.start_soon(OperatorWatch(store, self.state).run)
             nursery.start_soon(EndpointWatch(store, self.state).run)
-            nursery.start_soon(OrderHolder(store, self.state, self.incarnation).run)
+            self._peers = Peers(store, self.state, self.incarnation)
+            holder = OrderHolder(store, self.state, self.incarnation, self._peers.send_weights)
+            nursery.start_soon(self._peers.run)
+            nursery.start_soon(holder.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._rotate_metrics)
             log(
@@ -126,10 +131,10 @@
         log(LogEvent.INSTANCE_DRAINING, instance=self.boot.instance, streams=in_flight)
         await trio.sleep(BALANCER_NOTICE_S)
         self.is_closing = True
-        for conn in list(self._idle_conns):
+        for conn in list(self._conns):
             conn.close_if_idle()
         with trio.move_on_at(deadline):
-            while self.forwarder.in_flight or self._idle_conns:
+            while self.forwarder.in_flight or self._conns:
                 await trio.sleep(DRAIN_POLL_S)
 
     async def _serve(self, address: str, handle: Handler) -> None:
@@ -139,11 +144,11 @@
         async def serve_conn(stream: trio.SocketStream) -> None:
             tune_socket(stream.socket)
             conn = CallerConn(stream, handle, self._limits, lambda: self.is_closing)
-            self._idle_conns.add(conn)
+            self._conns.add(conn)
             try:
                 await conn.run()
             finally:
-                self._idle_conns.discard(conn)
+                self._conns.discard(conn)
 
         await trio.serve_listeners(serve_conn, listeners)
 
@@ -175,4 +180,5 @@
             self.metrics.rotate()
 
     def _send_news(self, sent: SendNews) -> None:
-        """Keep placements to this instance."""
+        if self._peers is not None:
+            self._peers.send_news(sent)
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -12,6 +12,7 @@
 import trio
 
 from rattangate.platform.requests import Header, decode_answer
+from rattangate.sockets import tune_socket
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,11 +20,6 @@
     from rattangate.platform.requests import AnswerHead
 
 CONNECT_TIMEOUT_S = 0.4
-# Unacknowledged bytes end a connection whose other side fell silent.
-USER_TIMEOUT_MS = 1_500
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 DEFAULT_IDLE_S = 4.0
@@ -252,16 +248,6 @@
     return exchange
 
 
-def tune_socket(sock: trio.socket.SocketType) -> None:
-    """Send small writes at once and notice a silent other side within seconds."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 def _new_parser(req: OutboundRequest) -> h11.Connection:
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
     parser.send(h11.Request(method=req.method, target=req.target, headers=req.headers))
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -12,6 +12,7 @@
 import trio
 
 from rattangate.core.events import EventFault, EventSplicer
+from rattangate.core.fleet import WeightsNews
 from rattangate.core.messages import AttemptResult, Refuse, RequestArrived, VersionedPieces
 from rattangate.core.prefix import Scope
 from rattangate.core.routes import RouteKind
@@ -304,8 +305,9 @@
         model = listed.models[0]
         is_old = model.version < self._state.named_versions.get(model.model, 0)
         if is_old or status == 421:
-            deadline = trio.current_time() + LOADING_S
-            self._state.note_loading(dispatch.endpoint, dispatch.incarnation, deadline)
+            self._state.take_weights(
+                WeightsNews(dispatch.endpoint, dispatch.incarnation, model.model, 0, LOADING_S)
+            )
 
     def _note_failed(self, admitted: Admitted, result: AttemptResult, detail: str) -> AttemptResult:
         log(
--- /dev/null
+++ b/rattangate/front/peers.py
@@ -0,0 +1,175 @@
+"""The other entry instances: found through the store, told of placements over direct links."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from rattangate.core.messages import NewsReceived, PeerLost
+from rattangate.core.roster import Greeting, Roster
+from rattangate.log_events import LogEvent, log
+from rattangate.peers.codec import news_of
+from rattangate.peers.link import PeerIdentity, PeerLinks
+from rattangate.platform.store import StoreConflict, StoreRow, StoreRows, Written
+
+if TYPE_CHECKING:
+    from rattangate.core.fleet import WeightsNews
+    from rattangate.core.messages import SendNews
+    from rattangate.front.state import FrontState
+    from rattangate.peers.codec import PeerNews
+    from rattangate.platform.store import Store
+
+INSTANCE_TABLE = "rattangate-instances"
+SECRET_KEY = "secret"
+INSTANCE_PREFIX = "instance/"
+SECRET_BYTES = 32
+READ_INTERVAL_S = 2.0
+RETRY_S = 0.3
+HEARTBEAT_S = 0.5
+LOST_AFTER_S = 2.0
+
+
+class InstanceEntry(msgspec.Struct, frozen=True):
+    """Hold one instance's row in the store."""
+
+    address: str
+    data_centre: str
+    incarnation: int
+
+
+class Peers:
+    """Follow the other instances and exchange news with them."""
+
+    def __init__(self, store: Store, state: FrontState, incarnation: int) -> None:
+        boot = state.boot
+        self._store = store
+        self._state = state
+        self._name = boot.instance
+        self._address = f"{boot.ip}:{boot.first_free_port}"
+        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation)
+        self._incarnation = incarnation
+        self._roster = Roster((), LOST_AFTER_S)
+        self._links: PeerLinks | None = None
+        self._known: dict[str, str] = {}
+
+    @property
+    def count(self) -> int:
+        """Return the number of peers that are heard from."""
+        return self._roster.count_heard()
+
+    async def run(self) -> None:
+        """Register this instance, then find peers and talk to them until cancelled."""
+        secret = await self._join()
+        identity = PeerIdentity(self._name, self._incarnation, secret)
+        self._links = PeerLinks(identity, {}, self._receive, lambda: self._wrap(None))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._links.run, self._address)
+            nursery.start_soon(self._beat)
+            while True:
+                await self._read_peers()
+                await trio.sleep(READ_INTERVAL_S)
+
+    async def leave(self) -> None:
+        """Remove this instance's row."""
+        outcome = await self._store.remove_row(INSTANCE_TABLE, INSTANCE_PREFIX + self._name)
+        if not isinstance(outcome, Written):
+            log(LogEvent.PLATFORM_DOWN, service="store", error="the instance's row stays")
+
+    def send_news(self, sent: SendNews) -> None:
+        """Tell all peers of placements."""
+        if self._links is not None:
+            self._links.send(self._wrap(sent))
+
+    def send_weights(self, news: WeightsNews) -> None:
+        """Tell all peers of an engine's weights."""
+        if self._links is not None:
+            self._links.send(replace(self._wrap(None), weights=(news,)))
+
+    async def _join(self) -> bytes:
+        """Write this instance's row and return the secret that all instances share."""
+        key = INSTANCE_PREFIX + self._name
+        value = msgspec.json.encode(self._entry)
+        while True:
+            written = await self._store.write_row(INSTANCE_TABLE, key, value)
+            if isinstance(written, Written):
+                secret = await self._agree_secret()
+                if secret is not None:
+                    return secret
+            await trio.sleep(RETRY_S)
+
+    async def _agree_secret(self) -> bytes | None:
+        """Return the secret that the first instance wrote, None where the store is silent."""
+        drawn = secrets.token_bytes(SECRET_BYTES)
+        outcome = await self._store.write_row(INSTANCE_TABLE, SECRET_KEY, drawn, 0)
+        if isinstance(outcome, Written):
+            return drawn
+        if not isinstance(outcome, StoreConflict):
+            return None
+        row = await self._store.read_row(INSTANCE_TABLE, SECRET_KEY)
+        return row.value if isinstance(row, StoreRow) else None
+
+    async def _read_peers(self) -> None:
+        outcome = await self._store.read_table(INSTANCE_TABLE)
+        if not isinstance(outcome, StoreRows):
+            return
+        found: dict[str, str] = {}
+        for row in outcome.rows:
+            name = row.key.removeprefix(INSTANCE_PREFIX)
+            if name == row.key or name == self._name or row.value is None:
+                continue
+            entry = msgspec.json.decode(row.value, type=InstanceEntry)
+            if entry.address != self._address:
+                found[name] = entry.address
+        if found != self._known and self._links is not None:
+            self._known = found
+            self._roster.configure(found, LOST_AFTER_S)
+            self._links.set_peers(found)
+
+    async def _beat(self) -> None:
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            if self._links is not None:
+                self._links.send(self._wrap(None))
+            for name in self._roster.expire(trio.current_time()):
+                incarnation = self._roster.peers[name].incarnation
+                log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
+                self._state.driver.feed(PeerLost(name))
+
+    def _wrap(self, sent: SendNews | None) -> PeerNews:
+        config = self._state.config
+        version = config.version if config is not None else 0
+        return news_of(sent, self._name, self._incarnation, version, leaving=False)
+
+    def _receive(self, news: PeerNews) -> None:
+        if news.instance not in self._roster.peers:
+            return
+        greeting = Greeting(
+            news.instance, news.incarnation, news.config_version, news.leaving, news.seq
+        )
+        heard = self._roster.hear(greeting, trio.current_time())
+        if heard.is_stale:
+            return
+        if heard.is_found:
+            log(
+                LogEvent.PEER_FOUND,
+                instance=news.instance,
+                incarnation=news.incarnation,
+                data_centre="",
+            )
+        for item in news.weights:
+            self._state.take_weights(item)
+        if news.seq:
+            self._state.driver.feed(
+                NewsReceived(
+                    news.instance,
+                    news.incarnation,
+                    news.seq,
+                    news.placements,
+                    news.departures,
+                    news.limits,
+                )
+            )
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from rattangate.core.fleet import ModelVersion
+from rattangate.core.fleet import ModelVersion, WeightsNews
 from rattangate.core.leases import (
     Holder,
     Lease,
@@ -36,6 +36,8 @@
 from rattangate.platform.store import StoreConflict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattangate.core.fleet import ListedEndpoint
     from rattangate.core.leases import LeaseEffect, LeaseMessage, SwapLease
     from rattangate.front.state import FrontState
@@ -65,7 +67,14 @@
 class OrderHolder:
     """Give orders while this instance holds the lease of orders."""
 
-    def __init__(self, store: Store, state: FrontState, incarnation: int) -> None:
+    def __init__(
+        self,
+        store: Store,
+        state: FrontState,
+        incarnation: int,
+        tell_peers: Callable[[WeightsNews], None],
+    ) -> None:
+        self._tell_peers = tell_peers
         self._store = store
         self._state = state
         self._name = state.boot.instance
@@ -169,8 +178,7 @@
         self._log_order(order, report, result)
         if result is not OrderResult.ACCEPTED:
             return result
-        deadline = trio.current_time() + LOAD_DEADLINE_S
-        self._state.note_loading(listed.endpoint, listed.incarnation, deadline)
+        self._tell(target, 0, LOAD_DEADLINE_S)
         await self._await_load(client, target)
         return result
 
@@ -183,10 +191,18 @@
             if report is not None and report.incarnation == listed.incarnation:
                 for found in report.models:
                     if found.model == target.found.model and found.version >= target.found.version:
-                        self._state.note_version(listed.endpoint, listed.incarnation, found)
+                        self._tell(target, found.version)
                         return
             await trio.sleep(REPORT_INTERVAL_S)
 
+    def _tell(self, target: _Target, version: int, loading_s: float = 0.0) -> None:
+        listed = target.listed
+        news = WeightsNews(
+            listed.endpoint, listed.incarnation, target.found.model, version, loading_s
+        )
+        self._state.take_weights(news)
+        self._tell_peers(news)
+
     def _find_target(self, order: SendOrder) -> _Target | None:
         listed = self._state.view.endpoints.get(order.endpoint)
         if listed is None or listed.is_leaving or not isinstance(order.order, LoadVersion):
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from rattangate.core.fleet import ListedEndpoint, ModelVersion
+    from rattangate.core.fleet import ListedEndpoint, ModelVersion, WeightsNews
     from rattangate.core.messages import EndpointSeen
     from rattangate.core.routes import ServingConfig
     from rattangate.driver import Driver
@@ -70,15 +70,9 @@
         self._tell(self.view.take_list(listed, trio.current_time()))
         self._drop_pools()
 
-    def note_version(self, endpoint: str, incarnation: int, found: ModelVersion) -> None:
-        """Take an endpoint's own word on its weights."""
-        now = trio.current_time()
-        self._tell(self.view.note_version(endpoint, incarnation, found, now))
-
-    def note_loading(self, endpoint: str, incarnation: int, deadline: float) -> None:
-        """Keep new requests from an endpoint that loads weights."""
-        now = trio.current_time()
-        self._tell(self.view.note_loading(endpoint, incarnation, deadline, now))
+    def take_weights(self, news: WeightsNews) -> None:
+        """Take what this instance or a peer knows first-hand of an engine's weights."""
+        self._tell(self.view.take_weights(news, trio.current_time()))
 
     def tick(self) -> None:
         """Let deadlines pass."""
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -9,6 +9,7 @@
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
+from rattangate.core.fleet import WeightsNews
 from rattangate.core.messages import Departure, Placement
 from rattangate.peers.idl import MS_PER_S, idl
 from rattangate.peers.limits_codec import limits_news, limits_struct
@@ -50,6 +51,7 @@
     limits: LimitsNews | None = None
     wants_pictures: bool = False
     pictures: tuple[PictureReceived, ...] = ()
+    weights: tuple[WeightsNews, ...] = ()
 
 
 def encode_message(message: object) -> bytes:
@@ -94,6 +96,7 @@
             limits=limits_struct(news.limits) if news.limits is not None else None,
             wants_pictures=news.wants_pictures or None,
             pictures=pictures_struct(news.pictures) if news.pictures else None,
+            weights=[_weights_struct(item) for item in news.weights] or None,
         )
     )
 
@@ -115,6 +118,7 @@
         limits_news(raw.limits) if raw.limits is not None else None,
         bool(raw.wants_pictures),
         pictures_of(raw.pictures) if raw.pictures is not None else (),
+        tuple(_weights_news(item) for item in raw.weights or ()),
     )
 
 
@@ -156,6 +160,7 @@
         number=placement.number,
         age_ms=int(placement.age_s * MS_PER_S),
         digest=placement.digest,
+        fetched_tokens=placement.fetched_tokens or None,
     )
 
 
@@ -172,6 +177,7 @@
         placed.number,
         placed.age_ms / MS_PER_S,
         placed.digest or b"",
+        placed.fetched_tokens or 0,
     )
 
 
@@ -197,3 +203,19 @@
         departed.cached_tokens,
         departed.age_ms / MS_PER_S,
     )
+
+
+def _weights_struct(news: WeightsNews) -> Any:
+    return idl.Weights(
+        endpoint=news.endpoint,
+        incarnation=news.incarnation,
+        model=news.model,
+        version=news.version,
+        loading_ms=int(news.loading_s * MS_PER_S),
+    )
+
+
+def _weights_news(raw: Any) -> WeightsNews:
+    return WeightsNews(
+        raw.endpoint, raw.incarnation, raw.model, raw.version, raw.loading_ms / MS_PER_S
+    )
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -20,6 +20,7 @@
     encode_news,
 )
 from rattangate.peers.idl import idl
+from rattangate.sockets import tune_socket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -139,6 +140,7 @@
         while True:
             try:
                 async with await trio.open_tcp_stream(host, int(port)) as stream:
+                    tune_socket(stream.socket)
                     await self._send_all(stream, frames)
             except _LINK_FAILURES:
                 _drain(frames)
@@ -165,6 +167,7 @@
         await self._send_sealed(stream, idl.Proof(proof=proof))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
+        tune_socket(stream.socket)
         reader = _FrameReader(stream)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -25,6 +25,8 @@
   8: i64 number
   9: i32 age_ms
   10: binary digest
+  /** Tokens that the engine fetches from another one instead of prefilling. */
+  11: optional i32 fetched_tokens
 }
 
 /** The first token or the loss of a placed request; no cached_tokens when no token came. */
@@ -85,6 +87,17 @@
   1: list<Picture> pictures
 }
 
+/** What an instance knows first-hand of an engine's weights, before the list tells it. */
+struct Weights {
+  1: string endpoint
+  2: i64 incarnation
+  3: string model
+  /** The version that runs, 0 while the engine loads one. */
+  4: i64 version
+  /** How much longer the load may take. */
+  5: i32 loading_ms
+}
+
 /** What an instance tells its peers; it is the heartbeat too. */
 struct News {
   1: string instance
@@ -104,4 +117,5 @@
   /** Asks the receiver for its pictures of the engines' caches. */
   13: optional bool wants_pictures
   14: optional Pictures pictures
+  15: optional list<Weights> weights
 }
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -128,6 +128,15 @@
             return StoreConflict(tuple(_row(raw) for raw in answer.body.get("rows", ())))
         return Written(answer.body["ver"])
 
+    async def remove_row(self, table: str, key: str) -> Written | StoreConflict | Unavailable:
+        """Remove one row."""
+        place = {"table": table, "part": "", "key": key}
+        body = {"expected": [], "set_keys": [], "remove": [place]}
+        answer = await self._call("POST", "/rows-tx", body=body)
+        if isinstance(answer, Unavailable):
+            return answer
+        return Written(answer.body["ver"])
+
     async def _call(
         self,
         method: str,
--- /dev/null
+++ b/rattangate/sockets.py
@@ -0,0 +1,25 @@
+"""Socket options of the connections that instances open and accept."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import trio
+
+# Unacknowledged bytes end a connection whose other side fell silent.
+USER_TIMEOUT_MS = 1_500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+def tune_socket(sock: trio.socket.SocketType) -> None:
+    """Send small writes at once and notice a silent other side within seconds."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
