--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -146,13 +146,18 @@
             self._forget(run, now)
             return self._pump(now)
         assert run.placed_on is not None
-        if msg.result is not AttemptResult.REFUSED:
+        if msg.result not in (AttemptResult.REFUSED, AttemptResult.FAILED):
             self._doubts.note(life_of(run.placed_on), now)
         if msg.result is not AttemptResult.NOT_SENT:
             run.failures += 1
         if msg.result is AttemptResult.LOST:
             return self._end_lost(run, now)
         self._pool.release(run, now)
+        if msg.result is AttemptResult.FAILED:
+            run.may_have_run = True
+            run.runs += 1
+            if not run.has_runs_left:
+                return self._drop(run, RefusalReason.ATTEMPTS_USED, now)
         return self._retry(run, retry_reason(msg.result, run.req.repeatable), now)
 
     def abandon(self, run: Run, now: float) -> list[Effect]:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -17,21 +17,29 @@
 
 
 class AttemptResult(Enum):
-    """Name the ways in which an attempt at an endpoint can end."""
+    """Name the ways in which an attempt at an endpoint can end.
+
+    FAILED is a whole answer of the endpoint that reports an error; LOST is a missing answer.
+    """
 
     COMPLETED = "completed"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
     REFUSED = "refused"
+    FAILED = "failed"
     LOST = "lost"
 
 
 class EndpointState(Enum):
-    """Name the states of an endpoint as seen from one instance."""
+    """Name the states of an endpoint as seen from one instance.
+
+    A KEEPER runs no requests and keeps cache entries that engines store and fetch.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
     DOWN = "down"
+    KEEPER = "keeper"
 
 
 # Messages
@@ -50,7 +58,8 @@
     """Ask for the placement of a new request.
 
     `pieces` are the chained hashes of the whole pieces of the prompt under the scope's weights
-    version; `other_versions` offers the same prompt under versions that still run. `max_runs` bounds
+    version; `other_versions` offers the same prompt under versions that still run. The last
+    `own_pieces` of them belong to this request alone. `max_runs` bounds
     the endpoints on which the request may have run, None for no bound of its own.
     """
 
@@ -65,6 +74,7 @@
     other_versions: tuple[VersionedPieces, ...] = ()
     repeatable: bool = True
     max_runs: int | None = None
+    own_pieces: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +153,8 @@
 class Placement:
     """Record one request given to an endpoint, for the instance's own use and for its peers.
 
-    `number` is unique within the sending instance; `age_s` is the age when the news was sent.
+    `number` is unique within the sending instance; `age_s` is the age when the news was sent;
+    `cache_target` names the keeper that is given the prompt's cache entries.
     """
 
     endpoint: str
@@ -157,6 +168,7 @@
     age_s: float = 0.0
     digest: bytes = b""
     fetched_tokens: int = 0
+    cache_target: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -288,7 +300,8 @@
     """Send a request to an endpoint, which must still be of this incarnation and version.
 
     `priority` is for the engine's own queue; a lower number goes first. `cache_source` names the
-    endpoint from which the engine should fetch cache entries that it lacks, empty for none.
+    endpoint from which the engine should fetch cache entries that it lacks, and `cache_target` the
+    keeper to which it should give the prompt's entries, empty for none.
     """
 
     req_id: int
@@ -299,6 +312,7 @@
     retry_reason: RetryReason | None = None
     priority: int = 0
     cache_source: str = ""
+    cache_target: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/retries.py
+++ b/rattangate/core/retries.py
@@ -16,6 +16,7 @@
 
     NOT_SENT = "not_sent"
     REFUSED = "refused"
+    FAILED = "failed"
     LOST = "lost"
     STREAM_CONTINUED = "stream_continued"
     ANSWER_MISMATCHED = "answer_mismatched"
@@ -26,13 +27,14 @@
 _REASONS = {
     AttemptResult.NOT_SENT: RetryReason.NOT_SENT,
     AttemptResult.REFUSED: RetryReason.REFUSED,
+    AttemptResult.FAILED: RetryReason.FAILED,
     AttemptResult.LOST: RetryReason.LOST,
 }
 
 
 def retry_reason(result: AttemptResult, repeatable: bool) -> RetryReason | None:
     """Return why a failed attempt may be repeated, or None where it must not be."""
-    if result is AttemptResult.LOST and not repeatable:
+    if result in (AttemptResult.FAILED, AttemptResult.LOST) and not repeatable:
         return None
     return _REASONS.get(result)
 
