--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -72,6 +72,8 @@
         unknown = self._unknown_s(now) if self._unknown_tokens else 0.0
         if not self.work:
             return unknown
+        if self.seen.lanes > 1:
+            return self._lanes_wait_s() + unknown
         tokens = sum(count for level, count in self._tokens.items() if level <= priority)
         if tokens == 0:
             return unknown
@@ -80,12 +82,12 @@
         head = next(iter(self.work.values()))
         head_s = head.missing_tokens * s_per_token
         done_s = min(head_s, max(0.0, now - self._head_since))
-        return max(0.0, tokens * s_per_token - done_s) / self.seen.lanes + unknown
+        return max(0.0, tokens * s_per_token - done_s) + unknown
 
     def s_per_token(self, now: float) -> float:
         """Return the learned speed, or a slower one where the oldest request is overdue."""
         learned = self.speed.s_per_token
-        if not self.work:
+        if not self.work or self.seen.lanes > 1:
             return learned
         head = next(iter(self.work.values()))
         elapsed = now - self._head_since - OVERDUE_SLACK_S
@@ -129,7 +131,10 @@
         if cached_tokens is not None:
             self.cache.observe(work.pieces, work.forecasts, cached_tokens // self.piece_tokens)
             missing = work.prompt_tokens - cached_tokens
-        self.speed.observe(work.placed_at, at, missing)
+        if self.seen.lanes > 1:
+            self.speed.observe_alone(work.placed_at, at, missing)
+        else:
+            self.speed.observe(work.placed_at, at, missing)
         self.drop(key, at)
 
     def drop(self, key: WorkKey, at: float) -> None:
@@ -159,6 +164,15 @@
         self._unknown_tokens = max(0, msg.waiting_tokens - explained)
         self._reported_at = measured_at
 
+    def _lanes_wait_s(self) -> float:
+        """Estimate the wait of a request for one of the lanes on which work goes on side by side."""
+        lanes = self.seen.lanes
+        ahead = len(self.work) - lanes + 1
+        if ahead <= 0:
+            return 0.0
+        tokens = sum(work.missing_tokens for work in self.work.values()) / len(self.work)
+        return ahead * tokens * self.speed.s_per_token / lanes
+
     def _forget_released(self, limit: float) -> None:
         while self._released and self._released[0][0] < limit:
             self._released.popleft()
--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -119,6 +119,9 @@
 
     def _changes(self, now: float) -> list[EndpointSeen]:
         seen = {item.endpoint: self._describe(item, now) for item in self.endpoints.values()}
+        for service in self._services.values():
+            if service.keeper_address:
+                seen[service.name] = self._describe_keeper(service)
         changed = [item for name, item in seen.items() if self._told.get(name) != item]
         for name, item in self._told.items():
             if name not in seen and item.state is not EndpointState.DOWN:
@@ -140,9 +143,23 @@
             serves=item.service,
             cache_pieces=cache_tokens // self._cfg.piece_tokens,
             lanes=1 if is_engine else item.slots,
-            detour_s=0.0 if item.data_centre == self._cfg.data_centre else self._cfg.far_cost_s,
+            detour_s=self._detour_s(item.data_centre),
         )
 
+    def _describe_keeper(self, service: Service) -> EndpointSeen:
+        return EndpointSeen(
+            service.name,
+            0,
+            "",
+            EndpointState.KEEPER,
+            serves=service.name,
+            cache_pieces=service.cache_tokens // self._cfg.piece_tokens,
+            detour_s=self._detour_s(service.data_centre),
+        )
+
+    def _detour_s(self, data_centre: str) -> float:
+        return 0.0 if data_centre == self._cfg.data_centre else self._cfg.far_cost_s
+
     def _state(self, item: ListedEndpoint, now: float) -> EndpointState:
         if item.is_leaving:
             return EndpointState.LEAVING
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -54,6 +54,7 @@
     intake: IntakeCfg = IntakeCfg()
     fetch_s_per_token: float = math.inf
     old_version_cost_s: float = 0.0
+    news_interval_s: float = 0.0
 
 
 class Gateway:
@@ -69,6 +70,7 @@
         self._seq = 0
         self._told = LimitsNews()
         self._told_at = -RESEND_S
+        self._next_news_at = 0.0
         self._peers: dict[str, tuple[int, int]] = {}
         # Binding a singledispatchmethod wraps its function anew at each access.
         self._apply: Callable[[Message, float], list[Effect]] = self._handle
@@ -217,6 +219,7 @@
             now,
             chosen.fetched_tokens,
         )
+        target = self._choose_target(run, chosen, now)
         placement = Placement(
             endpoint.name,
             endpoint.seen.incarnation,
@@ -228,6 +231,7 @@
             run.number,
             digest=run.digest,
             fetched_tokens=chosen.fetched_tokens,
+            cache_target=target,
         )
         self._placements.append((now, placement))
         return Dispatch(
@@ -239,8 +243,21 @@
             run.retry_reason,
             req.priority,
             chosen.source.name if chosen.source is not None else "",
+            target,
         )
 
+    def _choose_target(self, run: Run, chosen: Candidate, now: float) -> str:
+        """Name the keeper that should get a prompt whose shared part it lacks."""
+        shared = chosen.pieces[: max(0, len(chosen.pieces) - run.req.own_pieces)]
+        if chosen.source is not None and chosen.source.seen.state is EndpointState.KEEPER:
+            chosen.source.cache.use(shared, now)
+        for endpoint in self.endpoints.values():
+            if shared and endpoint.seen.state is EndpointState.KEEPER:
+                if endpoint.cache.cached(shared) < len(shared):
+                    endpoint.cache.use(chosen.pieces, now)
+                    return endpoint.name
+        return ""
+
     def release(self, run: Run, now: float) -> None:
         """Take a request off its endpoint."""
         if run.placed_on is not None and run.first_token_at is None:
@@ -253,6 +270,9 @@
         return run if run is not None and run.attempt == attempt else None
 
     def _send_news(self, now: float) -> list[Effect]:
+        if now < self._next_news_at:
+            return []
+        self._next_news_at = now + self.cfg.news_interval_s
         limits = self._limits_news(now)
         if not self._placements and not self._departures and limits is None:
             return []
@@ -302,6 +322,9 @@
             now - placement.age_s,
             placement.fetched_tokens,
         )
+        keeper = self.endpoints.get(placement.cache_target)
+        if keeper is not None:
+            keeper.cache.use(placement.pieces, now - placement.age_s)
 
     def _apply_departure(self, peer: str, departure: Departure, now: float) -> None:
         endpoint = self._current(departure.endpoint, departure.incarnation)
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -63,14 +63,13 @@
     """Return the endpoints that may run a request, with their costs."""
     versions = {other.weights_version: other.pieces for other in req.other_versions}
     versions[req.scope.weights_version] = req.pieces
+    endpoints = tuple(endpoints)
     usable = _usable(endpoints, req, versions)
-    sources = {} if math.isinf(cfg.fetch_s_per_token) else _find_sources(usable)
     found = []
     for endpoint, pieces in usable:
         candidate = _weigh(endpoint, pieces, req, cfg, now)
-        source = sources.get(endpoint.seen.weights_version)
-        if source is not None:
-            candidate = _with_fetch(candidate, source, cfg, now)
+        if pieces and not math.isinf(cfg.fetch_s_per_token):
+            candidate = _with_fetch(candidate, endpoints, cfg, now)
         if endpoint.seen.weights_version != req.scope.weights_version:
             candidate = replace(candidate, cost_s=candidate.cost_s + cfg.old_version_cost_s)
         found.append(candidate)
@@ -93,25 +92,41 @@
     return usable
 
 
-def _find_sources(usable: list[tuple[Endpoint, tuple[int, ...]]]) -> dict[str, _Source]:
-    """Return the endpoint of each weights version that holds most of the prompt."""
-    sources: dict[str, _Source] = {}
-    for endpoint, pieces in usable:
-        held = endpoint.cache.cached(pieces)
-        known = sources.get(endpoint.seen.weights_version)
-        if held and (known is None or held > known.pieces):
-            sources[endpoint.seen.weights_version] = _Source(endpoint, held)
-    return sources
+def _find_source(candidate: Candidate, endpoints: Iterable[Endpoint]) -> _Source | None:
+    """Return the other endpoint that holds most of the prompt, a near one rather than a far one."""
+    best: _Source | None = None
+    version = candidate.endpoint.seen.weights_version
+    for endpoint in endpoints:
+        seen = endpoint.seen
+        is_keeper = seen.state is EndpointState.KEEPER
+        if endpoint is candidate.endpoint or seen.state is EndpointState.DOWN:
+            continue
+        if not is_keeper and seen.weights_version != version:
+            continue
+        held = endpoint.cache.cached(candidate.pieces)
+        rank = (held, -seen.detour_s)
+        if held and (best is None or rank > (best.pieces, -best.endpoint.seen.detour_s)):
+            best = _Source(endpoint, held)
+    return best
+
 
+def _with_fetch(
+    candidate: Candidate, endpoints: Iterable[Endpoint], cfg: PlacementCfg, now: float
+) -> Candidate:
+    """Name a source of what the candidate lacks, and count on it where it is faster than prefill.
 
-def _with_fetch(candidate: Candidate, source: _Source, cfg: PlacementCfg, now: float) -> Candidate:
-    """Fetch what the source holds beyond the candidate, where that is faster than prefill."""
+    A source that holds no more than the candidate is named too: the candidate's cache may have
+    been evicted unseen, and a source with nothing to give costs next to nothing.
+    """
     endpoint = candidate.endpoint
+    source = _find_source(candidate, endpoints)
+    if source is None:
+        return candidate
     tokens = source.pieces * endpoint.piece_tokens - endpoint.cached_tokens(candidate.pieces)
     tokens = min(tokens, candidate.missing_tokens - 1)
     s_per_token = endpoint.s_per_token(now)
-    if source.endpoint is endpoint or tokens <= 0 or s_per_token <= cfg.fetch_s_per_token:
-        return candidate
+    if tokens <= 0 or s_per_token <= cfg.fetch_s_per_token:
+        return replace(candidate, source=source.endpoint)
     fetch_s = tokens * cfg.fetch_s_per_token
     saved_s = tokens * s_per_token
     return replace(
@@ -128,7 +143,7 @@
     """Return the cheapest candidate; a prompt held nowhere goes by rendezvous hashing."""
     least = min(one.cost_s for one in candidates)
     best = min((one for one in candidates if one.cost_s == least), key=_name)
-    if any(one.pieces[0] in one.endpoint.cache.best.held for one in candidates if one.pieces):
+    if any(_is_plain(one) or _holds_first(one) for one in candidates):
         return best
     bound = best.cost_s * (1 + COLD_SLACK)
     return max((one for one in candidates if one.cost_s <= bound), key=_rendezvous_score)
@@ -146,9 +161,20 @@
     prefill_s = missing * s_per_token
     first_token_s = endpoint.wait_s(req.priority, now, s_per_token) + prefill_s
     cost_s = first_token_s + cfg.recompute_weight * prefill_s + endpoint.seen.detour_s
+    if endpoint.seen.lanes > 1:
+        cost_s += prefill_s * len(endpoint.work) / endpoint.seen.lanes
     return Candidate(endpoint, pieces, missing, first_token_s, cost_s)
 
 
+def _is_plain(candidate: Candidate) -> bool:
+    return candidate.endpoint.seen.lanes > 1
+
+
+def _holds_first(candidate: Candidate) -> bool:
+    pieces = candidate.pieces
+    return bool(pieces) and pieces[0] in candidate.endpoint.cache.best.held
+
+
 def _name(candidate: Candidate) -> str:
     return candidate.endpoint.name
 
--- a/rattangate/core/routes.py
+++ b/rattangate/core/routes.py
@@ -79,13 +79,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe a service; `cache_tokens` and `models` are set for model engines only."""
+    """Describe a service.
+
+    `models` is set for model engines only; `keeper_address` and `data_centre` for the one keeper of
+    cache entries; `cache_tokens` for both.
+    """
 
     name: str
     max_connections: int
     slots: int
     cache_tokens: int
     models: tuple[str, ...]
+    keeper_address: str = ""
+    data_centre: str = ""
 
     @property
     def is_engine(self) -> bool:
--- a/rattangate/core/speeds.py
+++ b/rattangate/core/speeds.py
@@ -36,6 +36,12 @@
         while self._waiting[0][0] < first_token_at - REORDER_S:
             self._learn(*heapq.heappop(self._waiting))
 
+    def observe_alone(self, placed_at: float, ended_at: float, tokens: int) -> None:
+        """Learn from work that did not wait for other work."""
+        self.seconds = self.seconds * SAMPLE_DECAY + max(0.0, ended_at - placed_at)
+        self.tokens = self.tokens * SAMPLE_DECAY + tokens
+        self.samples += 1
+
     def _learn(self, first_token_at: float, placed_at: float, tokens: int) -> None:
         started = max(placed_at, self.last_first_token)
         self.last_first_token = max(self.last_first_token, first_token_at)
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -24,7 +24,7 @@
     OutboundRequest,
     open_exchange,
 )
-from rattangate.front.prompts import chain_pieces
+from rattangate.front.prompts import chain_pieces, count_pieces
 from rattangate.front.state import PIECE_TOKENS, boot_time
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.requests import (
@@ -42,7 +42,7 @@
     from rattangate.front.endpoint_conn import Exchange
     from rattangate.front.state import FrontState
     from rattangate.metrics import Metrics
-    from rattangate.platform.requests import RequestHead
+    from rattangate.platform.requests import Header, RequestHead
 
 # Work of a plain service's request, in the tokens by which the gateway measures work.
 PLAIN_WORK_TOKENS = 1_000
@@ -53,6 +53,15 @@
 HELD_STATUSES = frozenset({408, 421, 429, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold an endpoint's whole answer."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+
 @dataclass(slots=True)
 class Admitted:
     """Hold a request that passed the checks of its route and key."""
@@ -67,6 +76,7 @@
     attempts: int = 0
     endpoint: str = ""
     may_have_run: bool = False
+    failure_answer: WholeAnswer | None = None
     splicer: EventSplicer = field(default_factory=EventSplicer)
 
     @property
@@ -222,7 +232,7 @@
         answer = exchange.answer
         if answer.was_refused and answer.status in HELD_STATUSES:
             admitted.may_have_run = ran_before
-            await _read_rest(exchange)
+            await _read_all(exchange)
             self._note_refusal(dispatch, answer.status)
             detail = f"status {answer.status}"
             return self._note_failed(admitted, AttemptResult.REFUSED, detail)
@@ -232,10 +242,20 @@
             await self._relay_stream(admitted, decisions, dispatch, exchange, responder)
         elif responder.is_started:
             raise ExchangeLost(f"status {answer.status} in the middle of a stream")
+        elif answer.status >= 500 and admitted.route.repeatable:
+            return await self._hold_failure(admitted, exchange)
         else:
             await self._relay_whole(admitted, decisions, dispatch, exchange, responder)
         return AttemptResult.COMPLETED
 
+    async def _hold_failure(self, admitted: Admitted, exchange: Exchange) -> AttemptResult:
+        """Keep an endpoint's error, which the caller gets if no other endpoint does better."""
+        body = await _read_all(exchange)
+        status = exchange.answer.status
+        headers = returned_headers(exchange.headers)
+        admitted.failure_answer = WholeAnswer(status, headers, body)
+        return self._note_failed(admitted, AttemptResult.FAILED, f"status {status}")
+
     async def _relay_whole(
         self,
         admitted: Admitted,
@@ -343,6 +363,7 @@
             others,
             admitted.route.repeatable,
             admitted.route.max_attempts,
+            count_pieces(head.parts[-1], PIECE_TOKENS) if head.parts else 0,
         )
 
     def _scope(self, admitted: Admitted, version: str) -> Scope:
@@ -379,6 +400,7 @@
             cache_salt=salt,
             weights_version=int(dispatch.weights_version) if is_engine else None,
             cache_source=self._state.address_of(dispatch.cache_source),
+            cache_target=self._state.address_of(dispatch.cache_target),
             last_event_id=admitted.splicer.last_id if admitted.splicer.passed_on else None,
         )
         body_bytes = len(req.body) if req.has_body else None
@@ -390,7 +412,12 @@
     ) -> None:
         ran = admitted.may_have_run
         self._count_refusal(admitted.head.attempt_id, admitted.workspace_name, failure, ran)
-        if not responder.is_started:
+        if responder.is_started:
+            return
+        held = admitted.failure_answer
+        if held is not None:
+            await responder.answer(held.status, held.headers, held.body)
+        else:
             await _refuse(responder, admitted.head.attempt_id, failure, ran)
 
     async def _end_late(self, admitted: Admitted, responder: Responder) -> None:
@@ -438,10 +465,9 @@
         )
 
 
-async def _read_rest(exchange: Exchange) -> None:
+async def _read_all(exchange: Exchange) -> bytes:
     async with aclosing(exchange.chunks()) as chunks:
-        async for _ in chunks:
-            pass
+        return b"".join([data async for data in chunks])
 
 
 async def _refuse(responder: Responder, attempt_id: str, failure: Failure, ran: bool) -> None:
--- a/rattangate/front/prompts.py
+++ b/rattangate/front/prompts.py
@@ -16,8 +16,13 @@
     parent = blake2b(salt.encode(), digest_size=HASH_BYTES).digest()
     hashes = []
     for part in parts:
-        for index in range(max(1, round(part.tokens / piece_tokens))):
+        for index in range(count_pieces(part, piece_tokens)):
             text = f"{part.part_id}:{index}".encode()
             parent = blake2b(text, key=parent, digest_size=HASH_BYTES).digest()
             hashes.append(int.from_bytes(parent, "big"))
     return tuple(hashes)
+
+
+def count_pieces(part: PromptPart, piece_tokens: int) -> int:
+    """Return the number of pieces that stand for a part."""
+    return max(1, round(part.tokens / piece_tokens))
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -92,7 +92,10 @@
     def address_of(self, endpoint: str) -> str:
         """Return an endpoint's address, empty where it is gone."""
         listed = self.view.endpoints.get(endpoint)
-        return "" if listed is None else listed.address
+        if listed is not None:
+            return listed.address
+        service = self.config.services.get(endpoint) if self.config is not None else None
+        return "" if service is None else service.keeper_address
 
     def _drop_pools(self) -> None:
         lives = {(item.endpoint, item.incarnation) for item in self.view.endpoints.values()}
@@ -120,5 +123,5 @@
             incarnation=seen.incarnation,
             source="list",
         )
-    else:
+    elif seen.state is EndpointState.DOWN:
         log(LogEvent.ENDPOINT_DOWN, endpoint=seen.endpoint, error="not listed or loading")
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -161,6 +161,7 @@
         age_ms=int(placement.age_s * MS_PER_S),
         digest=placement.digest,
         fetched_tokens=placement.fetched_tokens or None,
+        cache_target=placement.cache_target or None,
     )
 
 
@@ -178,6 +179,7 @@
         placed.age_ms / MS_PER_S,
         placed.digest or b"",
         placed.fetched_tokens or 0,
+        placed.cache_target or "",
     )
 
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -27,6 +27,8 @@
   10: binary digest
   /** Tokens that the engine fetches from another one instead of prefilling. */
   11: optional i32 fetched_tokens
+  /** The keeper that is given the prompt's cache entries. */
+  12: optional string cache_target
 }
 
 /** The first token or the loss of a placed request; no cached_tokens when no token came. */
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -60,6 +60,9 @@
     name: str
     max_conns: int = 64
     engine: _Engine | None = None
+    store_addr: str = ""
+    zone: str = ""
+    kv_capacity: int = 0
 
 
 class _Workspace(msgspec.Struct):
@@ -187,7 +190,10 @@
 def _service(raw: _Service) -> Service:
     engine = raw.engine or _Engine()
     models = tuple(item.name for item in engine.models)
-    return Service(raw.name, raw.max_conns, engine.slots, engine.kv_capacity, models)
+    cache_tokens = raw.kv_capacity if raw.store_addr else engine.kv_capacity
+    return Service(
+        raw.name, raw.max_conns, engine.slots, cache_tokens, models, raw.store_addr, raw.zone
+    )
 
 
 def _workspace(raw: _Workspace) -> Workspace:
--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -69,6 +69,7 @@
     cache_salt: str = ""
     weights_version: int | None = None
     cache_source: str = ""
+    cache_target: str = ""
     last_event_id: int | None = None
 
 
@@ -161,6 +162,8 @@
         found.append((b"X-Expect-Version", str(directions.weights_version).encode()))
     if directions.cache_source:
         found.append((b"X-Kv-Source", directions.cache_source.encode()))
+    if directions.cache_target:
+        found.append((b"X-Kv-Target", directions.cache_target.encode()))
     if directions.last_event_id is not None:
         found.append((b"Last-Event-Id", str(directions.last_event_id).encode()))
     return found
