--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -58,6 +58,7 @@
         self.metrics = Metrics()
         self.is_leaving = False
         self.is_closing = False
+        self._listen_scope = trio.CancelScope()
         self._log_writer = log_writer
         self._conns: set[CallerConn] = set()
         self._peers: Peers | None = None
@@ -69,10 +70,10 @@
             nursery = await stack.enter_async_context(trio.open_nursery())
             driver = Driver(self._make_gateway(), self.metrics, self._send_news)
             self.state = FrontState(self.boot, driver, nursery)
-            self.forwarder = Forwarder(self.state, self.metrics)
+            self.forwarder = Forwarder(self.state, self.metrics, lambda: self.is_closing)
             nursery.start_soon(self._serve, self.boot.ready_address, self._answer_ready)
             nursery.start_soon(self._serve, f"{self.boot.ip}:{METRICS_PORT}", self._answer_metrics)
-            nursery.start_soon(self._serve, self.boot.caller_address, self.forwarder.handle)
+            nursery.start_soon(self._serve_callers, nursery)
             nursery.start_soon(OperatorWatch(store, self.state).run)
             nursery.start_soon(EndpointWatch(store, self.state).run)
             self._peers = Peers(store, self.state, self.incarnation)
@@ -133,13 +134,21 @@
         log(LogEvent.INSTANCE_DRAINING, instance=self.boot.instance, streams=in_flight)
         await trio.sleep(BALANCER_NOTICE_S)
         self.is_closing = True
+        self._listen_scope.cancel()
         for conn in list(self._conns):
             conn.close_if_idle()
         with trio.move_on_at(deadline):
             while self.forwarder.in_flight or self._conns:
                 await trio.sleep(DRAIN_POLL_S)
 
-    async def _serve(self, address: str, handle: Handler) -> None:
+    async def _serve_callers(self, nursery: trio.Nursery) -> None:
+        """Accept callers until the instance closes; what they began goes on in the nursery."""
+        with self._listen_scope:
+            await self._serve(self.boot.caller_address, self.forwarder.handle, nursery)
+
+    async def _serve(
+        self, address: str, handle: Handler, nursery: trio.Nursery | None = None
+    ) -> None:
         host, port = address.rsplit(":", 1)
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
 
@@ -152,7 +161,7 @@
             finally:
                 self._conns.discard(conn)
 
-        await trio.serve_listeners(serve_conn, listeners)
+        await trio.serve_listeners(serve_conn, listeners, handler_nursery=nursery)
 
     def _limits(self) -> ConnectionLimits:
         config = self.state.config
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -35,6 +35,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattangate.core.messages import Dispatch
     from rattangate.core.routes import Route, ServingConfig, Workspace
     from rattangate.driver import Exchange as Decisions
@@ -50,6 +52,7 @@
 LOADING_S = 1.0
 MAX_HELD_BYTES = 262_144
 DEFAULT_RETRY_AFTER_S = 1.0
+SHUTDOWN_RETRY_AFTER_S = 0.05
 HELD_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -88,8 +91,9 @@
 class Forwarder:
     """Answer the requests of callers from the endpoints that the gateway chooses."""
 
-    def __init__(self, state: FrontState, metrics: Metrics) -> None:
+    def __init__(self, state: FrontState, metrics: Metrics, is_closing: Callable[[], bool]) -> None:
         self.in_flight = 0
+        self._is_closing = is_closing
         self._state = state
         self._metrics = metrics
 
@@ -125,6 +129,8 @@
         config = self._state.config
         if config is None or not self._state.is_complete:
             return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no configuration yet", 0.5)
+        if self._is_closing():
+            return Failure(ErrorKind.SHUTTING_DOWN, "stopping", SHUTDOWN_RETRY_AFTER_S)
         route = config.find_route(head.host, req.target.decode("latin-1"))
         if route is None:
             return Failure(ErrorKind.NOT_FOUND, f"configuration {config.version}")
