--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -79,6 +79,7 @@
         self._cfg = cfg
         self._services: Mapping[str, Service] = {}
         self._loading: dict[tuple[str, int], float] = {}
+        self._unreachable: set[tuple[str, int]] = set()
         self._told: dict[str, EndpointSeen] = {}
 
     def configure(self, services: Mapping[str, Service], now: float) -> list[EndpointSeen]:
@@ -106,6 +107,21 @@
         self._loading.pop(life, None)
         return self._changes(now)
 
+    def note_reachable(
+        self, endpoint: str, incarnation: int, is_reachable: bool, now: float
+    ) -> list[EndpointSeen]:
+        """Take whether connections to an endpoint can be opened from here."""
+        life = (endpoint, incarnation)
+        if is_reachable:
+            self._unreachable.discard(life)
+        else:
+            self._unreachable.add(life)
+        return self._changes(now)
+
+    def is_reachable(self, item: ListedEndpoint) -> bool:
+        """Tell whether connections to an endpoint can be opened, as far as is known."""
+        return (item.endpoint, item.incarnation) not in self._unreachable
+
     def tick(self, now: float) -> list[EndpointSeen]:
         """Let the deadlines of loads pass."""
         expired = [life for life, deadline in self._loading.items() if deadline <= now]
@@ -163,6 +179,8 @@
     def _state(self, item: ListedEndpoint, now: float) -> EndpointState:
         if item.is_leaving:
             return EndpointState.LEAVING
+        if not self.is_reachable(item):
+            return EndpointState.DOWN
         if now < self._loading.get((item.endpoint, item.incarnation), 0.0):
             return EndpointState.DOWN
         return EndpointState.LIVE
--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -24,13 +24,15 @@
     """Bound the loads.
 
     `settle_s` is how long a late order of an earlier holder may take, `stall_s` how long a replica
-    may load without an order of this holder, `max_loading` how many may load side by side.
+    may load without an order of this holder, `max_loading` how many may load side by side, and
+    `max_loading_share` which share of the live replicas.
     """
 
     load_interval_s: float = 0.5
     settle_s: float = 3.0
     stall_s: float = 5.0
     max_loading: int = MAX_LOADING
+    max_loading_share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +103,7 @@
             takes_capacity = _serves(item, wanted.in_use)
             if takes_capacity and spare <= 0:
                 break
-            if now < self._next_load_at or self._count_loading() >= self._cfg.max_loading:
+            if now < self._next_load_at or self._count_loading() >= self._max_loading(replicas):
                 return effects
             spare -= takes_capacity
             self._ordered[item.endpoint] = wanted.weights_version
@@ -141,6 +143,10 @@
         kept = [item for item in replicas if item.endpoint not in self._ordered]
         return _count_ready(kept, wanted.in_use) - wanted.min_replicas
 
+    def _max_loading(self, replicas: Sequence[Observed]) -> int:
+        live = sum(not item.leaving for item in replicas)
+        return max(1, min(self._cfg.max_loading, round(self._cfg.max_loading_share * live)))
+
     def _count_loading(self) -> int:
         return len(self._loading_since.keys() | self._ordered.keys())
 
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -109,6 +109,14 @@
             await conn.aclose()
         return await self._open()
 
+    async def probe(self) -> bool:
+        """Open one connection for later use; tell whether that succeeded."""
+        try:
+            await self.give_back(await self._open())
+        except ConnectFailed:
+            return False
+        return True
+
     async def give_back(self, conn: EndpointConn) -> None:
         """Keep a connection whose exchange is complete."""
         if self._is_closed:
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -210,9 +210,11 @@
                         admitted, decisions, dispatch, responder, stack, outbound
                     )
         except ConnectFailed as exc:
+            self._state.doubt(dispatch.endpoint, dispatch.incarnation)
             return self._note_failed(admitted, AttemptResult.NOT_SENT, str(exc))
         except (ExchangeLost, EventFault) as exc:
             admitted.may_have_run = True
+            self._state.doubt(dispatch.endpoint, dispatch.incarnation)
             return self._note_failed(admitted, AttemptResult.LOST, str(exc))
         result = AttemptResult.LOST if admitted.may_have_run else AttemptResult.NOT_SENT
         return self._note_failed(admitted, result, "withdrawn or out of time")
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -54,6 +54,8 @@
 REPORTS = 20
 # Replicas finish what runs before they load, so that of three ordered about two load at once.
 MAX_LOADING = 3
+# The others must bear the traffic meanwhile.
+MAX_LOADING_SHARE = 0.45
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,9 +131,13 @@
         if fence != self._driver.fence:
             self._driver = OrderDriver(fence)
             settle_s = self._state.boot.bounds.lease_s
-            self._rollout = Rollout(
-                RolloutCfg(load_interval_s=0.0, settle_s=settle_s, max_loading=MAX_LOADING), now
+            cfg = RolloutCfg(
+                load_interval_s=0.0,
+                settle_s=settle_s,
+                max_loading=MAX_LOADING,
+                max_loading_share=MAX_LOADING_SHARE,
             )
+            self._rollout = Rollout(cfg, now)
         wanted, replicas = self._observe()
         for effect in self._rollout.plan(wanted, replicas, now):
             if isinstance(effect, WantOrders):
@@ -148,9 +154,10 @@
         for model, version in self._state.named_versions.items():
             text = str(version)
             wanted.append(WantedVersion(model, text, in_use=text, min_replicas=0))
-            running = (item for item in self._state.view.endpoints.values())
             replicas[model] = [
-                _observed(item, model) for item in running if item.version_of(model) is not None
+                _observed(item, model)
+                for item in self._state.view.endpoints.values()
+                if item.version_of(model) is not None and self._state.view.is_reachable(item)
             ]
         return wanted, replicas
 
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -24,6 +24,7 @@
 
 PIECE_TOKENS = 128
 FAR_COST_S = 0.01
+PROBE_INTERVAL_S = 0.25
 
 
 def boot_time() -> float:
@@ -43,6 +44,7 @@
         self.list_read_at: float | None = None
         self.driver = driver
         self._nursery = nursery
+        self._probed: set[tuple[str, int]] = set()
         self._pools: dict[tuple[str, int], EndpointPool] = {}
 
     @property
@@ -74,6 +76,28 @@
         """Take what this instance or a peer knows first-hand of an engine's weights."""
         self._tell(self.view.take_weights(news, trio.current_time()))
 
+    def doubt(self, endpoint: str, incarnation: int) -> None:
+        """Send no more requests to an endpoint until a connection to it opens again."""
+        life = (endpoint, incarnation)
+        pool = self.pool_of(endpoint, incarnation)
+        if pool is None or life in self._probed:
+            return
+        self._probed.add(life)
+        now = trio.current_time()
+        self._tell(self.view.note_reachable(endpoint, incarnation, False, now))
+        self._nursery.start_soon(self._probe, endpoint, incarnation)
+
+    async def _probe(self, endpoint: str, incarnation: int) -> None:
+        """Open connections to an endpoint until one succeeds or the endpoint is gone."""
+        while True:
+            pool = self.pool_of(endpoint, incarnation)
+            if pool is None or await pool.probe():
+                break
+            await trio.sleep(PROBE_INTERVAL_S)
+        self._probed.discard((endpoint, incarnation))
+        now = trio.current_time()
+        self._tell(self.view.note_reachable(endpoint, incarnation, True, now))
+
     def tick(self) -> None:
         """Let deadlines pass."""
         self._tell(self.view.tick(trio.current_time()))
