--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -41,6 +41,7 @@
 FETCH_S_PER_TOKEN = 3e-6
 OLD_VERSION_COST_S = 0.3
 NEWS_INTERVAL_S = 0.1
+BIND_WAIT_S = 0.3
 NS_PER_MS = 1_000_000
 # The balancer asks once a second and takes an instance out after two misses.
 BALANCER_NOTICE_S = 2.5
@@ -109,6 +110,7 @@
             retry_ratio=bounds.retry_ratio / 2,
             retry_slack=bounds.retry_slack / 8,
             retry_capacity=bounds.retry_slack / 8,
+            bind_wait_s=BIND_WAIT_S,
         )
         cfg = GatewayCfg(
             PIECE_TOKENS,
