Log what placement expected and what came of it

Cause: why requests were late could not be told from the logs. Adds the time waited, the tokens and the time expected, and the time to the first token.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -244,6 +244,8 @@
             req.priority,
             chosen.source.name if chosen.source is not None else "",
             target,
+            chosen.missing_tokens,
+            chosen.first_token_s,
         )
 
     def _choose_target(self, run: Run, chosen: Candidate, now: float) -> str:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -301,7 +301,8 @@
 
     `priority` is for the engine's own queue; a lower number goes first. `cache_source` names the
     endpoint from which the engine should fetch cache entries that it lacks, and `cache_target` the
-    keeper to which it should give the prompt's entries, empty for none.
+    keeper to which it should give the prompt's entries, empty for none. `missing_tokens` and
+    `first_token_s` are what the choice expected: the tokens to prefill and the time to the first.
     """
 
     req_id: int
@@ -313,6 +314,8 @@
     priority: int = 0
     cache_source: str = ""
     cache_target: str = ""
+    missing_tokens: int = 0
+    first_token_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -78,6 +78,7 @@
     hides_key: bool
     attempts: int = 0
     endpoint: str = ""
+    first_token_at: float = 0.0
     may_have_run: bool = False
     failure_answer: WholeAnswer | None = None
     splicer: EventSplicer = field(default_factory=EventSplicer)
@@ -283,7 +284,7 @@
                     await self._start(responder, exchange)
                     await responder.send(b"".join(held))
                     held.clear()
-        decisions.first_token(dispatch.attempt, None)
+        self._note_first(admitted, decisions, dispatch)
         body = b"".join(held)
         if responder.is_started:
             if body:
@@ -311,7 +312,7 @@
                     continue
                 if is_first:
                     is_first = False
-                    decisions.first_token(dispatch.attempt, None)
+                    self._note_first(admitted, decisions, dispatch)
                 await self._start(responder, exchange)
                 await responder.send(events)
         await self._start(responder, exchange)
@@ -320,6 +321,13 @@
             await responder.send(rest)
         await responder.finish()
 
+    def _note_first(self, admitted: Admitted, decisions: Decisions, dispatch: Dispatch) -> None:
+        now = trio.current_time()
+        if not admitted.first_token_at:
+            admitted.first_token_at = now
+            self._metrics.first_token.observe(now - admitted.req.arrived_at)
+        decisions.first_token(dispatch.attempt, None)
+
     async def _start(self, responder: Responder, exchange: Exchange) -> None:
         if not responder.is_started:
             headers = returned_headers(exchange.headers)
@@ -448,6 +456,7 @@
     def _log_placed(self, admitted: Admitted, dispatch: Dispatch) -> None:
         config = self._state.config
         read_at = self._state.list_read_at or 0.0
+        now = trio.current_time()
         log(
             LogEvent.REQUEST_PLACED,
             request_id=admitted.head.attempt_id,
@@ -458,7 +467,10 @@
             source=dispatch.cache_source,
             reason=dispatch.retry_reason.value if dispatch.retry_reason else "first",
             config_version=config.version if config is not None else 0,
-            list_age_ms=int((trio.current_time() - read_at) * 1000),
+            list_age_ms=int((now - read_at) * 1000),
+            queued_ms=int((now - admitted.req.arrived_at) * 1000),
+            missing=dispatch.missing_tokens,
+            expected_ms=int(dispatch.first_token_s * 1000),
         )
 
     def _log_done(self, admitted: Admitted) -> None:
@@ -470,6 +482,8 @@
             attempts=admitted.attempts,
             prompt=admitted.head.prompt_tokens,
             completion=admitted.splicer.passed_on,
+            first_ms=int((admitted.first_token_at - admitted.req.arrived_at) * 1000),
+            total_ms=int((trio.current_time() - admitted.req.arrived_at) * 1000),
         )
 
 
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -34,7 +34,17 @@
     REQUEST_DONE = (
         200,
         "A request was answered.",
-        ("request_id", "workspace", "endpoint", "attempts", "prompt", "cached", "completion"),
+        (
+            "request_id",
+            "workspace",
+            "endpoint",
+            "attempts",
+            "prompt",
+            "cached",
+            "completion",
+            "first_ms",
+            "total_ms",
+        ),
     )
     REQUEST_REFUSED = (
         201,
@@ -69,6 +79,9 @@
             "reason",
             "config_version",
             "list_age_ms",
+            "queued_ms",
+            "missing",
+            "expected_ms",
         ),
     )
     ATTEMPT_FAILED = (
