--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -48,10 +48,10 @@
 TERM_S = 2.5
 STEP_S = 0.05
 # A replica that was ordered to load refuses new requests until it is done.
-LOAD_DEADLINE_S = 4.0
+LOAD_DEADLINE_S = 8.0
 FIRST_REPORT_S = 1.0
 REPORT_INTERVAL_S = 0.15
-REPORTS = 20
+REPORTS = 46
 # Replicas finish what runs before they load, so that of three ordered about two load at once.
 MAX_LOADING = 3
 # The others must bear the traffic meanwhile.
