--- a/rattangate/core/events.py
+++ b/rattangate/core/events.py
@@ -9,7 +9,7 @@
 MAX_EVENT_BYTES = 1_000_000
 
 
-class EventFault(Exception):
+class EventFault(Exception):  # noqa: N818
     """Report an event that cannot continue the answer."""
 
 
--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -32,11 +32,11 @@
     arrived_at: float
 
 
-class CallerGone(Exception):
+class CallerGone(Exception):  # noqa: N818
     """Report that the caller closed its connection."""
 
 
-class RequestRefused(Exception):
+class RequestRefused(Exception):  # noqa: N818
     """Report a request that is refused while it is read."""
 
     def __init__(self, status: int, detail: str) -> None:
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -28,11 +28,11 @@
 SMALL_REQUEST_BYTES = 4_096
 
 
-class ConnectFailed(Exception):
+class ConnectFailed(Exception):  # noqa: N818
     """Report that no byte of a request was sent."""
 
 
-class ExchangeLost(Exception):
+class ExchangeLost(Exception):  # noqa: N818
     """Report that a request was sent, at least in part, and its answer is missing or wrong."""
 
 
--- /dev/null
+++ b/tests/front/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry instance on the users' platform."""
--- /dev/null
+++ b/tests/front/site.py
@@ -0,0 +1,264 @@
+"""A small site in one process: a stand-in store, scripted replicas and one entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx
+import trio
+
+from rattangate.front.app import FrontApp
+from rattangate.log_events import LineWriter
+from rattangate.platform.boot import BootSettings, Bounds
+from rattangate.standins.rows_store import RowsStore, run_store
+from tests.small_deployment import free_addresses
+
+KEY = "key-of-sese"
+HOST = "jepu9.example"
+STREAM_PATH = "/ask/1"
+RESUMABLE_PATH = "/resume/1"
+LOOKUP_PATH = "/lookup/1"
+BOOKING_PATH = "/book/1"
+MODEL = "daka"
+
+Behaviour = Callable[["Call"], Awaitable[None]]
+
+
+@dataclass
+class Call:
+    """Hold one request at a replica and the stream to answer on."""
+
+    stream: trio.SocketStream
+    head: dict[str, str]
+    line: str
+    body: bytes
+
+    async def answer(self, status: int, body: bytes, **headers: str) -> None:
+        """Answer whole and signed."""
+        lines = {"X-Attempt-Id": self.head["x-attempt-id"], "X-Server-Seal": "seal"}
+        lines |= {name.replace("_", "-"): value for name, value in headers.items()}
+        lines["Content-Length"] = str(len(body))
+        text = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+        await self.stream.send_all(f"HTTP/1.1 {status} X\r\n{text}\r\n".encode() + body)
+
+    async def refuse(self, status: int = 503) -> None:
+        """Answer that the request did not run."""
+        await self.answer(status, b"", X_Not_Executed="1")
+
+    async def start_stream(self) -> None:
+        """Send the head of a streamed answer."""
+        await self.stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "
+            + self.head["x-attempt-id"].encode()
+            + b"\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n"
+        )
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a chunk of a streamed answer; an empty one ends it."""
+        await self.stream.send_all(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token{number}\n\n".encode()
+
+
+async def stream_events(call: Call, last: int = 3) -> None:
+    """Stream the events that the caller lacks, to the end."""
+    first = int(call.head.get("last-event-id", "0")) + 1
+    await call.start_stream()
+    for number in range(first, last + 1):
+        await call.send_chunk(event(number))
+    await call.send_chunk(b"")
+
+
+async def say_done(call: Call) -> None:
+    """Answer with a short body."""
+    await call.answer(200, b"done")
+
+
+@dataclass
+class Replica:
+    """Serve requests by a behaviour and keep them."""
+
+    name: str
+    address: str
+    behaviour: Behaviour
+    calls: list[Call] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = self.address.rsplit(":", 1)
+        await trio.serve_tcp(self._serve, int(port), host=host)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        buffer = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in buffer:
+                    data = await stream.receive_some()
+                    if not data:
+                        return
+                    buffer += data
+                head, _, buffer = buffer.partition(b"\r\n\r\n")
+                line, *lines = head.decode().split("\r\n")
+                pairs = (item.split(":", 1) for item in lines)
+                headers = {name.lower(): value.strip() for name, value in pairs}
+                size = int(headers.get("content-length", "0"))
+                while len(buffer) < size:
+                    buffer += await stream.receive_some()
+                body, buffer = buffer[:size], buffer[size:]
+                call = Call(stream, headers, line, body)
+                self.calls.append(call)
+                await self.behaviour(call)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+@dataclass
+class Site:
+    """Hold the parts of a running site."""
+
+    store: RowsStore
+    app: FrontApp
+    replicas: dict[str, Replica]
+    client: httpx.AsyncClient
+    boot: BootSettings
+
+    async def ask(self, path: str, key: str | None = KEY, **headers: str) -> httpx.Response:
+        """Send one request as a caller."""
+        sent = {"Host": HOST, "X-Attempt-Id": "a1", "X-Deadline-Ms": "3000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        if key is not None:
+            sent["Authorization"] = f"Bearer {key}"
+        if path in (STREAM_PATH, RESUMABLE_PATH):
+            sent |= {"X-Model": MODEL, "X-Token-Counts": "900,20", "X-Prefix-Hash": "aa:600,bb:300"}
+        return await self.client.post(path, content=b"hello", headers=sent)
+
+    def configure(self, version: int, **changes: Any) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("op", "config", {**make_config(version), **changes})
+
+    def list_replica(self, name: str, service: str, **changes: Any) -> None:
+        """Write a replica's entry."""
+        models = [{"name": MODEL, "version": 1}] if service == "llm" else []
+        entry = {
+            "service": service,
+            "address": self.replicas[name].address,
+            "zone": "riverside",
+            "slots": 4,
+            "state": "ready",
+            "born": 1000,
+            "models": models,
+        }
+        self.store.put("servers", name, {**entry, **changes})
+
+    def calls(self) -> list[Call]:
+        """Return the requests at all replicas."""
+        return [call for replica in self.replicas.values() for call in replica.calls]
+
+
+def make_config(version: int) -> dict[str, Any]:
+    """Make the operator's configuration."""
+    common = {"host": HOST, "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1}
+    return {
+        "version": version,
+        "routes": [
+            {**common, "name": "s", "path_prefix": "/ask/", "kind": "stream", "service": "llm"},
+            {
+                **common,
+                "name": "r",
+                "path_prefix": "/resume/",
+                "kind": "stream",
+                "service": "llm",
+                "can_resume": True,
+                "max_attempts": 2,
+            },
+            {
+                **common,
+                "name": "l",
+                "path_prefix": "/lookup/",
+                "kind": "idempotent",
+                "service": "desk",
+                "max_attempts": 2,
+            },
+            {
+                **common,
+                "name": "b",
+                "path_prefix": "/book/",
+                "kind": "non_idempotent",
+                "service": "desk",
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "engine": {"slots": 4, "kv_capacity": 9000, "models": [{"name": MODEL}]},
+            },
+            {"name": "desk"},
+        ],
+        "tenants": [{"name": "sese", "api_keys": [KEY]}],
+    }
+
+
+@asynccontextmanager
+async def running_site(desk: Behaviour = say_done, llm: Behaviour = stream_events, copies: int = 2):
+    """Run a site whose replicas all behave alike."""
+    addresses = free_addresses(4 + 2 * copies)
+    store_address, caller, ready, peer = addresses[:4]
+    boot = BootSettings(
+        "entry-1",
+        "riverside",
+        caller.rsplit(":", 1)[0],
+        caller,
+        ready,
+        int(peer.rsplit(":", 1)[1]),
+        store_address,
+        Bounds(grace_s=3.0),
+    )
+    rest = iter(addresses[4:])
+    replicas = {}
+    for number in range(copies):
+        for service, behaviour in (("desk", desk), ("llm", llm)):
+            name = f"{service}-{number}"
+            replicas[name] = Replica(name, next(rest), behaviour)
+    store = RowsStore()
+    app = FrontApp(boot, LineWriter(1, max_lines=0))
+    with trio.fail_after(30):
+        async with (
+            trio.open_nursery() as nursery,
+            httpx.AsyncClient(base_url=f"http://{caller}", trust_env=False, timeout=10.0) as client,
+        ):
+            nursery.start_soon(run_store, store_address, store)
+            for replica in replicas.values():
+                nursery.start_soon(replica.run)
+            site = Site(store, app, replicas, client, boot)
+            site.configure(1)
+            for name in replicas:
+                site.list_replica(name, name.split("-")[0])
+            nursery.start_soon(app.run)
+            await wait_until(lambda: hasattr(app, "state") and app.is_ready)
+            yield site
+            nursery.cancel_scope.cancel()
+
+
+async def wait_until(holds: Callable[[], bool], limit_s: float = 10.0) -> None:
+    """Wait until a condition holds."""
+    with trio.fail_after(limit_s):
+        while not holds():
+            await trio.sleep(0.02)
+
+
+async def lines_of(stream: trio.SocketStream) -> AsyncIterator[bytes]:
+    """Yield what arrives on a connection until it closes."""
+    while True:
+        try:
+            data = await stream.receive_some()
+        except trio.BrokenResourceError:
+            return
+        if not data:
+            return
+        yield data
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,89 @@
+"""Headers are translated both ways, and what a caller must not set is dropped."""
+
+from __future__ import annotations
+
+from rattangate.platform.requests import (
+    Directions,
+    PromptPart,
+    decode_answer,
+    decode_request,
+    forwarded_headers,
+    returned_headers,
+)
+
+CALLER = [
+    (b"host", b"jepu9.example:80"),
+    (b"x-attempt-id", b"9c41"),
+    (b"x-model", b"daka"),
+    (b"x-token-counts", b"1460,80"),
+    (b"x-prefix-hash", b"5c1e:800,91bd:410, e440:250"),
+    (b"x-deadline-ms", b"5000"),
+    (b"authorization", b"bearer secret1"),
+    (b"connection", b"keep-alive, x-mine"),
+    (b"x-mine", b"1"),
+    (b"x-cache-salt", b"stolen"),
+    (b"x-tenant", b"other"),
+    (b"x-hold", b"7"),
+    (b"kv-from", b"10.0.0.1:80/a"),
+    (b"transfer-encoding", b"chunked"),
+    (b"accept", b"*/*"),
+]
+
+
+def test_request_is_decoded():
+    head = decode_request(CALLER)
+    assert head is not None
+    assert (head.attempt_id, head.host, head.key) == ("9c41", "jepu9.example", "secret1")
+    assert (head.wait_s, head.prompt_tokens, head.max_tokens) == (5.0, 1460, 80)
+    assert head.parts == (
+        PromptPart("5c1e", 800),
+        PromptPart("91bd", 410),
+        PromptPart("e440", 250),
+    )
+
+
+def test_a_malformed_number_is_refused():
+    assert decode_request([(b"x-token-counts", b"a,b")]) is None
+
+
+def test_forwarded_headers_carry_only_our_directions():
+    directions = Directions("i-1", 1.25, "sese", 4, "salt", 3, "10.0.0.2:80")
+    sent = forwarded_headers(CALLER, directions, True, 12)
+    headers = {name.lower(): value for name, value in sent}
+    assert headers[b"x-target-instance"] == b"i-1"
+    assert headers[b"x-deadline-ms"] == b"1250"
+    assert headers[b"x-tenant"] == b"sese"
+    assert headers[b"x-cache-salt"] == b"salt"
+    assert headers[b"x-expect-version"] == b"3"
+    assert headers[b"x-kv-source"] == b"10.0.0.2:80"
+    assert headers[b"content-length"] == b"12"
+    assert headers[b"accept"] == b"*/*"
+    dropped = (b"authorization", b"x-mine", b"x-hold", b"kv-from", b"connection")
+    assert not any(name in headers for name in (*dropped, b"transfer-encoding"))
+
+
+def test_each_direction_stands_once():
+    directions = Directions("i-1", 1.0, None)
+    names = [name.lower() for name, _ in forwarded_headers(CALLER, directions, True, None)]
+    assert len(names) == len(set(names))
+    assert b"x-tenant" not in names
+    assert b"x-cache-salt" not in names
+
+
+def test_answer_tells_whether_the_request_ran():
+    refused = decode_answer(503, [(b"x-not-executed", b"1"), (b"x-server-seal", b"s")])
+    assert (refused.was_refused, refused.is_signed) == (True, True)
+    assert decode_answer(421, []).was_refused
+    assert not decode_answer(503, []).was_refused
+    assert decode_answer(200, [(b"keep-alive", b"timeout=5, max=9")]).idle_timeout_s == 5.0
+    assert decode_answer(200, [(b"content-encoding", b"gzip")]).is_encoded
+
+
+def test_returned_headers_leave_out_those_of_one_connection():
+    headers = [
+        (b"Connection", b"close"),
+        (b"X-Server-Seal", b"s"),
+        (b"Content-Length", b"3"),
+        (b"X-Server-Load", b"1,0,6"),
+    ]
+    assert returned_headers(headers) == [(b"X-Server-Seal", b"s")]
