--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -42,6 +42,8 @@
 OWN = ""
 RESEND_S = 1.0
 USAGE_INTERVAL_S = 0.25
+# Puts late requests behind all others in an engine's queue.
+LATE_PRIORITIES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +243,7 @@
             endpoint.seen.incarnation,
             endpoint.seen.weights_version,
             run.retry_reason,
-            req.priority,
+            req.priority + (LATE_PRIORITIES if run.is_late else 0),
             chosen.source.name if chosen.source is not None else "",
             target,
             chosen.missing_tokens,
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -44,6 +44,8 @@
 BORROW_RECOMPUTE_WEIGHT = 2.0
 SHORT_QUEUE = 8
 PLAN_INTERVAL_S = 0.02
+# Above all levels that priority and use of shares give.
+LATE_LEVELS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +205,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Refuse what has become late and start what has its turn."""
+        self._demote_late(now)
         self.suspects.quarantine.expire(now)
         self.flights.expire(now)
         self._doubts.expire(now)
@@ -237,6 +240,16 @@
         """Keep a workspace above its share from pushing others' pieces out of many caches."""
         return BORROW_RECOMPUTE_WEIGHT * _band(run)
 
+    def _demote_late(self, now: float) -> None:
+        """Put waiting requests that can no longer be on time behind those that can."""
+        for run in self.runs.values():
+            req = run.req
+            if now < req.target or run.is_late or req.req_id not in self.queue:
+                continue
+            run.is_late = True
+            self.queue.remove(req.req_id)
+            self.queue.push(_queue_item(run), now)
+
     def _pump(self, now: float, arrived: int | None = None) -> list[Effect]:
         """Plan the queue; a long one is planned at intervals, and only the newcomer at once."""
         if len(self.queue) <= SHORT_QUEUE or now >= self._next_plan_at:
@@ -409,7 +422,8 @@
 def _queue_item(run: Run) -> QueueItem:
     req = run.req
     tokens = req.prompt_tokens + req.max_tokens
-    return QueueItem(req.req_id, req.scope.workspace, req.priority, tokens)
+    level = req.priority + (LATE_LEVELS if run.is_late else 0)
+    return QueueItem(req.req_id, req.scope.workspace, level, tokens)
 
 
 def _band(run: Run) -> int:
--- a/rattangate/core/leases.py
+++ b/rattangate/core/leases.py
@@ -80,7 +80,8 @@
 class Lease:
     """Acquire, renew and lose one lease; each effect is answered by one message."""
 
-    def __init__(self, holder: Holder, term_s: float) -> None:
+    def __init__(self, holder: Holder, term_s: float, poll_share: float = POLL_SHARE) -> None:
+        self._poll_share = poll_share
         self.holder = holder
         self.wake_at = NEVER
         self._term_s = term_s
@@ -119,7 +120,7 @@
     @_handle.register
     def _on_read(self, msg: LeaseRead, now: float) -> list[LeaseEffect]:
         self._is_waiting = False
-        self.wake_at = now + POLL_SHARE * self._term_s
+        self.wake_at = now + self._poll_share * self._term_s
         if not msg.found:
             return []
         if msg.version != self._seen_version:
@@ -132,7 +133,7 @@
     @_handle.register
     def _on_swapped(self, msg: LeaseSwapped, now: float) -> list[LeaseEffect]:
         self._is_waiting = False
-        self.wake_at = now + POLL_SHARE * self._term_s
+        self.wake_at = now + self._poll_share * self._term_s
         asked = self._asked
         if asked is None or msg.result in (SwapResult.UNSENT, SwapResult.UNKNOWN):
             return []
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -59,7 +60,8 @@
 
     `pieces` are the chained hashes of the whole pieces of the prompt under the scope's weights
     version; `other_versions` offers the same prompt under versions that still run. The last
-    `own_pieces` of them belong to this request alone. `max_runs` bounds
+    `own_pieces` of them belong to this request alone. An answer that begins after `target` is late:
+    it is still of use until the deadline, but goes behind those that can be on time. `max_runs` bounds
     the endpoints on which the request may have run, None for no bound of its own.
     """
 
@@ -75,6 +77,7 @@
     repeatable: bool = True
     max_runs: int | None = None
     own_pieces: int = 0
+    target: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/runs.py
+++ b/rattangate/core/runs.py
@@ -26,6 +26,7 @@
     attempt: int = 0
     failures: int = 0
     runs: int = 0
+    is_late: bool = False
     number: int = 0
     placed_on: Endpoint | None = None
     placed_at: float = 0.0
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -380,6 +380,7 @@
             admitted.route.repeatable,
             admitted.route.max_attempts,
             count_pieces(head.parts[-1], PIECE_TOKENS) if head.parts else 0,
+            admitted.req.arrived_at + admitted.route.target_latency_s,
         )
 
     def _scope(self, admitted: Admitted, version: str) -> Scope:
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -27,7 +27,9 @@
 SECRET_KEY = "secret"
 INSTANCE_PREFIX = "instance/"
 SECRET_BYTES = 32
-READ_INTERVAL_S = 2.0
+READ_INTERVAL_S = 5.0
+FIRST_READS_S = 10.0
+FIRST_READ_INTERVAL_S = 1.0
 RETRY_S = 0.3
 HEARTBEAT_S = 0.5
 LOST_AFTER_S = 2.0
@@ -69,9 +71,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._links.run, self._address)
             nursery.start_soon(self._beat)
+            settled_at = trio.current_time() + FIRST_READS_S
             while True:
                 await self._read_peers()
-                await trio.sleep(READ_INTERVAL_S)
+                is_settled = trio.current_time() >= settled_at
+                await trio.sleep(READ_INTERVAL_S if is_settled else FIRST_READ_INTERVAL_S)
 
     async def leave(self) -> None:
         """Remove this instance's row."""
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -46,6 +46,7 @@
 LEASE_TABLE = "rattangate"
 LEASE_KEY = "lease/orders"
 TERM_S = 2.5
+POLL_SHARE = 0.5
 STEP_S = 0.05
 # A replica that was ordered to load refuses new requests until it is done.
 LOAD_DEADLINE_S = 8.0
@@ -80,7 +81,7 @@
         self._store = store
         self._state = state
         self._name = state.boot.instance
-        self.lease = Lease(Holder(self._name, incarnation), TERM_S)
+        self.lease = Lease(Holder(self._name, incarnation), TERM_S, POLL_SHARE)
         self._driver = OrderDriver(0)
         self._rollout = Rollout(RolloutCfg(), 0.0)
         self._logged_fence: int | None = None
--- a/rattangate/front/watch.py
+++ b/rattangate/front/watch.py
@@ -27,8 +27,8 @@
     from rattangate.platform.client import Unavailable
     from rattangate.platform.store import Store, StoreRow
 
-OPERATOR_WAIT_S = 1.0
-LIST_INTERVAL_S = 0.5
+OPERATOR_WAIT_S = 1.5
+LIST_INTERVAL_S = 0.8
 RETRY_S = 0.2
 
 
