--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from dataclasses import dataclass, replace
@@ -101,6 +102,7 @@
         self._pool = pool
         self._peer_queues: dict[str, int] = {}
         self._doubts = Doubts()
+        self._targets: list[tuple[float, int]] = []
         self._next_plan_at = 0.0
 
     def configure(
@@ -125,6 +127,8 @@
             return [_refuse(req.req_id, denial.reason, wait_s)]
         run.req = replace(req, priority=self._engine_priority(req, now))
         self.runs[req.req_id] = run
+        if req.target < math.inf:
+            heapq.heappush(self._targets, (req.target, req.req_id))
         if verdict is Verdict.SUSPECT:
             self.suspects.hold(run, now)
             return self._step_suspects(now)
@@ -242,13 +246,15 @@
 
     def _demote_late(self, now: float) -> None:
         """Put waiting requests that can no longer be on time behind those that can."""
-        for run in self.runs.values():
-            req = run.req
-            if now < req.target or run.is_late or req.req_id not in self.queue:
+        while self._targets and self._targets[0][0] <= now:
+            _, req_id = heapq.heappop(self._targets)
+            run = self.runs.get(req_id)
+            if run is None:
                 continue
             run.is_late = True
-            self.queue.remove(req.req_id)
-            self.queue.push(_queue_item(run), now)
+            if req_id in self.queue:
+                self.queue.remove(req_id)
+                self.queue.push(_queue_item(run), now)
 
     def _pump(self, now: float, arrived: int | None = None) -> list[Effect]:
         """Plan the queue; a long one is planned at intervals, and only the newcomer at once."""
