Hand the lease of orders over within seconds

Ruled out: the order of loads (oldest first) and the number of replicas that load at once. The term falls from 2.5 to 1.2 s, one candidate watches it closely, a restarted instance takes its own lease back at once, a stopping holder releases it, and the wait for the earlier holder's orders counts from its last possible one.

--- a/rattangate/core/leases.py
+++ b/rattangate/core/leases.py
@@ -78,10 +78,15 @@
 
 
 class Lease:
-    """Acquire, renew and lose one lease; each effect is answered by one message."""
+    """Acquire, renew and lose one lease; each effect is answered by one message.
 
-    def __init__(self, holder: Holder, term_s: float, poll_share: float = POLL_SHARE) -> None:
-        self._poll_share = poll_share
+    `poll_s` is the interval at which a candidate reads the record. An earlier holder on another
+    instance may have acted until `rivals_until`.
+    """
+
+    def __init__(self, holder: Holder, term_s: float) -> None:
+        self.poll_s = POLL_SHARE * term_s
+        self.rivals_until = NEVER
         self.holder = holder
         self.wake_at = NEVER
         self._term_s = term_s
@@ -120,7 +125,7 @@
     @_handle.register
     def _on_read(self, msg: LeaseRead, now: float) -> list[LeaseEffect]:
         self._is_waiting = False
-        self.wake_at = now + self._poll_share * self._term_s
+        self.wake_at = now + self.poll_s
         if not msg.found:
             return []
         if msg.version != self._seen_version:
@@ -133,7 +138,7 @@
     @_handle.register
     def _on_swapped(self, msg: LeaseSwapped, now: float) -> list[LeaseEffect]:
         self._is_waiting = False
-        self.wake_at = now + self._poll_share * self._term_s
+        self.wake_at = now + self.poll_s
         asked = self._asked
         if asked is None or msg.result in (SwapResult.UNSENT, SwapResult.UNKNOWN):
             return []
@@ -145,6 +150,16 @@
         self._see(msg.version, msg.record, now)
         return []
 
+    def release(self, now: float) -> list[LeaseEffect]:
+        """Give up a held lease, so that a candidate need not wait for its end."""
+        seen = self._seen
+        if seen is None or not self._is_own(seen) or now >= self._deadline:
+            return []
+        self._deadline = NEVER
+        record = LeaseRecord(self.holder, seen.fence, seen.renewal + 1, term_s=0.0)
+        self._is_waiting = True
+        return [SwapLease(self._seen_version, record)]
+
     def _ask(self, now: float) -> list[LeaseEffect]:
         seen = self._seen
         renewal = 1 if seen is None else seen.renewal + 1
@@ -165,8 +180,10 @@
         self._seen_version = version
         self._seen = record
         self._free_at = NEVER
-        if record is not None and not self._is_own(record):
-            self._free_at = now + record.term_s + TAKE_OVER_MARGIN_S
+        if record is None or record.holder.instance == self.holder.instance:
+            return
+        self.rivals_until = now + record.term_s
+        self._free_at = self.rivals_until + TAKE_OVER_MARGIN_S
 
     def _is_own(self, record: LeaseRecord | None) -> bool:
         return record is not None and record.holder == self.holder
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -78,7 +78,13 @@
             nursery.start_soon(OperatorWatch(store, self.state).run)
             nursery.start_soon(EndpointWatch(store, self.state).run)
             self._peers = Peers(store, self.state, self.incarnation)
-            holder = OrderHolder(store, self.state, self.incarnation, self._peers.send_weights)
+            holder = OrderHolder(
+                store,
+                self.state,
+                self.incarnation,
+                self._peers.send_weights,
+                self._peers.is_first,
+            )
             nursery.start_soon(self._peers.run)
             nursery.start_soon(holder.run)
             nursery.start_soon(self._tick)
@@ -90,6 +96,8 @@
                 address=self.boot.caller_address,
             )
             await self._wait_signal()
+            holder.leave()
+            nursery.start_soon(self._peers.leave)
             await self._drain()
             log(
                 LogEvent.INSTANCE_STOPPED,
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -63,6 +63,10 @@
         """Return the number of peers that are heard from."""
         return self._roster.count_heard()
 
+    def is_first(self) -> bool:
+        """Tell whether no live peer comes before this instance by name."""
+        return all(self._name < name for name in self._roster.staying())
+
     async def run(self) -> None:
         """Register this instance, then find peers and talk to them until cancelled."""
         secret = await self._join()
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -45,8 +45,10 @@
 
 LEASE_TABLE = "rattangate"
 LEASE_KEY = "lease/orders"
-TERM_S = 2.5
-POLL_SHARE = 0.5
+TERM_S = 1.2
+# The first candidate watches the lease closely, the others in case that it is gone too.
+FIRST_POLL_S = 0.36
+OTHER_POLL_S = 2.0
 STEP_S = 0.05
 # A replica that was ordered to load refuses new requests until it is done.
 LOAD_DEADLINE_S = 8.0
@@ -76,16 +78,23 @@
         state: FrontState,
         incarnation: int,
         tell_peers: Callable[[WeightsNews], None],
+        is_first: Callable[[], bool],
     ) -> None:
         self._tell_peers = tell_peers
+        self._is_first = is_first
+        self._is_leaving = False
         self._store = store
         self._state = state
         self._name = state.boot.instance
-        self.lease = Lease(Holder(self._name, incarnation), TERM_S, POLL_SHARE)
+        self.lease = Lease(Holder(self._name, incarnation), TERM_S)
         self._driver = OrderDriver(0)
         self._rollout = Rollout(RolloutCfg(), 0.0)
         self._logged_fence: int | None = None
 
+    def leave(self) -> None:
+        """Give no more orders and let another instance take the lease."""
+        self._is_leaving = True
+
     async def run(self) -> None:
         """Keep the lease and give orders until cancelled."""
         async with OrderClient() as client, trio.open_nursery() as nursery:
@@ -97,10 +106,18 @@
     async def _keep_lease(self) -> None:
         while True:
             msg: LeaseMessage = LeaseWakeUp()
+            self.lease.poll_s = FIRST_POLL_S if self._is_first() else OTHER_POLL_S
             while effects := self.lease.handle(msg, boot_time()):
                 msg = await self._ask_store(effects[0])
+            if self._is_leaving:
+                await self._release()
+                return
             await trio.sleep(STEP_S)
 
+    async def _release(self) -> None:
+        for effect in self.lease.release(boot_time()):
+            await self._ask_store(effect)
+
     async def _ask_store(self, effect: LeaseEffect) -> LeaseMessage:
         if isinstance(effect, ReadLease):
             read = await self._store.read_row(LEASE_TABLE, LEASE_KEY)
@@ -127,11 +144,12 @@
         now = boot_time()
         fence = self.lease.fence_at(now)
         self._log_lease(fence)
-        if fence is None:
+        if fence is None or self._is_leaving:
             return
         if fence != self._driver.fence:
             self._driver = OrderDriver(fence)
-            settle_s = self._state.boot.bounds.lease_s
+            rivals_until = self.lease.rivals_until
+            settle_s = max(0.0, rivals_until + self._state.boot.bounds.lease_s - now)
             cfg = RolloutCfg(
                 load_interval_s=0.0,
                 settle_s=settle_s,
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -10,9 +10,11 @@
     Holder,
     Lease,
     LeaseRead,
+    LeaseRecord,
     LeaseSwapped,
     LeaseWakeUp,
     ReadLease,
+    SwapLease,
 )
 from rattangate.core.once_messages import SwapResult
 
@@ -95,3 +97,31 @@
             terms += fence > highest
             highest = fence
     assert terms > 1
+
+
+def test_an_instance_takes_its_own_lease_back_at_once_after_a_restart():
+    lease = Lease(Holder("a", 2), 2.0)
+    assert lease.handle(LeaseWakeUp(), 0.0) == [ReadLease()]
+    old = LeaseRecord(Holder("a", 1), 5, 9, 2.0)
+    (asked,) = lease.handle(LeaseRead(True, 7, old), 0.1)
+    assert isinstance(asked, SwapLease)
+    assert asked.record.fence == 6
+    lease.handle(LeaseSwapped(SwapResult.APPLIED, 8), 0.2)
+    assert lease.fence_at(0.3) == 6
+    assert lease.rivals_until < 0.0
+
+
+def test_a_released_lease_is_free_after_the_margin_only():
+    one, two = Lease(Holder("a", 1), 2.0), Lease(Holder("b", 1), 2.0)
+    one.handle(LeaseWakeUp(), 0.0)
+    (asked,) = one.handle(LeaseRead(True), 0.0)
+    one.handle(LeaseSwapped(SwapResult.APPLIED, 1), 0.0)
+    (given_up,) = one.release(0.5)
+    assert one.fence_at(0.5) is None
+    assert given_up.record.term_s == 0.0
+    two.handle(LeaseWakeUp(), 0.6)
+    assert two.handle(LeaseRead(True, 2, given_up.record), 0.6) == []
+    assert two.rivals_until == 0.6
+    assert two.handle(LeaseWakeUp(), 1.2) == [ReadLease()]
+    (taken,) = two.handle(LeaseRead(True, 2, given_up.record), 1.2)
+    assert taken.record.fence == asked.record.fence + 1
