--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -61,11 +61,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewCfg:
-    """Hold the settings of the view; `far_cost_s` is the cost of another data centre."""
+    """Hold the settings of the view.
+
+    `far_cost_s` is the cost of sending a prompt to another data centre, `far_plain_cost_s` that of
+    a plain service's request, in seconds.
+    """
 
     data_centre: str
     piece_tokens: int
     far_cost_s: float
+    far_plain_cost_s: float = 0.0
 
 
 class FleetView:
@@ -159,7 +164,7 @@
             serves=item.service,
             cache_pieces=cache_tokens // self._cfg.piece_tokens,
             lanes=1 if is_engine else item.slots,
-            detour_s=self._detour_s(item.data_centre),
+            detour_s=self._detour_s(item.data_centre, is_engine),
         )
 
     def _describe_keeper(self, service: Service) -> EndpointSeen:
@@ -173,8 +178,10 @@
             detour_s=self._detour_s(service.data_centre),
         )
 
-    def _detour_s(self, data_centre: str) -> float:
-        return 0.0 if data_centre == self._cfg.data_centre else self._cfg.far_cost_s
+    def _detour_s(self, data_centre: str, has_prompts: bool = True) -> float:
+        if data_centre == self._cfg.data_centre:
+            return 0.0
+        return self._cfg.far_cost_s if has_prompts else self._cfg.far_plain_cost_s
 
     def _state(self, item: ListedEndpoint, now: float) -> EndpointState:
         if item.is_leaving:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -57,6 +57,7 @@
     fetch_s_per_token: float = math.inf
     old_version_cost_s: float = 0.0
     news_interval_s: float = 0.0
+    usage_interval_s: float = USAGE_INTERVAL_S
 
 
 class Gateway:
@@ -290,7 +291,7 @@
     def _limits_news(self, now: float) -> LimitsNews | None:
         """Return what changed, at once for suspects and at intervals for use and queue."""
         age_s = now - self._told_at
-        if age_s < USAGE_INTERVAL_S and not self.intake.has_urgent_news(self._told):
+        if age_s < self.cfg.usage_interval_s and not self.intake.has_urgent_news(self._told):
             return None
         limits = self.intake.news(now)
         if limits == self._told and age_s < RESEND_S:
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -41,6 +41,7 @@
 FETCH_S_PER_TOKEN = 3e-6
 OLD_VERSION_COST_S = 0.3
 NEWS_INTERVAL_S = 0.1
+USAGE_INTERVAL_S = 1.0
 BIND_WAIT_S = 0.3
 NS_PER_MS = 1_000_000
 # The balancer asks once a second and takes an instance out after two misses.
@@ -128,6 +129,7 @@
             fetch_s_per_token=FETCH_S_PER_TOKEN,
             old_version_cost_s=OLD_VERSION_COST_S,
             news_interval_s=NEWS_INTERVAL_S,
+            usage_interval_s=USAGE_INTERVAL_S,
         )
         return Gateway(cfg, seed=self.incarnation)
 
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -56,6 +56,7 @@
         self._incarnation = incarnation
         self._roster = Roster((), LOST_AFTER_S)
         self._links: PeerLinks | None = None
+        self._sent_at = 0.0
         self._known: dict[str, str] = {}
 
     @property
@@ -89,13 +90,16 @@
 
     def send_news(self, sent: SendNews) -> None:
         """Tell all peers of placements."""
-        if self._links is not None:
-            self._links.send(self._wrap(sent))
+        self._send(self._wrap(sent))
 
     def send_weights(self, news: WeightsNews) -> None:
         """Tell all peers of an engine's weights."""
+        self._send(replace(self._wrap(None), weights=(news,)))
+
+    def _send(self, news: PeerNews) -> None:
         if self._links is not None:
-            self._links.send(replace(self._wrap(None), weights=(news,)))
+            self._links.send(news)
+            self._sent_at = trio.current_time()
 
     async def _join(self) -> bytes:
         """Write this instance's row and return the secret that all instances share."""
@@ -140,8 +144,8 @@
     async def _beat(self) -> None:
         while True:
             await trio.sleep(HEARTBEAT_S)
-            if self._links is not None:
-                self._links.send(self._wrap(None))
+            if trio.current_time() >= self._sent_at + HEARTBEAT_S:
+                self._send(self._wrap(None))
             for name in self._roster.expire(trio.current_time()):
                 incarnation = self._roster.peers[name].incarnation
                 log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -23,7 +23,8 @@
     from rattangate.platform.boot import BootSettings
 
 PIECE_TOKENS = 128
-FAR_COST_S = 0.01
+FAR_COST_S = 0.03
+FAR_PLAIN_COST_S = 0.005
 PROBE_INTERVAL_S = 0.25
 
 
@@ -40,7 +41,7 @@
         self.config: ServingConfig | None = None
         self.keys = KeyLease(boot.bounds.revoke_s)
         self.named_versions: dict[str, int] = {}
-        self.view = FleetView(ViewCfg(boot.data_centre, PIECE_TOKENS, FAR_COST_S))
+        self.view = FleetView(ViewCfg(boot.data_centre, PIECE_TOKENS, FAR_COST_S, FAR_PLAIN_COST_S))
         self.list_read_at: float | None = None
         self.driver = driver
         self._nursery = nursery
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -21,7 +21,7 @@
 
 def make_view() -> FleetView:
     """Make a view of one engine, one plain replica and one keeper."""
-    view = FleetView(ViewCfg("riverside", piece_tokens=128, far_cost_s=0.01))
+    view = FleetView(ViewCfg("riverside", 128, far_cost_s=0.01, far_plain_cost_s=0.005))
     view.configure(SERVICES, 0.0)
     return view
 
@@ -30,7 +30,7 @@
     view = make_view()
     seen = {item.endpoint: item for item in view.take_list([ENGINE, PLAIN], 0.0)}
     assert (seen["e1"].lanes, seen["e1"].cache_pieces, seen["e1"].detour_s) == (1, 100, 0.0)
-    assert (seen["p1"].lanes, seen["p1"].detour_s) == (6, 0.01)
+    assert (seen["p1"].lanes, seen["p1"].detour_s) == (6, 0.005)
     assert seen["e1"].weights_version == "1"
 
 
