--- a/rattangate/core/cache_model.py
+++ b/rattangate/core/cache_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -99,6 +100,10 @@
         """Predict how many leading pieces the engine holds."""
         return self.best.cached(pieces)
 
+    def used_at(self, piece: int) -> float:
+        """Return the time of a piece's last use, as far back as can be where it is not held."""
+        return self.best.held.get(piece, -math.inf)
+
     def forecasts(self, pieces: tuple[int, ...]) -> tuple[int, ...]:
         """Return the prediction of each model."""
         return tuple(model.cached(pieces) for model in self.models)
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -44,6 +44,8 @@
 USAGE_INTERVAL_S = 0.25
 # Puts late requests behind all others in an engine's queue.
 LATE_PRIORITIES = 100
+# A keeper may restart empty or evict unseen, so it is given again what it got longer ago.
+KEEP_AGAIN_S = 15.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,11 +256,10 @@
     def _choose_target(self, run: Run, chosen: Candidate, now: float) -> str:
         """Name the keeper that should get a prompt whose shared part it lacks."""
         shared = chosen.pieces[: max(0, len(chosen.pieces) - run.req.own_pieces)]
-        if chosen.source is not None and chosen.source.seen.state is EndpointState.KEEPER:
-            chosen.source.cache.use(shared, now)
         for endpoint in self.endpoints.values():
             if shared and endpoint.seen.state is EndpointState.KEEPER:
-                if endpoint.cache.cached(shared) < len(shared):
+                is_held = endpoint.cache.cached(shared) == len(shared)
+                if not is_held or endpoint.cache.used_at(shared[-1]) < now - KEEP_AGAIN_S:
                     endpoint.cache.use(chosen.pieces, now)
                     return endpoint.name
         return ""
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -19,6 +19,8 @@
 COLD_SLACK = 0.25
 LEVEL_DECAY = 0.5
 HASH_RANGE = 2.0**64
+# An engine seldom evicts what it used within this time, in seconds.
+SURE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,7 @@
 class _Source:
     endpoint: Endpoint
     pieces: int
+    rank: tuple[int, bool, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,8 +95,12 @@
     return usable
 
 
-def _find_source(candidate: Candidate, endpoints: Iterable[Endpoint]) -> _Source | None:
-    """Return the other endpoint that holds most of the prompt, a near one rather than a far one."""
+def _find_source(candidate: Candidate, endpoints: Iterable[Endpoint], now: float) -> _Source | None:
+    """Return the other endpoint that holds most of the prompt.
+
+    Of equal ones a keeper, or an engine that used the entries lately, is surer to hold them still;
+    of those a near one is cheaper.
+    """
     best: _Source | None = None
     version = candidate.endpoint.seen.weights_version
     for endpoint in endpoints:
@@ -104,9 +111,13 @@
         if not is_keeper and seen.weights_version != version:
             continue
         held = endpoint.cache.cached(candidate.pieces)
-        rank = (held, -seen.detour_s)
-        if held and (best is None or rank > (best.pieces, -best.endpoint.seen.detour_s)):
-            best = _Source(endpoint, held)
+        if not held:
+            continue
+        used_at = endpoint.cache.used_at(candidate.pieces[held - 1])
+        is_sure = is_keeper or used_at >= now - SURE_S
+        rank = (held, is_sure, -seen.detour_s)
+        if best is None or rank > best.rank:
+            best = _Source(endpoint, held, rank)
     return best
 
 
@@ -119,7 +130,7 @@
     been evicted unseen, and a source with nothing to give costs next to nothing.
     """
     endpoint = candidate.endpoint
-    source = _find_source(candidate, endpoints)
+    source = _find_source(candidate, endpoints, now)
     if source is None:
         return candidate
     tokens = source.pieces * endpoint.piece_tokens - endpoint.cached_tokens(candidate.pieces)
