--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -18,6 +18,7 @@
 from rattangate.front.caller_conn import CallerConn
 from rattangate.front.forward import Forwarder
 from rattangate.front.peers import Peers
+from rattangate.front.reload import BootWatch
 from rattangate.front.rollout import OrderHolder
 from rattangate.front.state import PIECE_TOKENS, FrontState
 from rattangate.front.watch import EndpointWatch, OperatorWatch
@@ -88,6 +89,8 @@
             )
             nursery.start_soon(self._peers.run)
             nursery.start_soon(holder.run)
+            self._boot_watch = BootWatch(self.state)
+            nursery.start_soon(self._boot_watch.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._rotate_metrics)
             log(
@@ -138,6 +141,7 @@
             async for received in signals:
                 if received != signal.SIGHUP:
                     return
+                self._boot_watch.read_soon()
 
     async def _drain(self) -> None:
         deadline = trio.current_time() + self.boot.bounds.grace_s - EXIT_MARGIN_S
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -133,8 +133,8 @@
             name = row.key.removeprefix(INSTANCE_PREFIX)
             if name == row.key or name == self._name or row.value is None:
                 continue
-            entry = msgspec.json.decode(row.value, type=InstanceEntry)
-            if entry.address != self._address:
+            entry = _decode_entry(row)
+            if entry is not None and entry.address != self._address:
                 found[name] = entry.address
         if found != self._known and self._links is not None:
             self._known = found
@@ -185,3 +185,11 @@
                     news.limits,
                 )
             )
+
+
+def _decode_entry(row: StoreRow) -> InstanceEntry | None:
+    try:
+        return msgspec.json.decode(row.value or b"", type=InstanceEntry)
+    except msgspec.DecodeError as exc:
+        log(LogEvent.ENTRY_MALFORMED, table=INSTANCE_TABLE, row=row.key, error=str(exc))
+        return None
--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -271,4 +271,8 @@
 def _record(row: StoreRow | None) -> LeaseRecord | None:
     if row is None or row.value is None:
         return None
-    return msgspec.json.decode(row.value, type=LeaseRecord)
+    try:
+        return msgspec.json.decode(row.value, type=LeaseRecord)
+    except msgspec.DecodeError as exc:
+        log(LogEvent.ENTRY_MALFORMED, table=LEASE_TABLE, row=row.key, error=str(exc))
+        return None
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,7 +21,7 @@
     from rattangate.core.messages import EndpointSeen
     from rattangate.core.routes import ServingConfig
     from rattangate.driver import Driver
-    from rattangate.platform.boot import BootSettings
+    from rattangate.platform.boot import BootSettings, Bounds
 
 PIECE_TOKENS = 128
 FAR_COST_S = 0.03
@@ -53,6 +54,11 @@
         """Tell whether requests can be decided at all."""
         return self.config is not None and self.list_read_at is not None
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Take changed bounds into force."""
+        self.boot = replace(self.boot, bounds=bounds)
+        self.keys.revoke_s = bounds.revoke_s
+
     def take_config(self, config: ServingConfig) -> None:
         """Take a configuration into force unless a newer one is."""
         if self.config is not None and config.version <= self.config.version:
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -31,6 +31,8 @@
     INTERNAL_FAULT = (103, "An unexpected exception was caught.", ("where", "error"))
     LOG_LINES_DROPPED = (104, "Standard output was blocked and lines were dropped.", ("lines",))
     WARM_START = (105, "The cache picture was loaded.", ("source", "pieces"))
+    SETTINGS_RELOADED = (106, "Changed settings are in force.", ("instance",))
+    SETTINGS_REFUSED = (107, "Changed settings cannot be used; the former hold.", ("error",))
     REQUEST_DONE = (
         200,
         "A request was answered.",
