Let the stand-in store tell a waiting reader that history was dropped

Cause: test_changes_are_read_again_where_the_store_dropped_its_history failed once: the history was dropped while a read was waiting, and the stand-in answered it with no rows and the newest version. Ruled out: the client, which resumes from the version that it is told.

--- a/rattangate/standins/rows_store.py
+++ b/rattangate/standins/rows_store.py
@@ -84,11 +84,11 @@
 
     async def feed(self, table: str, after: int, wait_s: float) -> Response:
         """Return the changes after a version, waiting for the first."""
-        if after < self._kept_after:
-            return json_response({}, 410)
         with trio.move_on_after(wait_s):
-            while not self._since(table, after):
+            while after >= self._kept_after and not self._since(table, after):
                 await self._changed.wait()
+        if after < self._kept_after:
+            return json_response({}, 410)
         rows = [_tell(change) for change in self._since(table, after)]
         return json_response({"rows": rows, "ver": self.version, "now_ms": 0})
 
