--- a/rattangate/front/rollout.py
+++ b/rattangate/front/rollout.py
@@ -194,6 +194,9 @@
         fence = self._driver.fence
         report = await client.report(listed.address)
         if report is None or report.incarnation != listed.incarnation:
+            detail = "no report of this incarnation; not sent"
+            version = order.order.weights_version
+            log(LogEvent.ORDER_REFUSED, endpoint=order.endpoint, order=version, detail=detail)
             return OrderResult.LOST
         body = (target.found, self._name, fence, report.order_seq)
 
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -9,6 +9,7 @@
 import httpx
 import msgspec
 
+from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST
 from rattangate.platform.client import Unavailable
 
@@ -63,6 +64,7 @@
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}"
         self._client = self._new_client()
+        self._is_down = False
 
     async def __aenter__(self) -> Store:
         return self
@@ -144,6 +146,26 @@
         params: dict[str, str] | None = None,
         body: object | None = None,
         wait_s: float = 0.0,
+    ) -> _Answer | Unavailable:
+        answer = await self._send(method, path, params, body, wait_s)
+        self._note(answer.detail if isinstance(answer, Unavailable) else "")
+        return answer
+
+    def _note(self, detail: str) -> None:
+        """Log when the store stops answering and when it answers again."""
+        if detail and not self._is_down:
+            log(LogEvent.PLATFORM_DOWN, service="store", error=detail)
+        elif not detail and self._is_down:
+            log(LogEvent.PLATFORM_UP, service="store")
+        self._is_down = bool(detail)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str] | None,
+        body: object | None,
+        wait_s: float,
     ) -> _Answer | Unavailable:
         content = None if body is None else msgspec.json.encode(body)
         headers = None if body is None else {"Content-Type": "application/json"}
