--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -24,6 +24,7 @@
 from rattangate.core.refusals import RefusalReason, make_failure
 from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
 from rattangate.core.runs import Run, life_of
+from rattangate.core.speeds import DEFAULT_S_PER_TOKEN
 from rattangate.core.suspects import Absolve, Condemn, Probe, Suspects
 
 if TYPE_CHECKING:
@@ -47,6 +48,8 @@
 PLAN_INTERVAL_S = 0.02
 # Above all levels that priority and use of shares give.
 LATE_LEVELS = 1_000
+# A request counts as on time for at least this share of the time to its target.
+MIN_WAIT_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +131,7 @@
         run.req = replace(req, priority=self._engine_priority(req, now))
         self.runs[req.req_id] = run
         if req.target < math.inf:
-            heapq.heappush(self._targets, (req.target, req.req_id))
+            heapq.heappush(self._targets, (self._last_start(req, now), req.req_id))
         if verdict is Verdict.SUSPECT:
             self.suspects.hold(run, now)
             return self._step_suspects(now)
@@ -244,6 +247,14 @@
         """Keep a workspace above its share from pushing others' pieces out of many caches."""
         return BORROW_RECOMPUTE_WEIGHT * _band(run)
 
+    def _last_start(self, req: RequestArrived, now: float) -> float:
+        """Return until when a request may wait here and still be on time.
+
+        It waits at the endpoint for up to `bind_wait_s`, and then for its own prefill.
+        """
+        ahead_s = self._cfg.bind_wait_s + req.prompt_tokens * DEFAULT_S_PER_TOKEN
+        return max(req.target - ahead_s, now + MIN_WAIT_SHARE * (req.target - now))
+
     def _demote_late(self, now: float) -> None:
         """Put waiting requests that can no longer be on time behind those that can."""
         while self._targets and self._targets[0][0] <= now:
--- /dev/null
+++ b/tests/core/test_late_requests.py
@@ -0,0 +1,88 @@
+"""Under overload, requests that can still be on time go before those that are late already."""
+
+from __future__ import annotations
+
+import heapq
+import math
+
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.intake import IntakeCfg
+from rattangate.core.messages import (
+    AttemptEnded,
+    AttemptResult,
+    Dispatch,
+    EndpointSeen,
+    EndpointState,
+    FirstTokenSeen,
+    RequestArrived,
+    Tick,
+)
+from rattangate.core.prefix import Scope
+
+PIECE = 100
+PROMPT_TOKENS = 4_000
+PREFILL_S = 0.1
+TARGET_S = 1.0
+DEADLINE_S = 5.0
+
+
+def arrivals() -> list[float]:
+    """Return a burst at twice the capacity for 4 s, then half of it for 8 s."""
+    burst = [number * 0.05 for number in range(80)]
+    return burst + [4.0 + number * 0.2 for number in range(40)]
+
+
+def play(has_target: bool) -> tuple[int, int]:
+    """Play the load on one engine that prefills in order; return answers on time and late."""
+    intake = IntakeCfg(queue_bound=1_000, bind_wait_s=0.3)
+    gateway = Gateway(GatewayCfg(PIECE, 1.0, learn_caches=False, intake=intake), seed=1)
+    gateway.handle(EndpointSeen("e", 1, "1", EndpointState.LIVE, "llm", 100_000), 0.0)
+    events: list[tuple[float, int, str, int]] = []
+    for number, at in enumerate(arrivals()):
+        heapq.heappush(events, (at, number, "arrive", number))
+    for step in range(1_500):
+        heapq.heappush(events, (step * 0.01, 100_000 + step, "tick", 0))
+    arrived_at = dict(enumerate(arrivals()))
+    free_at = 0.0
+    on_time = late = 0
+    while events:
+        now, order, kind, number = heapq.heappop(events)
+        if kind == "arrive":
+            effects = gateway.handle(make_request(number, now, has_target), now)
+        elif kind == "tick":
+            effects = gateway.handle(Tick(), now)
+        else:
+            waited_s = now - arrived_at[number]
+            on_time += waited_s <= TARGET_S
+            late += TARGET_S < waited_s <= DEADLINE_S
+            effects = gateway.handle(FirstTokenSeen(number, 1, None), now)
+            ended = AttemptEnded(number, 1, AttemptResult.COMPLETED, 1)
+            effects += gateway.handle(ended, now)
+        for effect in effects:
+            if isinstance(effect, Dispatch):
+                free_at = max(now, free_at) + PREFILL_S
+                heapq.heappush(events, (free_at, 200_000 + order, "first", effect.req_id))
+    return on_time, late
+
+
+def make_request(number: int, now: float, has_target: bool) -> RequestArrived:
+    """Make a request whose prompt nobody else has."""
+    pieces = tuple(range(number * 1_000, number * 1_000 + PROMPT_TOKENS // PIECE))
+    return RequestArrived(
+        number,
+        Scope("", "llm", "m", "1"),
+        pieces,
+        PROMPT_TOKENS,
+        10,
+        b"",
+        1,
+        now + DEADLINE_S,
+        target=now + TARGET_S if has_target else math.inf,
+    )
+
+
+def test_more_callers_are_answered_on_time_and_none_fewer_at_all():
+    on_time, late = play(has_target=True)
+    before_on_time, before_late = play(has_target=False)
+    assert on_time >= before_on_time + 30
+    assert on_time + late >= before_on_time + before_late - 5
