--- a/rattangate/cmd/serve_platform.py
+++ b/rattangate/cmd/serve_platform.py
@@ -14,7 +14,7 @@
 def serve_platform() -> None:
     """Run one entry instance on the users' platform until SIGTERM.
 
-    The settings file is named by the environment variable RATTANGATE_BOOT.
+    The platform names the settings file in the environment; `docs/operators/install.md` tells how.
     """
     try:
         boot = read_boot()
--- /dev/null
+++ b/rattangate/front/decision_log.py
@@ -0,0 +1,76 @@
+"""The log lines of decisions that touch a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.log_events import LogEvent, log
+
+if TYPE_CHECKING:
+    from rattangate.core.messages import AttemptResult, Dispatch
+    from rattangate.errors import Failure
+    from rattangate.front.admission import Admitted
+    from rattangate.front.state import FrontState
+
+
+def log_placed(state: FrontState, admitted: Admitted, dispatch: Dispatch) -> None:
+    """Log the choice of an endpoint with what decided it."""
+    config = state.config
+    read_at = state.list_read_at or 0.0
+    now = trio.current_time()
+    log(
+        LogEvent.REQUEST_PLACED,
+        request_id=admitted.head.attempt_id,
+        attempt=admitted.attempts,
+        endpoint=dispatch.endpoint,
+        incarnation=dispatch.incarnation,
+        weights=dispatch.weights_version,
+        source=dispatch.cache_source,
+        reason=dispatch.retry_reason.value if dispatch.retry_reason else "first",
+        config_version=config.version if config is not None else 0,
+        list_age_ms=int((now - read_at) * 1000),
+        queued_ms=int((now - admitted.req.arrived_at) * 1000),
+        missing=dispatch.missing_tokens,
+        expected_ms=int(dispatch.first_token_s * 1000),
+    )
+
+
+def log_done(admitted: Admitted) -> None:
+    """Log a request that was answered."""
+    log(
+        LogEvent.REQUEST_DONE,
+        request_id=admitted.head.attempt_id,
+        workspace=admitted.workspace_name,
+        endpoint=admitted.endpoint,
+        attempts=admitted.attempts,
+        prompt=admitted.head.prompt_tokens,
+        completion=admitted.splicer.passed_on,
+        first_ms=int((admitted.first_token_at - admitted.req.arrived_at) * 1000),
+        total_ms=int((trio.current_time() - admitted.req.arrived_at) * 1000),
+    )
+
+
+def log_failed(admitted: Admitted, result: AttemptResult, detail: str) -> None:
+    """Log an attempt that failed."""
+    log(
+        LogEvent.ATTEMPT_FAILED,
+        request_id=admitted.head.attempt_id,
+        attempt=admitted.attempts,
+        endpoint=admitted.endpoint,
+        result=result.value,
+        detail=detail,
+    )
+
+
+def log_refused(attempt_id: str, workspace: str, failure: Failure, ran: bool) -> None:
+    """Log our own final answer to a request."""
+    log(
+        LogEvent.REQUEST_REFUSED,
+        request_id=attempt_id,
+        workspace=workspace,
+        kind=failure.kind.value,
+        run_state="may have run" if ran else "not run",
+        detail=failure.detail,
+    )
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -4,7 +4,7 @@
 
 import select
 import socket
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack, ExitStack, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -132,16 +132,15 @@
 
     async def _open(self) -> EndpointConn:
         host, port = self.address.rsplit(":", 1)
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                await sock.connect((host, int(port)))
-        except (OSError, trio.TooSlowError) as exc:
-            sock.close()
-            raise ConnectFailed(f"{self.address}: {exc!r}") from exc
-        except BaseException:
-            sock.close()
-            raise
+        with ExitStack() as stack:
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            stack.callback(sock.close)
+            try:
+                with trio.fail_after(CONNECT_TIMEOUT_S):
+                    await sock.connect((host, int(port)))
+            except (OSError, trio.TooSlowError) as exc:
+                raise ConnectFailed(f"{self.address}: {exc!r}") from exc
+            stack.pop_all()
         tune_socket(sock)
         self.opened += 1
         return EndpointConn(trio.SocketStream(sock))
--- /dev/null
+++ b/rattangate/front/refusals.py
@@ -0,0 +1,41 @@
+"""Our own final answers: only a request that cannot have run gets a status that says so."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from rattangate.errors import ErrorKind
+from rattangate.platform.requests import refusal_headers
+
+if TYPE_CHECKING:
+    from rattangate.errors import Failure
+    from rattangate.front.caller_conn import Responder
+
+DEFAULT_RETRY_AFTER_S = 1.0
+NOT_RUN_STATUS = 503
+MAY_HAVE_RUN_STATUS = 502
+OUTCOME_UNKNOWN_STATUS = 504
+FIRST_SERVER_ERROR = 500
+UNPROCESSABLE = 422
+
+
+async def refuse(responder: Responder, attempt_id: str, failure: Failure, ran: bool) -> None:
+    """Answer with a failure; `ran` says that the request may have run."""
+    status = _status(failure, ran)
+    wait_s = None
+    if status == NOT_RUN_STATUS:
+        wait_s = failure.advised_wait_s or DEFAULT_RETRY_AFTER_S
+    body = json.dumps({"error": failure.kind.value, "detail": failure.detail}).encode()
+    await responder.answer(status, refusal_headers(attempt_id, wait_s), body)
+
+
+def _status(failure: Failure, ran: bool) -> int:
+    if ran and failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return OUTCOME_UNKNOWN_STATUS
+    if ran:
+        return MAY_HAVE_RUN_STATUS
+    status = failure.answer.status
+    # A quarantined request ran in an earlier attempt, not in this one.
+    is_ours = status >= FIRST_SERVER_ERROR or status == UNPROCESSABLE
+    return NOT_RUN_STATUS if is_ours else status
--- /dev/null
+++ b/rattangate/front/translate.py
@@ -0,0 +1,111 @@
+"""Turn an admitted request into the gateway's message and into the request to an endpoint."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattangate.core.messages import RequestArrived, VersionedPieces
+from rattangate.core.prefix import Scope
+from rattangate.front.endpoint_conn import OutboundRequest
+from rattangate.front.prompts import chain_pieces, count_pieces
+from rattangate.front.state import PIECE_TOKENS
+from rattangate.platform.requests import Directions, forwarded_headers
+
+if TYPE_CHECKING:
+    from rattangate.core.messages import Dispatch
+    from rattangate.front.admission import Admitted
+    from rattangate.front.state import FrontState
+
+# Work of a plain service's request, in the tokens by which the gateway measures work.
+PLAIN_WORK_TOKENS = 1_000
+DIGEST_BYTES = 16
+
+
+def make_arrival(state: FrontState, admitted: Admitted) -> RequestArrived:
+    """Describe a request to the gateway."""
+    head = admitted.head
+    scope = _scope(admitted, _newest_version(state, head.model))
+    others = ()
+    pieces: tuple[int, ...] = ()
+    if head.parts:
+        pieces = chain_pieces(scope.salt, head.parts, PIECE_TOKENS)
+        others = _other_versions(state, admitted, scope)
+    level = admitted.route.priority
+    if admitted.workspace is not None and admitted.workspace.priority is not None:
+        level = admitted.workspace.priority
+    return RequestArrived(
+        state.driver.next_req_id(),
+        scope,
+        pieces,
+        head.prompt_tokens if head.parts else PLAIN_WORK_TOKENS,
+        head.max_tokens,
+        _digest(admitted),
+        level,
+        admitted.deadline,
+        others,
+        admitted.route.repeatable,
+        admitted.route.max_attempts,
+        count_pieces(head.parts[-1], PIECE_TOKENS) if head.parts else 0,
+        admitted.req.arrived_at + admitted.route.target_latency_s,
+    )
+
+
+def make_outbound(state: FrontState, admitted: Admitted, dispatch: Dispatch) -> OutboundRequest:
+    """Build the request to the endpoint that the gateway chose."""
+    req = admitted.req
+    is_engine = bool(dispatch.weights_version)
+    salt = _scope(admitted, dispatch.weights_version).salt if is_engine else ""
+    directions = Directions(
+        dispatch.endpoint,
+        max(0.0, admitted.deadline - trio.current_time()),
+        admitted.workspace.name if admitted.workspace is not None else None,
+        urgency=dispatch.priority if is_engine else None,
+        cache_salt=salt,
+        weights_version=int(dispatch.weights_version) if is_engine else None,
+        cache_source=state.address_of(dispatch.cache_source),
+        cache_target=state.address_of(dispatch.cache_target),
+        last_event_id=admitted.splicer.last_id if admitted.splicer.passed_on else None,
+    )
+    body_bytes = len(req.body) if req.has_body else None
+    headers = forwarded_headers(req.raw_headers, directions, admitted.hides_key, body_bytes)
+    return OutboundRequest(req.method, req.target, headers, req.body, admitted.head.attempt_id)
+
+
+def _scope(admitted: Admitted, version: str) -> Scope:
+    """Return the scope of placement; its workspace is named only where it shares nothing."""
+    workspace = admitted.workspace
+    name = workspace.name if workspace is not None and workspace.is_isolated else ""
+    return Scope(name, admitted.service, admitted.head.model, version)
+
+
+def _newest_version(state: FrontState, model: str) -> str:
+    version = state.named_versions.get(model)
+    if version is None:
+        running = [item.version_of(model) for item in state.view.endpoints.values()]
+        version = max((found for found in running if found is not None), default=None)
+    return "" if version is None else str(version)
+
+
+def _other_versions(
+    state: FrontState, admitted: Admitted, scope: Scope
+) -> tuple[VersionedPieces, ...]:
+    found = []
+    for version in state.driver.gateway.weights_versions(admitted.service):
+        if version != scope.weights_version:
+            salt = _scope(admitted, version).salt
+            pieces = chain_pieces(salt, admitted.head.parts, PIECE_TOKENS)
+            found.append(VersionedPieces(version, pieces))
+    return tuple(found)
+
+
+def _digest(admitted: Admitted) -> bytes:
+    """Return what equal requests of one caller have in common."""
+    req = admitted.req
+    whole = blake2b(digest_size=DIGEST_BYTES)
+    for item in (req.method, req.target, (admitted.head.key or "").encode(), req.body):
+        whole.update(len(item).to_bytes(8, "big"))
+        whole.update(item)
+    return whole.digest()
--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -145,6 +146,17 @@
     return [item for item in headers if item[0].lower() not in hidden]
 
 
+def refusal_headers(attempt_id: str, retry_after_s: float | None) -> list[Header]:
+    """Return the headers of our own failure; `retry_after_s` is the advised wait in seconds."""
+    headers = [(b"Content-Type", b"application/json")]
+    if attempt_id:
+        headers.append((b"X-Attempt-Id", attempt_id.encode("latin-1")))
+    if retry_after_s is not None:
+        rounded = math.ceil(retry_after_s * 100) / 100
+        headers.append((b"Retry-After", f"{rounded:g}".encode()))
+    return headers
+
+
 def _encode_directions(directions: Directions) -> list[Header]:
     wait_ms = max(1, int(directions.wait_s * wire.MS_PER_S))
     found = [
