Explain a request from the logs, and bound the lines an instance writes

Cause: a refused request could not be explained from its own line: the line lacked the age of the configuration, of the list and of the keys, and how many endpoints were live. Nothing bounded the lines of a second, and nobody had shown that a reader who stops reading holds nothing up.

Change: `rattangate explain REQUEST-ID LOG...` tells a request's lines, the beliefs of its instances and the cause in words. `config check-deploy` checks the deploy file, every fault with line and mend.

Ruled out: sampling by request id, which would leave out failed ones too.

The check that every event is logged somewhere now leaves out the package that only reads lines, else it would have become weaker.

--- a/rattangate/cmd/config.py
+++ b/rattangate/cmd/config.py
@@ -11,11 +11,13 @@
 from rattangate.cmd import config_versions
 from rattangate.cmd.config_versions import AsJson, BasePath, OverlayPaths  # noqa: TC001
 from rattangate.cmd.output import ExitCode, print_faults, print_json, print_line, print_table
-from rattangate.config.faults import ConfigError
+from rattangate.config.faults import ConfigError, Fault
 from rattangate.config.load import check_sources, load_settings, load_sources
 from rattangate.config.schema import render_reference, render_schema
 from rattangate.config.view import diff_settings, view_settings
 from rattangate.http.admin_operations import render_api_reference
+from rattangate.metrics import METRICS_PATH, METRICS_PORT
+from rattangate.platform.deploy_file import check_deploy_file
 
 if TYPE_CHECKING:
     from rattangate.config.model import Settings
@@ -45,6 +47,29 @@
     print_line(f"no fault found in the base and {len(names)} overlays")
 
 
+@app.command("check-deploy")
+def check_deploy(
+    path: Annotated[Path, typer.Argument(help="Deploy file, such as deploy/system.toml.")],
+    as_json: AsJson = False,
+) -> None:
+    """Check the deploy file of the users' platform; report all faults at once.
+
+    Exit codes: 0 no fault, 3 faults were found.
+    """
+    try:
+        text = path.read_text()
+        check_deploy_file(text, str(path), f"{METRICS_PORT}{METRICS_PATH}")
+    except OSError as exc:
+        fault = Fault(str(path), 0, "", exc.strerror or repr(exc), "name a readable file")
+        _exit_invalid(ConfigError((fault,)), as_json)
+    except ConfigError as exc:
+        _exit_invalid(exc, as_json)
+    if as_json:
+        print_json({"faults": []})
+        return
+    print_line(f"no fault found in {path}")
+
+
 @app.command()
 def show(config: BasePath, overlay: OverlayPath = None, as_json: AsJson = False) -> None:
     """Show the settings of a site with all defaults; hashes of secrets are masked.
--- /dev/null
+++ b/rattangate/cmd/explain.py
@@ -0,0 +1,80 @@
+"""The command that tells the story of one request from the logs."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from rattangate.cmd.output import ExitCode, print_json, print_line
+from rattangate.explain.lines import read_log
+from rattangate.explain.story import tell_story
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from rattangate.explain.lines import LogLine
+    from rattangate.explain.story import Story
+
+# Fields of the writer, which tell nothing of the request.
+HIDDEN = frozenset(
+    {"timestamp", "task_uuid", "task_level", "message_type", "number", "instance_name"}
+)
+
+LogPaths = Annotated[list[Path], typer.Argument(help="Logs of the instances, in any order.")]
+
+
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of the request: its X-Attempt-Id.")],
+    logs: LogPaths,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Tell the story of a request: its lines, the beliefs that decided it, and the cause.
+
+    Exit codes: 0 told, 1 no line of this request, 2 a log cannot be read.
+    """
+    try:
+        log = read_log(_read_texts(logs))
+    except OSError as exc:
+        print_line(f"{exc.filename}: {exc.strerror}; name a readable log")
+        raise typer.Exit(ExitCode.USAGE) from exc
+    story = tell_story(request_id, log)
+    if story is None:
+        print_line(f"no line of request {request_id} in {len(log.lines)} lines")
+        raise typer.Exit(ExitCode.FAILED)
+    if as_json:
+        print_json(_story_fields(story))
+        return
+    for line in story.lines:
+        print_line(_describe(line, story.request_id))
+    print_line("")
+    print_line(f"Cause: {story.cause}")
+    if log.unreadable:
+        print_line(f"{log.unreadable} lines are none of rattangate's and were left out.")
+
+
+def _read_texts(paths: Iterable[Path]) -> Iterator[str]:
+    for path in paths:
+        with path.open(errors="replace") as file:
+            yield from file
+
+
+def _describe(line: LogLine, request_id: str) -> str:
+    mark = "*" if line.text("request_id") == request_id else " "
+    time = datetime.fromtimestamp(line.at, UTC).strftime("%H:%M:%S.%f")[:-3]
+    fields = " ".join(f"{name}={value}" for name, value in _shown(line))
+    return f"{mark} {time} {line.instance} {line.event.name.lower()} {fields}"
+
+
+def _shown(line: LogLine) -> list[tuple[str, object]]:
+    return [(name, value) for name, value in line.fields.items() if name not in HIDDEN]
+
+
+def _story_fields(story: Story) -> dict[str, object]:
+    return {
+        "request_id": story.request_id,
+        "cause": story.cause,
+        "lines": [dict(line.fields) for line in story.lines],
+    }
--- a/rattangate/cmd/main.py
+++ b/rattangate/cmd/main.py
@@ -7,6 +7,7 @@
 import rattangate
 from rattangate.cmd import config, fleet, standin
 from rattangate.cmd.bench import bench
+from rattangate.cmd.explain import explain
 from rattangate.cmd.serve import serve
 from rattangate.cmd.serve_platform import serve_platform
 
@@ -18,6 +19,7 @@
 app.command()(serve_platform)
 app.command()(fleet.instances)
 app.command()(bench)
+app.command()(explain)
 
 
 @app.command()
--- /dev/null
+++ b/rattangate/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explains a request afterwards from the logs of the instances."""
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rattangate.front.state import boot_time
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
@@ -64,13 +65,22 @@
     )
 
 
-def log_refused(attempt_id: str, workspace: str, failure: Failure, ran: bool) -> None:
-    """Log our own final answer to a request."""
+def log_refused(
+    state: FrontState, attempt_id: str, admitted: Admitted | None, failure: Failure, ran: bool
+) -> None:
+    """Log our own final answer to a request with the beliefs that decided it."""
+    now = trio.current_time()
     log(
         LogEvent.REQUEST_REFUSED,
         request_id=attempt_id,
-        workspace=workspace,
+        workspace="" if admitted is None else admitted.workspace_name,
         kind=failure.kind.value,
         run_state="may have run" if ran else "not run",
         detail=failure.detail,
+        attempts=0 if admitted is None else admitted.attempts,
+        waited_ms=0 if admitted is None else int((now - admitted.req.arrived_at) * 1000),
+        endpoints_live=0 if admitted is None else state.count_live(admitted.service),
+        config_version=0 if state.config is None else state.config.version,
+        list_age_ms=None if state.list_read_at is None else int((now - state.list_read_at) * 1000),
+        credentials_left_ms=int(max(0.0, state.keys.deadline - boot_time()) * 1000),
     )
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -69,11 +69,13 @@
     async def _handle(self, req: CallerRequest, responder: Responder) -> None:
         head = decode_request(req.headers)
         if head is None:
-            await refuse(responder, "", Failure(ErrorKind.BAD_REQUEST, "malformed header"), False)
+            failure = Failure(ErrorKind.BAD_REQUEST, "malformed header")
+            self._count_refusal("", None, failure, False)
+            await refuse(responder, "", failure, False)
             return
         admitted = self._admit(req, head)
         if isinstance(admitted, Failure):
-            self._count_refusal(head.attempt_id, "", admitted, False)
+            self._count_refusal(head.attempt_id, None, admitted, False)
             await refuse(responder, head.attempt_id, admitted, False)
             return
         self._metrics.count_request(admitted.route.kind.value)
@@ -264,7 +266,7 @@
         self, admitted: Admitted, failure: Failure, responder: Responder
     ) -> None:
         ran = admitted.may_have_run
-        self._count_refusal(admitted.head.attempt_id, admitted.workspace_name, failure, ran)
+        self._count_refusal(admitted.head.attempt_id, admitted, failure, ran)
         if responder.is_started:
             return
         held = admitted.failure_answer
@@ -279,9 +281,11 @@
             kind = ErrorKind.OUTCOME_UNKNOWN
         await self._end_refused(admitted, Failure(kind, "out of time"), responder)
 
-    def _count_refusal(self, attempt_id: str, workspace: str, failure: Failure, ran: bool) -> None:
+    def _count_refusal(
+        self, attempt_id: str, admitted: Admitted | None, failure: Failure, ran: bool
+    ) -> None:
         self._metrics.count_refusal(failure.kind)
-        log_refused(attempt_id, workspace, failure, ran)
+        log_refused(self._state, attempt_id, admitted, failure, ran)
 
 
 async def _read_all(exchange: Exchange) -> bytes:
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -120,6 +120,11 @@
             self._pools[(endpoint, incarnation)] = pool
         return pool
 
+    def count_live(self, service: str) -> int:
+        """Count the endpoints of a service that take requests."""
+        seen = (item.seen for item in self.driver.gateway.endpoints.values())
+        return sum(one.serves == service and one.state is EndpointState.LIVE for one in seen)
+
     def address_of(self, endpoint: str) -> str:
         """Return an endpoint's address, empty where it is gone."""
         listed = self.view.endpoints.get(endpoint)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import os
 import select
+import time
 from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -11,6 +13,8 @@
 import eliot
 import orjson
 
+from rattangate.log_budget import LineBudget
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -18,6 +22,7 @@
 MAX_QUEUED_LINES = 10_000
 # A pipe that polls as writable takes this many bytes without blocking.
 WRITE_BYTES = 4096
+REPORT_INTERVAL_S = 1.0
 
 FieldValue = str | int | float | bool | None
 
@@ -29,7 +34,11 @@
     INSTANCE_DRAINING = (101, "The instance accepts no new requests.", ("instance", "streams"))
     INSTANCE_STOPPED = (102, "The instance finished its last stream.", ("instance", "streams_cut"))
     INTERNAL_FAULT = (103, "An unexpected exception was caught.", ("where", "error"))
-    LOG_LINES_DROPPED = (104, "Standard output was blocked and lines were dropped.", ("lines",))
+    LOG_LINES_DROPPED = (
+        104,
+        "Lines were left out: over the budget, or standard output was blocked.",
+        ("lines", "routine"),
+    )
     WARM_START = (105, "The cache picture was loaded.", ("source", "pieces"))
     SETTINGS_RELOADED = (106, "Changed settings are in force.", ("instance",))
     SETTINGS_REFUSED = (107, "Changed settings cannot be used; the former hold.", ("error",))
@@ -51,7 +60,19 @@
     REQUEST_REFUSED = (
         201,
         "A request was refused.",
-        ("request_id", "workspace", "kind", "run_state", "detail"),
+        (
+            "request_id",
+            "workspace",
+            "kind",
+            "run_state",
+            "detail",
+            "attempts",
+            "waited_ms",
+            "endpoints_live",
+            "config_version",
+            "list_age_ms",
+            "credentials_left_ms",
+        ),
     )
     REQUEST_RETRIED = (202, "An attempt failed and another began.", ("request_id", "reason"))
     STREAM_CONTINUED = (
@@ -129,28 +150,35 @@
         self.fields = fields
 
 
+_REPORT = LogEvent.LOG_LINES_DROPPED.name.lower()
+# Left out first: the lines of requests that go well.
+ROUTINE_EVENTS = frozenset(
+    event.name.lower() for event in (LogEvent.REQUEST_PLACED, LogEvent.REQUEST_DONE)
+)
+
+
 class LineWriter:
-    """Write lines to a descriptor without waiting for a slow reader."""
+    """Write lines to a descriptor within a budget and without waiting for a slow reader."""
 
-    def __init__(self, fd: int, max_lines: int = MAX_QUEUED_LINES) -> None:
+    def __init__(
+        self, fd: int, max_lines: int = MAX_QUEUED_LINES, budget: LineBudget | None = None
+    ) -> None:
         self.dropped = 0
+        self._dropped_routine = 0
         self._dropped_untold = 0
+        self._reported_at = -math.inf
         self._fd = fd
         self._max_lines = max_lines
+        self._budget = LineBudget() if budget is None else budget
         self._lines: deque[bytes] = deque()
         self._poll = select.poll()
         self._poll.register(fd, select.POLLOUT)
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Queue one eliot message as a JSON line and write what the reader takes."""
-        line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
-        if len(self._lines) >= self._max_lines:
-            self.flush()
-        if len(self._lines) >= self._max_lines:
-            self.dropped += 1
-            self._dropped_untold += 1
+        if not self._admits(message["message_type"]):
             return
-        self._lines.append(line)
+        self._lines.append(orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE))
         self.flush()
 
     def take_dropped(self) -> int:
@@ -169,16 +197,36 @@
                 return
             if written < len(chunk):
                 self._lines.appendleft(chunk[written:])
-        if self.dropped and len(self._lines) < self._max_lines // 2:
-            self._report_dropped()
+        is_due = time.monotonic() >= self._reported_at + REPORT_INTERVAL_S
+        if self.dropped and is_due and len(self._lines) < self._max_lines // 2:
+            self.report_dropped()
+
+    def report_dropped(self) -> None:
+        """Log how many lines were left out since the last report."""
+        if not self.dropped:
+            return
+        self._reported_at = time.monotonic()
+        lines, self.dropped = self.dropped, 0
+        routine, self._dropped_routine = self._dropped_routine, 0
+        log(LogEvent.LOG_LINES_DROPPED, lines=lines, routine=routine)
+
+    def _admits(self, event: str) -> bool:
+        if event == _REPORT:
+            return True
+        is_routine = event in ROUTINE_EVENTS
+        bound = self._max_lines // 2 if is_routine else self._max_lines
+        if len(self._lines) >= bound:
+            self.flush()
+        if len(self._lines) < bound and self._budget.admits(is_routine, time.monotonic()):
+            return True
+        self.dropped += 1
+        self._dropped_routine += is_routine
+        self._dropped_untold += 1
+        return False
 
     def _writable(self) -> bool:
         return any(events & select.POLLOUT for _, events in self._poll.poll(0))
 
-    def _report_dropped(self) -> None:
-        lines, self.dropped = self.dropped, 0
-        log(LogEvent.LOG_LINES_DROPPED, lines=lines)
-
 
 def open_log(instance: str, fd: int = 1) -> tuple[LineWriter, Callable[[], None]]:
     """Send all log events to a descriptor; return the writer and the function that stops it."""
@@ -187,6 +235,7 @@
     eliot.add_destinations(writer)
 
     def close() -> None:
+        writer.report_dropped()
         writer.flush()
         eliot.remove_destination(writer)
 
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+# Where an instance on the users' platform tells its metrics.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 QUANTILES = (0.5, 0.95, 0.99)
 MICROS_PER_S = 1_000_000
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -80,7 +80,9 @@
 
 
 def test_every_event_of_the_catalogue_is_logged_somewhere():
+    # What explains the lines names events too, but logs none.
     sources = [path for path in PACKAGE.rglob("*.py") if path.name != "log_events.py"]
+    sources = [path for path in sources if path.parent.name != "explain"]
     text = "\n".join(path.read_text() for path in sources)
     never = [event.name for event in LogEvent if f"LogEvent.{event.name}" not in text]
     # The writer itself reports the lines that it dropped.
