--- a/bench/config_force.py
+++ b/bench/config_force.py
@@ -12,12 +12,12 @@
 import trio
 import yaml
 
+from rattangate.auth import hash_key
 from rattangate.config.content import content_of, encode_content
 from rattangate.config.load import load_sources
 from rattangate.core.config_versions import Accepted, Proposal
-from rattangate.http.auth import hash_key
-from rattangate.platform.client import PlatformClient
-from rattangate.platform.config_store import ConfigStore
+from rattangate.platform.store import Store
+from rattangate.records.config_store import ConfigStore
 from tests.small_deployment import Shape, small_deployment
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
 INSTANCES = 7
 BOUND_S = 8.0
 PROPOSE_TIMEOUT_S = 10.0
+STORE_TIMEOUT_S = 2.0
 GIVE_UP_S = 30.0
 
 
@@ -56,8 +57,8 @@
 
 async def _measure(deployment: Deployment) -> list[float]:
     times = []
-    async with PlatformClient(deployment.settings.platform.address) as platform:
-        store = ConfigStore(platform)
+    async with Store(deployment.settings.platform.address, STORE_TIMEOUT_S) as client:
+        store = ConfigStore(client)
         for number in range(CHANGES):
             version = await _change(deployment, store, number)
             accepted_at = time.time()
--- a/rattangate/cmd/config_versions.py
+++ b/rattangate/cmd/config_versions.py
@@ -29,8 +29,9 @@
     Proposal,
     Raced,
 )
-from rattangate.platform.client import PlatformClient, Unavailable
-from rattangate.platform.config_store import ConfigStore
+from rattangate.platform.outcomes import Unavailable
+from rattangate.platform.store import Store
+from rattangate.records.config_store import ConfigStore
 
 if TYPE_CHECKING:
     from rattangate.config.model import InstanceCfg, Settings
@@ -38,6 +39,7 @@
 
 APPLY_TIMEOUT_S = 10.0
 STATUS_TIMEOUT_S = 2.0
+STORE_TIMEOUT_S = 2.0
 HISTORY_ROWS = 10
 
 BasePath = Annotated[Path, typer.Option("--config", "-c", help="Base file of the deployment.")]
@@ -146,21 +148,21 @@
 
 
 async def _propose(address: str, proposal: Proposal, timeout_s: float) -> ChangeOutcome:
-    async with PlatformClient(address) as platform:
-        return await ConfigStore(platform).propose(proposal, timeout_s)
+    async with Store(address, STORE_TIMEOUT_S) as store:
+        return await ConfigStore(store).propose(proposal, timeout_s)
 
 
 async def _read_newest_content(address: str) -> tuple[int, bytes] | ReadFailed | None:
-    async with PlatformClient(address) as platform:
-        store = ConfigStore(platform)
-        newest = await store.read_newest()
+    async with Store(address, STORE_TIMEOUT_S) as store:
+        versions = ConfigStore(store)
+        newest = await versions.read_newest()
         if isinstance(newest, ReadFailed):
-            newest = await store.read_newest_object()
+            newest = await versions.read_newest_object()
         if isinstance(newest, ReadFailed):
             return newest
         if newest.record is None:
             return None
-        content = await store.read_content(newest.record)
+        content = await versions.read_content(newest.record)
         return ReadFailed(newest.source) if content is None else (newest.record.version, content)
 
 
@@ -170,14 +172,14 @@
     versions: dict[str, int | None] = {}
     headers = {"Authorization": f"Bearer {os.environ.get(ADMIN_KEY_VARIABLE, '')}"}
     async with (
-        PlatformClient(settings.platform.address) as platform,
+        Store(settings.platform.address, STORE_TIMEOUT_S) as store,
         httpx.AsyncClient(headers=headers, timeout=STATUS_TIMEOUT_S, trust_env=False) as client,
         trio.open_nursery() as nursery,
     ):
         for instance in settings.instances:
             versions[instance.name] = None
             nursery.start_soon(partial(_read_version, client, instance, versions))
-        history = await _read_history(ConfigStore(platform))
+        history = await _read_history(ConfigStore(store))
     return history, versions
 
 
--- a/rattangate/cmd/serve.py
+++ b/rattangate/cmd/serve.py
@@ -9,12 +9,12 @@
 import trio
 import typer
 
+from rattangate.auth import hash_key
 from rattangate.cmd.output import ExitCode, print_faults, print_line
 from rattangate.config.faults import ConfigError, Fault
 from rattangate.config.load import load_settings
 from rattangate.config.model import Settings
 from rattangate.entry import Entry
-from rattangate.http.auth import hash_key
 from rattangate.log_events import open_log
 
 PEER_SECRET_VARIABLE = "RATTANGATE_PEER_SECRET"
--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -12,7 +12,7 @@
 from rattangate.core.orders import LoadVersion, WantOrders
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from rattangate.core.orders import Observed
 
@@ -74,7 +74,10 @@
         self._loading_since: dict[str, float] = {}
 
     def plan(
-        self, wanted: Iterable[WantedVersion], replicas: dict[str, Sequence[Observed]], now: float
+        self,
+        wanted: Iterable[WantedVersion],
+        replicas: Mapping[str, Sequence[Observed]],
+        now: float,
     ) -> list[RolloutEffect]:
         """Return what to do now; `replicas` holds the live replicas of each model."""
         seen = {item.endpoint: item for group in replicas.values() for item in group}
--- a/rattangate/endpoints/client.py
+++ b/rattangate/endpoints/client.py
@@ -161,11 +161,10 @@
 
 
 @asynccontextmanager
-async def open_clients(addresses: dict[str, str]) -> AsyncIterator[dict[str, EndpointClient]]:
-    """Own the clients of all endpoints."""
-    clients = {name: EndpointClient(name, address) for name, address in addresses.items()}
+async def own_clients(clients: dict[str, EndpointClient]) -> AsyncIterator[None]:
+    """Close at the end all clients that there are by then."""
     try:
-        yield clients
+        yield
     finally:
         for client in clients.values():
             await client.http.aclose()
--- a/rattangate/endpoints/monitor.py
+++ b/rattangate/endpoints/monitor.py
@@ -1,4 +1,4 @@
-"""The watch over endpoints: state, load, cache events and the platform's instance list."""
+"""The watch over endpoints: state, load, cache events and the store's list of instances."""
 
 from __future__ import annotations
 
@@ -18,19 +18,21 @@
 )
 from rattangate.endpoints.client import OpenFailed
 from rattangate.log_events import LogEvent, log
-from rattangate.platform.client import Unavailable
+from rattangate.platform.outcomes import Unavailable
 
 if TYPE_CHECKING:
     from rattangate.config.model import EndpointCfg
     from rattangate.driver import Driver
     from rattangate.endpoints.client import CacheEvent, EndpointClient, EndpointReport
-    from rattangate.platform.client import PlatformClient
+    from rattangate.platform.store import Store
 
 LOAD_INTERVAL_S = 1.0
 RECHECK_INTERVAL_S = 0.25
 MISSED_REPORTS = 2
 EVENTS_RETRY_S = 0.2
 INSTANCE_LIST_INTERVAL_S = 0.5
+# Its rows hold the states of instances and endpoints, `live` or `leaving`.
+LIST_TABLE = "instances"
 
 _STATES = {"live": EndpointState.LIVE, "leaving": EndpointState.LEAVING}
 
@@ -53,18 +55,23 @@
         self,
         endpoints: tuple[EndpointCfg, ...],
         clients: dict[str, EndpointClient],
-        platform: PlatformClient,
+        store: Store,
         driver: Driver,
     ) -> None:
         self.watched = {endpoint.name: Watched() for endpoint in endpoints}
         self._endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         self._clients = clients
-        self._platform = platform
+        self._store = store
         self._driver = driver
         self._marks = LeavingMarks()
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
 
+    def state_of(self, name: str) -> EndpointState:
+        """Return the state of an endpoint."""
+        seen = self.watched.get(name)
+        return EndpointState.DOWN if seen is None else seen.state
+
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -217,8 +224,9 @@
 
     async def _watch_instance_list(self) -> None:
         while True:
-            states = await self._platform.list_instances()
-            if not isinstance(states, Unavailable):
+            listed = await self._store.read_table(LIST_TABLE)
+            if not isinstance(listed, Unavailable):
+                states = {row.key: (row.value or b"").decode() for row in listed.rows}
                 current = {name: seen.incarnation for name, seen in self.watched.items()}
                 self._show_marks(self._marks.mark_listed(states, current), "instance_list")
             await trio.sleep(INSTANCE_LIST_INTERVAL_S)
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -12,6 +12,7 @@
 import rattangate
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.intake import IntakeCfg
+from rattangate.core.leases import Holder, Lease
 from rattangate.core.messages import Tick
 from rattangate.core.routes import ConnectionLimits
 from rattangate.driver import Driver
@@ -19,13 +20,16 @@
 from rattangate.front.forward import Forwarder
 from rattangate.front.peers import Peers
 from rattangate.front.reload import BootWatch
-from rattangate.front.rollout import OrderHolder
-from rattangate.front.state import PIECE_TOKENS, FrontState
+from rattangate.front.replica_orders import TERM_S, ReplicaOrders
+from rattangate.front.state import PIECE_TOKENS, FrontState, boot_time
 from rattangate.front.watch import EndpointWatch, OperatorWatch
 from rattangate.log_events import LogEvent, log
-from rattangate.metrics import Metrics
+from rattangate.metrics import METRICS_PATH, METRICS_PORT, Metrics
+from rattangate.orders import OrderKeeper
 from rattangate.platform import wire
+from rattangate.platform.orders import OrderClient
 from rattangate.platform.store import Store
+from rattangate.records.lease_row import ORDERS_LEASE, LeaseRow
 from rattangate.sockets import tune_socket
 
 if TYPE_CHECKING:
@@ -35,8 +39,6 @@
     from rattangate.platform.boot import BootSettings
 
 TICK_S = 0.02
-METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
 METRICS_WINDOW_S = 60.0
 RECOMPUTE_WEIGHT = 1.0
 FETCH_S_PER_TOKEN = 3e-6
@@ -70,6 +72,7 @@
         """Serve until SIGTERM, then finish what runs."""
         async with AsyncExitStack() as stack:
             store = await stack.enter_async_context(Store(self.boot.store_address))
+            client = await stack.enter_async_context(OrderClient())
             nursery = await stack.enter_async_context(trio.open_nursery())
             driver = Driver(self._make_gateway(), self.metrics, self._send_news)
             self.state = FrontState(self.boot, driver, nursery)
@@ -80,15 +83,9 @@
             nursery.start_soon(OperatorWatch(store, self.state).run)
             nursery.start_soon(EndpointWatch(store, self.state).run)
             self._peers = Peers(store, self.state, self.incarnation)
-            holder = OrderHolder(
-                store,
-                self.state,
-                self.incarnation,
-                self._peers.send_weights,
-                self._peers.is_first,
-            )
+            keeper = self._make_order_keeper(store, client, self._peers)
             nursery.start_soon(self._peers.run)
-            nursery.start_soon(holder.run)
+            nursery.start_soon(keeper.run)
             self._boot_watch = BootWatch(self.state)
             nursery.start_soon(self._boot_watch.run)
             nursery.start_soon(self._tick)
@@ -100,7 +97,7 @@
                 address=self.boot.caller_address,
             )
             await self._wait_signal()
-            holder.leave()
+            keeper.leave()
             nursery.start_soon(self._peers.leave)
             await self._drain()
             log(
@@ -136,6 +133,11 @@
         )
         return Gateway(cfg, seed=self.incarnation)
 
+    def _make_order_keeper(self, store: Store, client: OrderClient, peers: Peers) -> OrderKeeper:
+        lease = Lease(Holder(self.boot.instance, self.incarnation), TERM_S)
+        orders = ReplicaOrders(client, self.state, peers.send_weights, peers.is_first)
+        return OrderKeeper(lease, LeaseRow(store, ORDERS_LEASE), orders, boot_time)
+
     async def _wait_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for received in signals:
@@ -200,6 +202,7 @@
             self.state.tick()
             self.state.driver.feed(Tick())
             self._log_writer.flush()
+            self.metrics.log_lines_dropped.inc(self._log_writer.take_dropped())
 
     async def _rotate_metrics(self) -> None:
         while True:
--- a/rattangate/front/watch.py
+++ b/rattangate/front/watch.py
@@ -18,14 +18,14 @@
     decode_endpoint,
     decode_named_version,
 )
-from rattangate.platform.store import HistoryLost, StoreRows
+from rattangate.platform.outcomes import HistoryLost, StoreRows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from rattangate.front.state import FrontState
-    from rattangate.platform.client import Unavailable
-    from rattangate.platform.store import Store, StoreRow
+    from rattangate.platform.outcomes import StoreRow, Unavailable
+    from rattangate.platform.store import Store
 
 OPERATOR_WAIT_S = 1.5
 LIST_INTERVAL_S = 0.8
--- a/rattangate/http/admin.py
+++ b/rattangate/http/admin.py
@@ -24,14 +24,14 @@
 from rattangate.http.answers import error_response, json_response
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import CONTENT_TYPE
-from rattangate.platform.audit import AuditEntry
+from rattangate.records.audit import AuditEntry
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from rattangate.config.model import AdminKeyCfg
-    from rattangate.entry import Entry
     from rattangate.http.admin_operations import Operation
+    from rattangate.http.admin_parts import AdminParts
 
 MAX_BODY_BYTES = 1_000_000
 MAX_REASON_CHARS = 200
@@ -39,7 +39,7 @@
 _ETAG = re.compile(r'(?:W/)?"(\d{1,12})"')
 
 
-def make_admin_app(entry: Entry) -> QuartTrio:
+def make_admin_app(parts: AdminParts) -> QuartTrio:
     """Create the application that operators reach."""
     app = QuartTrio("rattangate-admin")
     app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
@@ -50,11 +50,13 @@
 
     @app.get("/readyz")
     async def ready() -> Response:
-        return json_response({"ready": entry.ready}, 200 if entry.ready else 503)
+        return json_response(
+            {"ready": parts.status.is_ready}, 200 if parts.status.is_ready else 503
+        )
 
     @app.get("/metrics")
     async def metrics() -> Response:
-        return Response(entry.metrics.render(), content_type=CONTENT_TYPE)
+        return Response(parts.metrics.render(), content_type=CONTENT_TYPE)
 
     @app.get("/v1/openapi.json")
     async def describe() -> Response:
@@ -69,26 +71,26 @@
         return error_response(Failure(ErrorKind.TOO_LARGE), "")
 
     for operation in OPERATIONS:
-        handler = _make_handler(entry, operation)
+        handler = _make_handler(parts, operation)
         app.add_url_rule(
             operation.rule, operation.name, handler, methods=[operation.method], strict_slashes=True
         )
     return app
 
 
-def _make_handler(entry: Entry, operation: Operation) -> Callable[..., Awaitable[Response]]:
+def _make_handler(parts: AdminParts, operation: Operation) -> Callable[..., Awaitable[Response]]:
     async def handle(**params: str) -> Response:
-        key = entry.keyring.admin_key(request.headers.get("Authorization", ""))
+        key = parts.in_force.keyring.admin_key(request.headers.get("Authorization", ""))
         if key is None:
             return error_response(Failure(ErrorKind.UNAUTHENTICATED), "")
         if not _permits(key, operation, params):
             return error_response(Failure(ErrorKind.FORBIDDEN), "")
         if operation.edits:
-            return await _edit(entry, operation, key, params)
+            return await _edit(parts, operation, key, params)
         if operation.acts:
-            return await _act(entry, operation, key, params)
-        call = Call(entry, params, dict(request.args), {})
-        return _answer(entry, await READS[operation.name](call))
+            return await _act(parts, operation, key, params)
+        call = Call(parts, params, dict(request.args), {})
+        return _answer(parts, await READS[operation.name](call))
 
     return handle
 
@@ -99,29 +101,29 @@
     return key.role is not Role.WORKSPACE_OWNER or params.get("workspace") == key.workspace
 
 
-def _answer(entry: Entry, outcome: object) -> Response:
+def _answer(parts: AdminParts, outcome: object) -> Response:
     if isinstance(outcome, Failure):
         return error_response(outcome, "")
     resp = json_response(outcome)
-    resp.headers["ETag"] = f'"{entry.config_version}"'
+    resp.headers["ETag"] = f'"{parts.status.config_version}"'
     return resp
 
 
 async def _act(
-    entry: Entry, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
+    parts: AdminParts, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
 ) -> Response:
     req = _read_reason(key, 0)
     if isinstance(req, Failure):
         return error_response(req, "")
-    outcome = await ACTS[operation.name](Call(entry, params, {}, {}, key.name))
-    await _write_audit(entry, key, req, outcome)
-    resp = _answer(entry, outcome)
+    outcome = await ACTS[operation.name](Call(parts, params, {}, {}, key.name))
+    await _write_audit(parts, key, req, outcome)
+    resp = _answer(parts, outcome)
     resp.headers[CHANGE_ID] = req.change_id
     return resp
 
 
 async def _edit(
-    entry: Entry, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
+    parts: AdminParts, operation: Operation, key: AdminKeyCfg, params: dict[str, str]
 ) -> Response:
     req = _read_edit(key)
     body = await _read_body(operation)
@@ -129,10 +131,10 @@
         return error_response(req, "")
     if isinstance(body, Failure):
         return error_response(body, "")
-    call = Call(entry, params, {}, body)
+    call = Call(parts, params, {}, body)
     make_edit = EDITS[operation.name]
-    outcome = await carry_out_edit(entry, req, lambda data: make_edit(call, data))
-    await _write_audit(entry, key, req, outcome)
+    outcome = await carry_out_edit(parts, req, lambda data: make_edit(call, data))
+    await _write_audit(parts, key, req, outcome)
     if isinstance(outcome, Failure):
         resp = error_response(outcome, "")
     else:
@@ -177,7 +179,7 @@
     return body
 
 
-async def _write_audit(entry: Entry, key: AdminKeyCfg, req: EditRequest, outcome: Any) -> None:
+async def _write_audit(parts: AdminParts, key: AdminKeyCfg, req: EditRequest, outcome: Any) -> None:
     call = f"{request.method} {request.path}"
     failed = isinstance(outcome, Failure)
     audited = AuditEntry(
@@ -191,4 +193,4 @@
         getattr(outcome, "version", 0),
     )
     log(LogEvent.ADMIN_CHANGED, who=key.name, action=request.method, object=request.path)
-    await entry.audit.write(audited)
+    await parts.audit.write(audited)
--- a/rattangate/http/admin_edits.py
+++ b/rattangate/http/admin_edits.py
@@ -27,7 +27,7 @@
     Raced,
 )
 from rattangate.errors import ErrorKind, Failure
-from rattangate.platform.client import Unavailable
+from rattangate.platform.outcomes import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +35,7 @@
 
     from rattangate.config.edit import Edit
     from rattangate.core.config_versions import ChangeOutcome
-    from rattangate.entry import Entry
+    from rattangate.http.admin_parts import AdminParts
 
 PROPOSE_TIMEOUT_S = 8.0
 
@@ -51,10 +51,10 @@
 
 
 async def carry_out_edit(
-    entry: Entry, req: EditRequest, make_edit: Callable[[dict[str, Any]], Edit | Failure]
+    parts: AdminParts, req: EditRequest, make_edit: Callable[[dict[str, Any]], Edit | Failure]
 ) -> ConfigRecord | Failure:
     """Edit the content of the version that the caller read, and propose it as the next one."""
-    before = await _read_content(entry, req.edited_from)
+    before = await _read_content(parts, req.edited_from)
     if isinstance(before, Failure):
         return before
     edit = make_edit(read_data(before.base))
@@ -69,11 +69,11 @@
     proposal = Proposal(
         req.edited_from, content, req.change_id, req.author, f"API: {req.reason}", at
     )
-    outcome = await entry.config_store.propose(proposal, PROPOSE_TIMEOUT_S)
+    outcome = await parts.config_store.propose(proposal, PROPOSE_TIMEOUT_S)
     if isinstance(outcome, Accepted):
         # Enforces the version here at once; the peers hear of it with the next heartbeat.
         msg = ContentRead(outcome.record, content, ConfigSource.PEER)
-        entry.config_watch.feed(msg)
+        parts.config_watch.feed(msg)
     return _result_of(outcome)
 
 
@@ -82,16 +82,16 @@
     return uuid.uuid4().hex
 
 
-async def _read_content(entry: Entry, version: int) -> ConfigContent | Failure:
+async def _read_content(parts: AdminParts, version: int) -> ConfigContent | Failure:
     if version == 0:
         detail = "no version was applied yet: apply the files with `rattangate config apply`"
         return Failure(ErrorKind.VERSION_CONFLICT, detail)
-    history = await entry.config_store.read_history(version, 1)
+    history = await parts.config_store.read_history(version, 1)
     if isinstance(history, Unavailable):
         return Failure(ErrorKind.PLATFORM_UNAVAILABLE, history.detail)
     if not history:
         return Failure(ErrorKind.VERSION_CONFLICT, f"version {version} does not exist")
-    data = await entry.config_store.read_content(history[0])
+    data = await parts.config_store.read_content(history[0])
     if data is None:
         return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the content can't be read")
     try:
--- a/rattangate/http/admin_handlers.py
+++ b/rattangate/http/admin_handlers.py
@@ -17,7 +17,7 @@
 from rattangate.core.messages import QuarantineReleased
 from rattangate.errors import ErrorKind, Failure
 from rattangate.log_events import LogEvent, log
-from rattangate.platform.client import Unavailable
+from rattangate.platform.outcomes import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,7 +25,7 @@
     from rattangate.config.edit import Edit
     from rattangate.config.model import WorkspaceCfg
     from rattangate.core.quarantine import Listed, Quarantine
-    from rattangate.entry import Entry
+    from rattangate.http.admin_parts import AdminParts
 
 KEY_ID_DIGITS = 12
 DEFAULT_VERSIONS = 20
@@ -38,7 +38,7 @@
 class Call:
     """Hold what a handler needs of one call."""
 
-    entry: Entry
+    parts: AdminParts
     params: dict[str, str]
     query: dict[str, str]
     body: dict[str, Any]
@@ -55,12 +55,14 @@
 
 async def list_workspaces(call: Call) -> object:
     """List all workspaces."""
-    return {"workspaces": [_view_workspace(item) for item in call.entry.settings.workspaces]}
+    return {
+        "workspaces": [_view_workspace(item) for item in call.parts.in_force.settings.workspaces]
+    }
 
 
 async def get_workspace(call: Call) -> object:
     """Show one workspace."""
-    for workspace in call.entry.settings.workspaces:
+    for workspace in call.parts.in_force.settings.workspaces:
         if workspace.name == call.params["workspace"]:
             return _view_workspace(workspace)
     return Failure(ErrorKind.NOT_FOUND, "workspace: unknown")
@@ -68,30 +70,30 @@
 
 async def get_limits(call: Call) -> object:
     """Show the limits of this site."""
-    return {"limits": view_settings(call.entry.settings)["limits"]}
+    return {"limits": view_settings(call.parts.in_force.settings)["limits"]}
 
 
 async def list_models(call: Call) -> object:
     """List the models with their wanted versions."""
-    return {"models": view_settings(call.entry.settings)["models"]}
+    return {"models": view_settings(call.parts.in_force.settings)["models"]}
 
 
 async def list_endpoints(call: Call) -> object:
     """List endpoints as seen from this instance."""
-    return {"endpoints": call.entry.describe_endpoints()}
+    return {"endpoints": call.parts.status.describe_endpoints()}
 
 
 async def list_instances(call: Call) -> object:
     """List instances as seen from this one."""
-    return {"instances": call.entry.describe_instances()}
+    return {"instances": call.parts.status.describe_instances()}
 
 
 async def get_config(call: Call) -> object:
     """Show the version in force here and the newest record of the table."""
-    newest = await call.entry.config_store.read_newest()
+    newest = await call.parts.config_store.read_newest()
     record = None if isinstance(newest, ReadFailed) else newest.record
     return {
-        "in_force": call.entry.config_version,
+        "in_force": call.parts.status.config_version,
         "newest": msgspec.to_builtins(record) if record is not None else None,
         "platform": "down" if isinstance(newest, ReadFailed) else "up",
     }
@@ -102,7 +104,7 @@
     count = call.query.get("count", str(DEFAULT_VERSIONS))
     if not re.fullmatch(r"[0-9]{1,4}", count) or not 1 <= int(count) <= MAX_VERSIONS:
         return Failure(ErrorKind.BAD_REQUEST, f"count: must be 1 to {MAX_VERSIONS}")
-    store = call.entry.config_store
+    store = call.parts.config_store
     newest = await store.read_newest()
     if isinstance(newest, ReadFailed):
         return Failure(ErrorKind.PLATFORM_UNAVAILABLE)
@@ -119,7 +121,7 @@
     day = call.query.get("day", datetime.now(UTC).date().isoformat())
     if not _DAY.fullmatch(day):
         return Failure(ErrorKind.BAD_REQUEST, "day: must be YYYY-MM-DD")
-    entries = await call.entry.audit.read_day(day)
+    entries = await call.parts.audit.read_day(day)
     if isinstance(entries, Unavailable):
         return Failure(ErrorKind.PLATFORM_UNAVAILABLE, entries.detail)
     return {"calls": msgspec.to_builtins(entries)}
@@ -142,7 +144,7 @@
     digest = bytes.fromhex(call.params["digest"])
     listed = {item.digest for item in _quarantine(call).listing(trio.current_time())}
     if digest in listed:
-        call.entry.driver.feed(QuarantineReleased(digest))
+        call.parts.driver.feed(QuarantineReleased(digest))
         log(LogEvent.QUARANTINE_RELEASED, digest=digest.hex(), who=call.who)
     return {"released": digest in listed}
 
@@ -236,7 +238,7 @@
 
 
 def _quarantine(call: Call) -> Quarantine:
-    return call.entry.driver.gateway.intake.suspects.quarantine
+    return call.parts.driver.gateway.intake.suspects.quarantine
 
 
 def _view_listed(listed: Listed, now: float) -> dict[str, Any]:
--- /dev/null
+++ b/rattangate/http/admin_parts.py
@@ -0,0 +1,28 @@
+"""The parts of an instance that the administration API reads and acts on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.driver import Driver
+    from rattangate.fleet_status import FleetStatus
+    from rattangate.in_force import InForce
+    from rattangate.metrics import Metrics
+    from rattangate.records.audit import AuditTrail
+    from rattangate.records.config_store import ConfigStore
+    from rattangate.records.config_watch import ConfigWatch
+
+
+@dataclass(frozen=True, slots=True)
+class AdminParts:
+    """Hold the parts that the operations need."""
+
+    in_force: InForce
+    driver: Driver
+    metrics: Metrics
+    status: FleetStatus
+    config_store: ConfigStore
+    config_watch: ConfigWatch
+    audit: AuditTrail
--- a/rattangate/http/bookings.py
+++ b/rattangate/http/bookings.py
@@ -28,14 +28,14 @@
     WakeUp,
 )
 from rattangate.plain_http import EMPTY_TRUST
-from rattangate.platform.booking_table import BookingTable
+from rattangate.records.booking_table import BookingTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rattangate.config.model import EndpointCfg
     from rattangate.core.once_messages import BookingEffect, BookingMessage, RecordKey
-    from rattangate.platform.client import PlatformClient
+    from rattangate.platform.store import Store
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_GRACE_S = 30.0
@@ -86,12 +86,12 @@
         self,
         instance: str,
         incarnation: int,
-        platform: PlatformClient,
+        store: Store,
         holder_lost: Callable[[AttemptId], bool],
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
-        self._table = BookingTable(platform)
+        self._table = BookingTable(store)
         self._holder_lost = holder_lost
         self._numbers = count(1)
         self._running: set[int] = set()
--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -4,7 +4,7 @@
 
 import uuid
 from contextlib import aclosing, contextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -32,7 +32,12 @@
     from collections.abc import AsyncIterator, Callable, Iterator
 
     from rattangate.config.model import WorkspaceCfg
-    from rattangate.entry import Entry
+    from rattangate.driver import Driver
+    from rattangate.endpoints.client import EndpointClient
+    from rattangate.http.relay import OpenStreams
+    from rattangate.http.services import Services
+    from rattangate.in_force import InForce
+    from rattangate.metrics import Metrics
 
 DEFAULT_MAX_TOKENS = 256
 MAX_OUTPUT_TOKENS = 32_768
@@ -40,10 +45,23 @@
 LOWEST_PRIORITY = 9
 
 
-def make_caller_app(entry: Entry) -> QuartTrio:
+@dataclass(frozen=True, slots=True)
+class CallerParts:
+    """Hold the parts of an instance that calls need."""
+
+    in_force: InForce
+    driver: Driver
+    clients: dict[str, EndpointClient]
+    metrics: Metrics
+    streams: OpenStreams
+    services: Services
+    is_ready: Callable[[], bool]
+
+
+def make_caller_app(parts: CallerParts) -> QuartTrio:
     """Create the application that callers reach."""
     app = QuartTrio("rattangate")
-    limits = entry.settings.limits
+    limits = parts.in_force.settings.limits
     app.config["RESPONSE_TIMEOUT"] = None
     app.config["BODY_TIMEOUT"] = limits.body_timeout_s
     app.config["MAX_CONTENT_LENGTH"] = limits.max_body_bytes
@@ -51,65 +69,65 @@
     @app.post("/v1/completions")
     @app.post("/v1/chat/completions")
     async def complete() -> Response:
-        return await _complete(entry)
+        return await _complete(parts)
 
     @app.get("/v1/models")
     async def models() -> Response:
-        if entry.keyring.workspace(_authorization()) is None:
+        if parts.in_force.keyring.workspace(_authorization()) is None:
             log_unknown_key()
-            return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), "", "")
-        listed = [{"id": model.name, "object": "model"} for model in entry.settings.models]
+            return _refuse(parts, Failure(ErrorKind.UNAUTHENTICATED), "", "")
+        listed = [{"id": model.name, "object": "model"} for model in parts.in_force.settings.models]
         return json_response({"object": "list", "data": listed})
 
     @app.get("/readyz")
     async def ready() -> Response:
-        return json_response({"ready": entry.ready}, 200 if entry.ready else 503)
+        return json_response({"ready": parts.is_ready()}, 200 if parts.is_ready() else 503)
 
     answer_errors(app)
 
     @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
     async def service(path: str) -> Response:
-        return await entry.services.forward(f"/{path}")
+        return await parts.services.forward(f"/{path}")
 
     return app
 
 
-async def _complete(entry: Entry) -> Response:
+async def _complete(parts: CallerParts) -> Response:
     arrived_at = trio.current_time()
     request_id = f"req-{uuid.uuid4().hex}"
-    workspace = entry.keyring.workspace(_authorization())
+    workspace = parts.in_force.keyring.workspace(_authorization())
     if workspace is None:
         log_unknown_key()
-        return _refuse(entry, Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
-    entry.metrics.count_request("model")
-    call = _parse_call(entry, workspace, await request.get_data(), request_id, arrived_at)
+        return _refuse(parts, Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
+    parts.metrics.count_request("model")
+    call = _parse_call(parts, workspace, await request.get_data(), request_id, arrived_at)
     if isinstance(call, Failure):
-        return _refuse(entry, call, request_id, workspace.name)
-    if entry.streams.count >= entry.settings.limits.max_streams:
-        return _refuse(entry, Failure(ErrorKind.OVERLOADED), request_id, workspace.name)
-    relay = Relay(call, entry.driver, entry.clients, entry.metrics, entry.streams)
+        return _refuse(parts, call, request_id, workspace.name)
+    if parts.streams.count >= parts.in_force.settings.limits.max_streams:
+        return _refuse(parts, Failure(ErrorKind.OVERLOADED), request_id, workspace.name)
+    relay = Relay(call, parts.driver, parts.clients, parts.metrics, parts.streams)
     if call.body.get("stream"):
-        return await _stream(entry, relay)
-    return await _answer_whole(entry, relay)
+        return await _stream(parts, relay)
+    return await _answer_whole(parts, relay)
 
 
-async def _stream(entry: Entry, relay: Relay) -> Response:
+async def _stream(parts: CallerParts, relay: Relay) -> Response:
     events = relay.events()
     try:
         first = await anext(events)
     except RelayFailed as exc:
         await events.aclose()
-        return _refuse_relay(entry, relay, exc.failure)
+        return _refuse_relay(parts, relay, exc.failure)
     except BaseException:
         with trio.CancelScope(shield=True):
             await events.aclose()
         raise
     headers = {"Content-Type": "text/event-stream", "X-Request-Id": relay.call.request_id}
-    return Response(_stream_body(entry, relay, first, events), headers=headers)
+    return Response(_stream_body(parts, relay, first, events), headers=headers)
 
 
 async def _stream_body(
-    entry: Entry, relay: Relay, first: bytes, events: AsyncIterator[bytes]
+    parts: CallerParts, relay: Relay, first: bytes, events: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
     ended = False
     with _logged_abandonment(relay, lambda: ended):
@@ -120,21 +138,21 @@
                     yield data
                 ended = True
                 yield b"data: [DONE]\n\n"
-                _log_done(entry, relay)
+                _log_done(parts, relay)
             except RelayFailed as exc:
                 ended = True
-                _count_refusal(entry, exc.failure, relay.call.request_id, _workspace_of(relay))
+                _count_refusal(parts, exc.failure, relay.call.request_id, _workspace_of(relay))
                 yield error_event(exc.failure)
 
 
-async def _answer_whole(entry: Entry, relay: Relay) -> Response:
+async def _answer_whole(parts: CallerParts, relay: Relay) -> Response:
     async with aclosing(relay.events()) as events:
         try:
             async for _ in events:
                 pass
         except RelayFailed as exc:
-            return _refuse_relay(entry, relay, exc.failure)
-    _log_done(entry, relay)
+            return _refuse_relay(parts, relay, exc.failure)
+    _log_done(parts, relay)
     resp = json_response(whole_answer(relay.call, relay.checker))
     resp.headers["X-Request-Id"] = relay.call.request_id
     return resp
@@ -154,7 +172,7 @@
 
 
 def _parse_call(
-    entry: Entry, workspace: WorkspaceCfg, raw: bytes, request_id: str, arrived_at: float
+    parts: CallerParts, workspace: WorkspaceCfg, raw: bytes, request_id: str, arrived_at: float
 ) -> ModelCall | Failure:
     try:
         body = msgspec.json.decode(raw)
@@ -162,7 +180,7 @@
         return Failure(ErrorKind.BAD_REQUEST, f"body: {exc}")
     if not isinstance(body, dict):
         return Failure(ErrorKind.BAD_REQUEST, "body: must be a JSON object")
-    model = entry.models.get(body.get("model", ""))
+    model = parts.in_force.models.get(body.get("model", ""))
     if model is None:
         return Failure(ErrorKind.NOT_FOUND, "model: unknown, see GET /v1/models")
     prompt = prompt_bytes(body)
@@ -172,28 +190,28 @@
     if isinstance(numbers, Failure):
         return numbers
     max_tokens, priority = numbers
-    limits = entry.settings.limits
+    limits = parts.in_force.settings.limits
     if count_tokens(prompt) > limits.max_prompt_tokens:
         return Failure(ErrorKind.TOO_LARGE, f"prompt: over {limits.max_prompt_tokens} tokens")
     scope = Scope(workspace.name, model.name, str(body.get("adapter", "")), model.weights_version)
     req = RequestArrived(
-        entry.driver.next_req_id(),
+        parts.driver.next_req_id(),
         scope,
-        hash_pieces(scope.salt, prompt, entry.settings.placement.piece_tokens),
+        hash_pieces(scope.salt, prompt, parts.in_force.settings.placement.piece_tokens),
         count_tokens(prompt),
         max_tokens,
         blake2b(scope.salt.encode() + prompt, digest_size=16).digest(),
         priority,
         arrived_at + limits.request_timeout_s,
-        _other_versions(entry, scope, prompt),
+        _other_versions(parts, scope, prompt),
     )
     return ModelCall(req, request.path, body, request_id, arrived_at)
 
 
-def _other_versions(entry: Entry, scope: Scope, prompt: bytes) -> tuple[VersionedPieces, ...]:
+def _other_versions(parts: CallerParts, scope: Scope, prompt: bytes) -> tuple[VersionedPieces, ...]:
     """Hash the prompt under each version that a rollout has not replaced yet."""
-    piece_tokens = entry.settings.placement.piece_tokens
-    running = entry.driver.gateway.weights_versions(scope.model)
+    piece_tokens = parts.in_force.settings.placement.piece_tokens
+    running = parts.driver.gateway.weights_versions(scope.model)
     return tuple(
         VersionedPieces(
             version,
@@ -222,17 +240,17 @@
     return relay.call.req.scope.workspace
 
 
-def _refuse_relay(entry: Entry, relay: Relay, failure: Failure) -> Response:
-    return _refuse(entry, failure, relay.call.request_id, _workspace_of(relay))
+def _refuse_relay(parts: CallerParts, relay: Relay, failure: Failure) -> Response:
+    return _refuse(parts, failure, relay.call.request_id, _workspace_of(relay))
 
 
-def _refuse(entry: Entry, failure: Failure, request_id: str, workspace: str) -> Response:
-    _count_refusal(entry, failure, request_id, workspace)
+def _refuse(parts: CallerParts, failure: Failure, request_id: str, workspace: str) -> Response:
+    _count_refusal(parts, failure, request_id, workspace)
     return error_response(failure, request_id)
 
 
-def _count_refusal(entry: Entry, failure: Failure, request_id: str, workspace: str) -> None:
-    entry.metrics.count_refusal(failure.kind)
+def _count_refusal(parts: CallerParts, failure: Failure, request_id: str, workspace: str) -> None:
+    parts.metrics.count_refusal(failure.kind)
     log(
         LogEvent.REQUEST_REFUSED,
         request_id=request_id,
@@ -243,9 +261,9 @@
     )
 
 
-def _log_done(entry: Entry, relay: Relay) -> None:
-    entry.metrics.prompt_tokens.inc(relay.call.req.prompt_tokens)
-    entry.metrics.cache_hit_tokens.inc(relay.cached_tokens)
+def _log_done(parts: CallerParts, relay: Relay) -> None:
+    parts.metrics.prompt_tokens.inc(relay.call.req.prompt_tokens)
+    parts.metrics.cache_hit_tokens.inc(relay.cached_tokens)
     log(
         LogEvent.REQUEST_DONE,
         request_id=relay.call.request_id,
--- a/rattangate/http/services.py
+++ b/rattangate/http/services.py
@@ -20,7 +20,11 @@
 
 if TYPE_CHECKING:
     from rattangate.config.model import EndpointCfg, RouteCfg
-    from rattangate.entry import Entry
+    from rattangate.endpoints.client import EndpointClient
+    from rattangate.endpoints.monitor import Monitor
+    from rattangate.http.bookings import Bookings
+    from rattangate.in_force import InForce
+    from rattangate.metrics import Metrics
 
 CALL_TIMEOUT_S = 30.0
 MAX_ATTEMPTS = 3
@@ -31,22 +35,32 @@
 class Services:
     """Forward calls to the endpoints of plain services."""
 
-    def __init__(self, entry: Entry) -> None:
-        self._entry = entry
+    def __init__(
+        self,
+        in_force: InForce,
+        clients: dict[str, EndpointClient],
+        bookings: Bookings,
+        monitor: Monitor,
+        metrics: Metrics,
+    ) -> None:
+        self._in_force = in_force
+        self._clients = clients
+        self._bookings = bookings
+        self._monitor = monitor
+        self._metrics = metrics
         self._outstanding: dict[str, int] = {}
 
     async def forward(self, path: str) -> Response:
         """Answer one call to a plain service."""
-        entry = self._entry
         request_id = f"req-{uuid.uuid4().hex}"
-        workspace = entry.keyring.workspace(request.headers.get("Authorization", ""))
+        workspace = self._in_force.keyring.workspace(request.headers.get("Authorization", ""))
         if workspace is None:
             log_unknown_key()
             return self._refuse(Failure(ErrorKind.UNAUTHENTICATED), request_id, "")
         route = self._route(path)
         if route is None:
             return self._refuse(Failure(ErrorKind.NOT_FOUND), request_id, workspace.name)
-        entry.metrics.count_request("service")
+        self._metrics.count_request("service")
         outcome = await self._call(route, path, request_id, workspace.name)
         if isinstance(outcome, Failure):
             return self._refuse(outcome, request_id, workspace.name)
@@ -83,7 +97,7 @@
         idempotency_key = headers.get("Idempotency-Key", "")
         if not idempotency_key:
             return Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING)
-        limits = self._entry.settings.limits
+        limits = self._in_force.settings.limits
         query = request.query_string.decode()
         whole_path = f"{path}?{query}" if query else path
         content_type = headers.get("Content-Type", "")
@@ -98,9 +112,7 @@
             trio.current_time() + limits.request_timeout_s,
             limits.idempotency_retention_s,
         )
-        outcome = await self._entry.bookings.call(
-            call, lambda tried: self._choose(route.service, tried)
-        )
+        outcome = await self._bookings.call(call, lambda tried: self._choose(route.service, tried))
         names = {"request_id": headers["X-Request-Id"], "workspace": headers["X-Workspace"]}
         if isinstance(outcome, RefuseCaller):
             if outcome.failure.kind is ErrorKind.OUTCOME_UNKNOWN:
@@ -117,7 +129,7 @@
     async def _send(
         self, endpoint: EndpointCfg, path: str, headers: dict[str, str], body: bytes
     ) -> Response | Failure:
-        client = self._entry.clients[endpoint.name]
+        client = self._clients[endpoint.name]
         self._outstanding[endpoint.name] = self._outstanding.get(endpoint.name, 0) + 1
         try:
             resp = await client.http.request(
@@ -142,7 +154,7 @@
         return answer
 
     def _route(self, path: str) -> RouteCfg | None:
-        for route in self._entry.settings.routes:
+        for route in self._in_force.settings.routes:
             if path == route.path_prefix or path.startswith(route.path_prefix + "/"):
                 return route
         return None
@@ -150,14 +162,14 @@
     def _choose(self, service: str, tried: set[str]) -> EndpointCfg | None:
         live = [
             endpoint
-            for endpoint in self._entry.settings.endpoints
+            for endpoint in self._in_force.settings.endpoints
             if endpoint.serves == service and endpoint.name not in tried
-            if self._entry.endpoint_state(endpoint.name) is EndpointState.LIVE
+            if self._monitor.state_of(endpoint.name) is EndpointState.LIVE
         ]
         return min(live, key=lambda item: self._outstanding.get(item.name, 0), default=None)
 
     def _refuse(self, failure: Failure, request_id: str, workspace: str) -> Response:
-        self._entry.metrics.count_refusal(failure.kind)
+        self._metrics.count_refusal(failure.kind)
         log(
             LogEvent.REQUEST_REFUSED,
             request_id=request_id,
--- a/rattangate/platform/orders.py
+++ b/rattangate/platform/orders.py
@@ -23,6 +23,13 @@
 REPORT_TIMEOUT_S = 0.5
 FIRST_BYTE_EVENT = "http11.send_request_headers.started"
 
+_RESULTS = {
+    httpx.codes.OK: OrderResult.ACCEPTED,
+    httpx.codes.ACCEPTED: OrderResult.ACCEPTED,
+    httpx.codes.PRECONDITION_FAILED: OrderResult.OLD_NUMBER,
+    httpx.codes.CONFLICT: OrderResult.BUSY,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Report:
@@ -34,6 +41,30 @@
     order_seq: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoReport:
+    """Report that a replica gave no usable report."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderHeader:
+    """Say who gives an order; `order_seq` is the number of orders that the replica took before."""
+
+    holder: str
+    fence: int
+    order_seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderEnd:
+    """Report how an order ended and why."""
+
+    result: OrderResult
+    detail: str
+
+
 class _Withdrawn(Exception):  # noqa: N818
     """Stop an order before its first byte."""
 
@@ -51,7 +82,7 @@
 
 
 class OrderClient:
-    """Give orders to replicas."""
+    """Give orders to replicas; every failure is an outcome with its reason."""
 
     def __init__(self) -> None:
         limits = httpx.Limits(max_keepalive_connections=0)
@@ -73,42 +104,38 @@
         address: str,
         endpoint: str,
         wanted: ModelVersion,
-        holder: str,
-        fence: int,
-        order_seq: int,
+        header: OrderHeader,
         may_send: Callable[[], bool],
-    ) -> OrderResult:
+    ) -> OrderEnd:
         """Order a weights version; `may_send` is asked right before the first byte."""
 
         async def check(event: str, info: dict[str, Any]) -> None:
             if event == FIRST_BYTE_EVENT and not may_send():
-                raise _Withdrawn
+                raise _Withdrawn("the lease ended before the first byte")
 
+        content = encode_order(
+            wanted.model, wanted.version, header.holder, header.fence, header.order_seq
+        )
         try:
             resp = await self._client.post(
                 f"http://{address}{wire.ORDER_PATH}",
-                content=encode_order(wanted.model, wanted.version, holder, fence, order_seq),
+                content=content,
                 headers={"Content-Type": "application/json", "X-Target-Instance": endpoint},
                 timeout=httpx.Timeout(ORDER_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
                 extensions={"trace": check},
             )
-        except (httpx.HTTPError, _Withdrawn):
-            return OrderResult.LOST
-        if resp.status_code in (httpx.codes.OK, httpx.codes.ACCEPTED):
-            return OrderResult.ACCEPTED
-        if resp.status_code == httpx.codes.PRECONDITION_FAILED:
-            return OrderResult.OLD_NUMBER
-        if resp.status_code == httpx.codes.CONFLICT:
-            return OrderResult.BUSY
-        return OrderResult.LOST
-
-    async def report(self, address: str) -> Report | None:
-        """Ask a replica for its report; return None where it gives none."""
+        except (httpx.HTTPError, _Withdrawn) as exc:
+            return OrderEnd(OrderResult.LOST, repr(exc))
+        result = _RESULTS.get(resp.status_code, OrderResult.LOST)
+        return OrderEnd(result, f"status {resp.status_code}")
+
+    async def report(self, address: str) -> Report | NoReport:
+        """Ask a replica for its report."""
         timeout = httpx.Timeout(REPORT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         try:
             resp = await self._client.get(f"http://{address}{wire.REPORT_PATH}", timeout=timeout)
             raw = msgspec.json.decode(resp.content, type=_Report)
-        except (httpx.HTTPError, msgspec.DecodeError):
-            return None
+        except (httpx.HTTPError, msgspec.DecodeError) as exc:
+            return NoReport(repr(exc))
         models = tuple(ModelVersion(item.name, item.version) for item in raw.models)
         return Report(raw.born, models, raw.busy, raw.seq)
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -11,60 +11,45 @@
 
 from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST
-from rattangate.platform.client import Unavailable
+from rattangate.platform.outcomes import (
+    BlobFound,
+    BlobStored,
+    Expected,
+    HistoryLost,
+    NewRow,
+    StoreConflict,
+    StoreRow,
+    StoreRows,
+    Unavailable,
+    Written,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from types import TracebackType
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 PAGE_ROWS = 500
+MAX_CONNECTIONS = 64
+MAX_IDLE_CONNECTIONS = 8
+MS_PER_S = 1000
+NO_BODY: dict[str, Any] = {}
 _NOTHING_DONE = (429, 503)
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRow:
-    """Hold one row; version 0 stands for a missing row, `value` of None for a deleted one."""
-
-    key: str
-    version: int
-    value: bytes | None
-
-
-@dataclass(frozen=True, slots=True)
-class StoreRows:
-    """Hold the rows of one read and the version of the store at that moment."""
-
-    rows: tuple[StoreRow, ...]
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreConflict:
-    """Report the present rows of a write whose condition did not hold."""
-
-    rows: tuple[StoreRow, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Written:
-    """Report the version that a write has made."""
-
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class HistoryLost:
-    """Report that the changes since the asked version are no longer kept."""
-
-
 class Store:
-    """Read, watch and conditionally write rows of the platform's store."""
+    """Read, watch and conditionally write rows and blobs of the platform's store."""
 
-    def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._client = self._new_client()
+    def __init__(self, address: str, call_timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self._call_timeout_s = call_timeout_s
         self._is_down = False
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_IDLE_CONNECTIONS
+        )
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}", trust_env=False, verify=EMPTY_TRUST, limits=limits
+        )
 
     async def __aenter__(self) -> Store:
         return self
@@ -85,7 +70,7 @@
             params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 params["from"] = start
-            answer = await self._call("GET", "/rows-get", params=params)
+            answer = await self._call_rows("GET", "/rows-get", params=params)
             if isinstance(answer, Unavailable):
                 return answer
             rows.extend(_row(raw) for raw in answer.body["rows"])
@@ -96,19 +81,32 @@
     async def read_row(self, table: str, key: str) -> StoreRow | Unavailable:
         """Read one row."""
         params = {"table": table, "part": "", "from": key, "to": key + "\x00", "limit": "1"}
-        answer = await self._call("GET", "/rows-get", params=params)
+        answer = await self._call_rows("GET", "/rows-get", params=params)
         if isinstance(answer, Unavailable):
             return answer
         for raw in answer.body["rows"]:
             return _row(raw)
         return StoreRow(key, 0, None)
 
+    async def read_rows(
+        self, table: str, keys: Iterable[str]
+    ) -> tuple[StoreRow, ...] | Unavailable:
+        """Read rows one after the other, in the order of the keys."""
+        rows = []
+        for key in keys:
+            row = await self.read_row(table, key)
+            if isinstance(row, Unavailable):
+                return row
+            rows.append(row)
+        return tuple(rows)
+
     async def watch_table(
         self, table: str, after: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
         """Wait for the next changes of a table after a version of the store."""
-        params = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
-        answer = await self._call("GET", "/rows-feed", params=params, wait_s=wait_s)
+        wait_ms = int(wait_s * MS_PER_S)
+        params = {"table": table, "after": str(after), "wait_ms": str(wait_ms)}
+        answer = await self._call_rows("GET", "/rows-feed", params=params, wait_s=wait_s)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status == httpx.codes.GONE:
@@ -119,27 +117,77 @@
         self, table: str, key: str, value: bytes, expected_version: int | None = None
     ) -> Written | StoreConflict | Unavailable:
         """Write one row, if it still has the expected version where one is given."""
-        place = {"table": table, "part": "", "key": key}
-        expected = [] if expected_version is None else [{**place, "ver": expected_version}]
-        row = {**place, "value": base64.b64encode(value).decode()}
-        body = {"expected": expected, "set_keys": [row], "remove": []}
-        answer = await self._call("POST", "/rows-tx", body=body)
-        if isinstance(answer, Unavailable):
-            return answer
-        if answer.status == httpx.codes.PRECONDITION_FAILED:
-            return StoreConflict(tuple(_row(raw) for raw in answer.body.get("rows", ())))
-        return Written(answer.body["ver"])
+        expected = [] if expected_version is None else [Expected(key, expected_version)]
+        return await self.write_rows(table, expected, [NewRow(key, value)])
+
+    async def write_rows(
+        self, table: str, expected: Iterable[Expected], rows: Iterable[NewRow]
+    ) -> Written | StoreConflict | Unavailable:
+        """Write all rows if all expected versions hold."""
+        body = {
+            "expected": [{**_place(table, item.key), "ver": item.version} for item in expected],
+            "set_keys": [
+                {**_place(table, row.key), "value": base64.b64encode(row.value).decode()}
+                for row in rows
+            ],
+            "remove": [],
+        }
+        return await self._transact(body)
 
     async def remove_row(self, table: str, key: str) -> Written | StoreConflict | Unavailable:
         """Remove one row."""
-        place = {"table": table, "part": "", "key": key}
-        body = {"expected": [], "set_keys": [], "remove": [place]}
-        answer = await self._call("POST", "/rows-tx", body=body)
+        body = {"expected": [], "set_keys": [], "remove": [_place(table, key)]}
+        return await self._transact(body)
+
+    async def put_blob(
+        self, name: str, body: bytes, replaces: bool = False
+    ) -> BlobStored | Unavailable:
+        """Write a blob; an existing one stays as it is unless `replaces` is set."""
+        headers = {} if replaces else {"If-None-Match": "*"}
+        resp = await self._call("PUT", f"/blob-put/{name}", content=body, headers=headers)
+        if isinstance(resp, Unavailable):
+            return resp
+        if resp.status_code == httpx.codes.PRECONDITION_FAILED:
+            return BlobStored(existed=True)
+        if not resp.is_success:
+            return Unavailable(f"status {resp.status_code}", may_have_applied=False)
+        return BlobStored(existed=False)
+
+    async def get_blob(self, name: str) -> BlobFound | Unavailable:
+        """Read a blob."""
+        resp = await self._call("GET", f"/blob-get/{name}")
+        if isinstance(resp, Unavailable):
+            return resp
+        if resp.status_code == httpx.codes.NOT_FOUND:
+            return BlobFound(None)
+        if not resp.is_success:
+            return Unavailable(f"status {resp.status_code}", may_have_applied=False)
+        return BlobFound(resp.content)
+
+    async def list_blobs(self, prefix: str) -> tuple[str, ...] | Unavailable:
+        """List the names of blobs that begin with a prefix, in order."""
+        names: list[str] = []
+        while True:
+            params = {"path_prefix": prefix}
+            if names:
+                params["after"] = names[-1]
+            resp = await self._call("GET", "/blob-list", params=params)
+            answer = resp if isinstance(resp, Unavailable) else _decode(resp, may_apply=False)
+            if isinstance(answer, Unavailable):
+                return answer
+            names.extend(answer.body["names"])
+            if not answer.body.get("has_more") or not names:
+                return tuple(names)
+
+    async def _transact(self, body: object) -> Written | StoreConflict | Unavailable:
+        answer = await self._call_rows("POST", "/rows-tx", body=body)
         if isinstance(answer, Unavailable):
             return answer
+        if answer.status == httpx.codes.PRECONDITION_FAILED:
+            return StoreConflict(tuple(_row(raw) for raw in answer.body.get("rows", ())))
         return Written(answer.body["ver"])
 
-    async def _call(
+    async def _call_rows(
         self,
         method: str,
         path: str,
@@ -147,47 +195,51 @@
         body: object | None = None,
         wait_s: float = 0.0,
     ) -> _Answer | Unavailable:
-        answer = await self._send(method, path, params, body, wait_s)
-        self._note(answer.detail if isinstance(answer, Unavailable) else "")
-        return answer
-
-    def _note(self, detail: str) -> None:
-        """Log when the store stops answering and when it answers again."""
-        if detail and not self._is_down:
-            log(LogEvent.PLATFORM_DOWN, service="store", error=detail)
-        elif not detail and self._is_down:
-            log(LogEvent.PLATFORM_UP, service="store")
-        self._is_down = bool(detail)
+        content = None if body is None else msgspec.json.encode(body)
+        headers = {} if body is None else {"Content-Type": "application/json"}
+        resp = await self._call(method, path, params, content, headers, wait_s)
+        if isinstance(resp, Unavailable):
+            return resp
+        return _decode(resp, may_apply=method != "GET")
 
-    async def _send(
+    async def _call(
         self,
         method: str,
         path: str,
-        params: dict[str, str] | None,
-        body: object | None,
-        wait_s: float,
-    ) -> _Answer | Unavailable:
-        content = None if body is None else msgspec.json.encode(body)
-        headers = None if body is None else {"Content-Type": "application/json"}
-        timeout = httpx.Timeout(CALL_TIMEOUT_S + wait_s, connect=CONNECT_TIMEOUT_S)
-        may_apply = method == "POST"
+        params: dict[str, str] | None = None,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        wait_s: float = 0.0,
+    ) -> httpx.Response | Unavailable:
+        timeout = httpx.Timeout(self._call_timeout_s + wait_s, connect=CONNECT_TIMEOUT_S)
+        request = self._client.build_request(
+            method, path, params=params, content=content, headers=headers, timeout=timeout
+        )
+        resp = await self._send(request)
+        self._note(resp.detail if isinstance(resp, Unavailable) else "")
+        return resp
+
+    async def _send(self, request: httpx.Request) -> httpx.Response | Unavailable:
+        may_apply = request.method != "GET"
         try:
-            resp = await self._client.request(
-                method, path, params=params, content=content, headers=headers, timeout=timeout
-            )
+            resp = await self._client.send(request)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             return Unavailable(f"cannot connect: {exc!r}", may_have_applied=False)
         except httpx.HTTPError as exc:
             return Unavailable(f"no answer: {exc!r}", may_have_applied=may_apply)
         if resp.status_code in _NOTHING_DONE:
             return Unavailable(f"status {resp.status_code}", may_have_applied=False)
-        return _decode(resp, may_apply)
+        if resp.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            return Unavailable(f"status {resp.status_code}", may_have_applied=may_apply)
+        return resp
 
-    def _new_client(self) -> httpx.AsyncClient:
-        limits = httpx.Limits(max_connections=16, max_keepalive_connections=8)
-        return httpx.AsyncClient(
-            base_url=self._base, trust_env=False, verify=EMPTY_TRUST, limits=limits
-        )
+    def _note(self, detail: str) -> None:
+        """Log when the store stops answering and when it answers again."""
+        if detail and not self._is_down:
+            log(LogEvent.PLATFORM_DOWN, service="store", error=detail)
+        elif not detail and self._is_down:
+            log(LogEvent.PLATFORM_UP, service="store")
+        self._is_down = bool(detail)
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,13 +253,17 @@
     if resp.status_code not in known:
         return Unavailable(f"status {resp.status_code}", may_have_applied=may_apply)
     if resp.status_code == httpx.codes.GONE:
-        return _Answer(resp.status_code, {})
+        return _Answer(resp.status_code, NO_BODY)
     try:
         return _Answer(resp.status_code, msgspec.json.decode(resp.content))
     except msgspec.DecodeError as exc:
         return Unavailable(f"malformed answer: {exc}", may_have_applied=may_apply)
 
 
+def _place(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
+
+
 def _row(raw: dict[str, Any]) -> StoreRow:
     if raw.get("tombstone") or raw.get("value") is None:
         return StoreRow(raw["key"], raw["ver"], None)
--- a/rattangate/reconfigure.py
+++ b/rattangate/reconfigure.py
@@ -13,11 +13,11 @@
 from rattangate.core.intake import IntakeCfg
 from rattangate.core.limits import WorkspaceLimit
 from rattangate.endpoints.client import EndpointClient
-from rattangate.http.auth import Keyring
 
 if TYPE_CHECKING:
     from rattangate.config.model import Settings
-    from rattangate.entry import Entry
+    from rattangate.core.gateway import Gateway
+    from rattangate.in_force import InForce
 
 
 def gateway_cfg(settings: Settings, instance: str) -> GatewayCfg:
@@ -40,31 +40,29 @@
     )
 
 
-def reconfigure(entry: Entry, settings: Settings) -> None:
-    """Replace the settings of an instance and of all its parts at once."""
-    before = entry.settings
+def reconfigure(
+    in_force: InForce, gateway: Gateway, clients: dict[str, EndpointClient], settings: Settings
+) -> None:
+    """Replace the settings in force, those of the gateway and the clients of moved endpoints."""
+    before = in_force.settings
     placement = replace(settings.placement, piece_tokens=before.placement.piece_tokens)
-    entry.settings = replace(settings, placement=placement)
-    entry.keyring = Keyring(settings.workspaces, settings.admin_keys)
-    entry.models = {model.name: model for model in settings.models}
-    gateway = entry.driver.gateway
+    in_force.take(replace(settings, placement=placement))
     gateway.cfg = replace(gateway.cfg, recompute_weight=placement.recompute_weight)
     gateway.intake.configure(
         len(settings.instances), workspace_limits(settings), placement.first_token_s
     )
-    _replace_clients(entry, before)
-    entry.watch_endpoints()
-    entry.connect_peers()
-    entry.apply_limits()
+    _replace_clients(clients, before, in_force.settings)
 
 
-def _replace_clients(entry: Entry, before: Settings) -> None:
+def _replace_clients(
+    clients: dict[str, EndpointClient], before: Settings, settings: Settings
+) -> None:
     old = {endpoint.name: endpoint.address for endpoint in before.endpoints}
-    for endpoint in entry.settings.endpoints:
+    for endpoint in settings.endpoints:
         if old.get(endpoint.name) == endpoint.address:
             continue
-        if endpoint.name in entry.clients:
+        if endpoint.name in clients:
             # Requests in progress still hold the client; it is closed with the others at the end.
-            retired = entry.clients[endpoint.name]
-            entry.clients[f"{endpoint.name}@{old.get(endpoint.name)}"] = retired
-        entry.clients[endpoint.name] = EndpointClient(endpoint.name, endpoint.address)
+            retired = clients[endpoint.name]
+            clients[f"{endpoint.name}@{old.get(endpoint.name)}"] = retired
+        clients[endpoint.name] = EndpointClient(endpoint.name, endpoint.address)
--- a/rattangate/platform/audit.py
+++ b/rattangate/records/audit.py
@@ -1,4 +1,4 @@
-"""The audit trail of the administration API, one object for each call, by day."""
+"""The audit trail of the administration API, one blob for each call, by day."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from rattangate.platform.client import Found, Unavailable
+from rattangate.platform.outcomes import BlobFound, Unavailable
 
 if TYPE_CHECKING:
-    from rattangate.platform.client import PlatformClient
+    from rattangate.platform.store import Store
 
 AUDIT_PREFIX = "audit/"
 MAX_LISTED = 200
@@ -33,24 +33,24 @@
 class AuditTrail:
     """Write and read the audit trail."""
 
-    def __init__(self, platform: PlatformClient) -> None:
-        self._platform = platform
+    def __init__(self, store: Store) -> None:
+        self._store = store
 
     async def write(self, entry: AuditEntry) -> bool:
-        """Write an entry once; tell whether the platform took it."""
+        """Write an entry once; tell whether the store took it."""
         day, time = entry.at.split("T")
         key = f"{AUDIT_PREFIX}{day}/{time}-{entry.call_id}"
-        outcome = await self._platform.put_object(key, msgspec.json.encode(entry))
+        outcome = await self._store.put_blob(key, msgspec.json.encode(entry))
         return not isinstance(outcome, Unavailable)
 
     async def read_day(self, day: str) -> tuple[AuditEntry, ...] | Unavailable:
         """Read the last entries of a day, newest first."""
-        keys = await self._platform.list_objects(f"{AUDIT_PREFIX}{day}/")
+        keys = await self._store.list_blobs(f"{AUDIT_PREFIX}{day}/")
         if isinstance(keys, Unavailable):
             return keys
         entries = []
         for key in sorted(keys, reverse=True)[:MAX_LISTED]:
-            found = await self._platform.get_object(key)
-            if isinstance(found, Found) and found.body is not None:
+            found = await self._store.get_blob(key)
+            if isinstance(found, BlobFound) and found.body is not None:
                 entries.append(msgspec.json.decode(found.body, type=AuditEntry))
         return tuple(entries)
--- a/rattangate/platform/booking_table.py
+++ b/rattangate/records/booking_table.py
@@ -1,11 +1,11 @@
-"""The records of bookings in the table service."""
+"""The records of bookings in the platform's store."""
 
 from __future__ import annotations
 
 import time
 from dataclasses import dataclass
 from hashlib import blake2b
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -16,11 +16,13 @@
     SwapEnded,
     SwapResult,
 )
-from rattangate.platform.client import Conflict, Unavailable
+from rattangate.platform.outcomes import StoreConflict, Unavailable
+from rattangate.records import TABLE
 
 if TYPE_CHECKING:
     from rattangate.core.once_messages import ReadRecord, SwapRecord
-    from rattangate.platform.client import PlatformClient, Row
+    from rattangate.platform.outcomes import StoreRow
+    from rattangate.platform.store import Store
 
 BOOKINGS_PREFIX = "bookings/"
 
@@ -37,30 +39,30 @@
 class BookingTable:
     """Read and swap records; every failure is an outcome, never an exception."""
 
-    def __init__(self, platform: PlatformClient) -> None:
-        self._platform = platform
+    def __init__(self, store: Store) -> None:
+        self._store = store
 
     async def swap(self, effect: SwapRecord) -> SwapEnded:
         """Write a record if the version is still the expected one."""
         expires_at = None
         if effect.retention_s is not None:
             expires_at = time.time() + effect.retention_s
-        value = msgspec.to_builtins(BookingRow(effect.key, effect.record, expires_at))
-        outcome = await self._platform.swap_row(row_key(effect.key), effect.expected_version, value)
+        key = row_key(effect.key)
+        value = msgspec.json.encode(BookingRow(effect.key, effect.record, expires_at))
+        outcome = await self._store.write_row(TABLE, key, value, effect.expected_version)
         if isinstance(outcome, Unavailable):
             result = SwapResult.UNKNOWN if outcome.may_have_applied else SwapResult.UNSENT
             return SwapEnded(effect.call_id, result)
-        row = outcome.rows[0]
-        if isinstance(outcome, Conflict):
+        if isinstance(outcome, StoreConflict):
+            row = outcome.row(key)
             return SwapEnded(effect.call_id, SwapResult.CONFLICT, row.version, _record(row))
-        return SwapEnded(effect.call_id, SwapResult.APPLIED, row.version)
+        return SwapEnded(effect.call_id, SwapResult.APPLIED, outcome.version)
 
     async def read(self, effect: ReadRecord) -> ReadEnded:
         """Read a record."""
-        outcome = await self._platform.get_rows([row_key(effect.key)])
-        if isinstance(outcome, Unavailable):
+        row = await self._store.read_row(TABLE, row_key(effect.key))
+        if isinstance(row, Unavailable):
             return ReadEnded(effect.call_id, found=False)
-        row = outcome.rows[0]
         return ReadEnded(effect.call_id, True, row.version, _record(row))
 
 
@@ -70,8 +72,7 @@
     return BOOKINGS_PREFIX + digest.hexdigest()
 
 
-def _record(row: Row) -> BookingRecord | None:
+def _record(row: StoreRow) -> BookingRecord | None:
     if row.value is None:
         return None
-    value: Any = row.value
-    return msgspec.convert(value, BookingRow).record
+    return msgspec.json.decode(row.value, type=BookingRow).record
--- a/rattangate/platform/config_store.py
+++ b/rattangate/records/config_store.py
@@ -1,6 +1,6 @@
-"""The configuration versions in the platform's table service and object store.
+"""The configuration versions in the platform's store.
 
-The table's row `config/newest` holds the newest record; its row version is the configuration version.
+The row `config/newest` holds the newest record, the blobs hold the contents and all records.
 """
 
 from __future__ import annotations
@@ -30,11 +30,20 @@
     SwapVersion,
     TableRead,
 )
-from rattangate.platform.client import Conflict, Found, Rows, Unavailable
+from rattangate.platform.outcomes import (
+    BlobFound,
+    Expected,
+    NewRow,
+    StoreConflict,
+    Unavailable,
+    Written,
+)
+from rattangate.records import TABLE
 
 if TYPE_CHECKING:
     from rattangate.core.config_versions import ChangeEffect, Proposal
-    from rattangate.platform.client import PlatformClient, Row
+    from rattangate.platform.outcomes import StoreRow
+    from rattangate.platform.store import Store
 
 NEWEST_KEY = "config/newest"
 CHANGE_PREFIX = "config/changes/"
@@ -47,8 +56,10 @@
 class ConfigStore:
     """Read and write configuration versions."""
 
-    def __init__(self, platform: PlatformClient) -> None:
-        self._platform = platform
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        # The version of the row that held each configuration version.
+        self._row_versions = {0: 0}
 
     async def propose(self, proposal: Proposal, timeout_s: float) -> ChangeOutcome:
         """Carry a proposal to its outcome; may last the timeout and one request more."""
@@ -61,22 +72,22 @@
 
     async def read_newest(self) -> NewestRead | ReadFailed:
         """Read the newest record from the table."""
-        outcome = await self._platform.get_rows([NEWEST_KEY])
-        if isinstance(outcome, Unavailable):
+        row = await self._store.read_row(TABLE, NEWEST_KEY)
+        if isinstance(row, Unavailable):
             return ReadFailed(ConfigSource.TABLE)
         try:
-            return NewestRead(_record_of(outcome.rows[0]), ConfigSource.TABLE)
+            return NewestRead(_record_of(row), ConfigSource.TABLE)
         except msgspec.MsgspecError:
             return ReadFailed(ConfigSource.TABLE)
 
     async def read_newest_object(self) -> NewestRead | ReadFailed:
-        """Read the newest record from the object store."""
-        keys = await self._platform.list_objects(RECORD_PREFIX)
+        """Read the newest record from the blobs."""
+        keys = await self._store.list_blobs(RECORD_PREFIX)
         if isinstance(keys, Unavailable):
             return ReadFailed(ConfigSource.OBJECT)
         if not keys:
             return NewestRead(None, ConfigSource.OBJECT)
-        found = await self._platform.get_object(max(keys))
+        found = await self._store.get_blob(max(keys))
         if isinstance(found, Unavailable) or found.body is None:
             return ReadFailed(ConfigSource.OBJECT)
         try:
@@ -86,22 +97,22 @@
 
     async def read_content(self, record: ConfigRecord) -> bytes | None:
         """Read the content of a version, or None when it can't be had."""
-        found = await self._platform.get_object(CONTENT_PREFIX + record.digest)
-        return found.body if isinstance(found, Found) else None
+        found = await self._store.get_blob(CONTENT_PREFIX + record.digest)
+        return found.body if isinstance(found, BlobFound) else None
 
     async def read_history(self, newest: int, count: int) -> tuple[ConfigRecord, ...] | Unavailable:
         """Read the last records up to a version, newest first."""
         versions = range(newest, max(0, newest - count), -1)
-        outcome = await self._platform.get_rows(map(_version_key, versions))
-        if isinstance(outcome, Unavailable):
-            return outcome
-        records = (_record_of(row) for row in outcome.rows)
+        rows = await self._store.read_rows(TABLE, map(_version_key, versions))
+        if isinstance(rows, Unavailable):
+            return rows
+        records = map(_record_of, rows)
         return tuple(record for record in records if record is not None)
 
     async def store_record(self, record: ConfigRecord) -> bool:
         """Write the record of an accepted version; an existing one stays."""
         key = f"{RECORD_PREFIX}{record.version:0{VERSION_DIGITS}}"
-        outcome = await self._platform.put_object(key, encode_record(record))
+        outcome = await self._store.put_blob(key, encode_record(record))
         return not isinstance(outcome, Unavailable)
 
     @singledispatchmethod
@@ -110,16 +121,19 @@
 
     @_carry_out.register
     async def _read_table(self, effect: ReadTable) -> ChangeMessage:
+        # In this order: a change that is taken between the reads shows in its own row.
         keys = [NEWEST_KEY, CHANGE_PREFIX + effect.change_id]
-        outcome = await self._platform.get_rows(keys)
-        if isinstance(outcome, Unavailable):
-            return StepFailed(outcome.detail, outcome.may_have_applied)
-        newest, own = outcome.rows
-        return TableRead(_record_of(newest), _record_of(own))
+        rows = await self._store.read_rows(TABLE, keys)
+        if isinstance(rows, Unavailable):
+            return StepFailed(rows.detail, rows.may_have_applied)
+        newest, own = (_record_of(row) for row in rows)
+        if newest is not None:
+            self._row_versions[newest.version] = rows[0].version
+        return TableRead(newest, own)
 
     @_carry_out.register
     async def _store_content(self, effect: StoreContent) -> ChangeMessage:
-        outcome = await self._platform.put_object(CONTENT_PREFIX + effect.digest, effect.content)
+        outcome = await self._store.put_blob(CONTENT_PREFIX + effect.digest, effect.content)
         if isinstance(outcome, Unavailable):
             return StepFailed(outcome.detail, outcome.may_have_applied)
         return ContentStored()
@@ -128,14 +142,16 @@
     async def _swap(self, effect: SwapVersion) -> ChangeMessage:
         record = effect.record
         change_key = CHANGE_PREFIX + record.change_id
-        value = msgspec.to_builtins(record)
+        expected = Expected(NEWEST_KEY, self._row_versions[record.version - 1])
         keys = (NEWEST_KEY, change_key, _version_key(record.version))
-        outcome = await self._platform.transact(
-            [(NEWEST_KEY, record.version - 1), (change_key, 0)], [(key, value) for key in keys]
+        outcome = await self._store.write_rows(
+            TABLE,
+            [expected, Expected(change_key, 0)],
+            [NewRow(key, encode_record(record)) for key in keys],
         )
-        if isinstance(outcome, Rows):
+        if isinstance(outcome, Written):
             return Swapped()
-        if isinstance(outcome, Conflict):
+        if isinstance(outcome, StoreConflict):
             return SwapRefused()
         return StepFailed(outcome.detail, outcome.may_have_applied)
 
@@ -161,10 +177,8 @@
     return msgspec.json.decode(data, type=ConfigRecord)
 
 
-def _record_of(row: Row) -> ConfigRecord | None:
-    if row.value is None:
-        return None
-    return msgspec.convert(row.value, ConfigRecord)
+def _record_of(row: StoreRow) -> ConfigRecord | None:
+    return None if row.value is None else decode_record(row.value)
 
 
 def _version_key(version: int) -> str:
--- a/rattangate/platform/config_watch.py
+++ b/rattangate/records/config_watch.py
@@ -25,7 +25,7 @@
     from collections.abc import Callable
 
     from rattangate.core.config_follower import ConfigFollower, FollowerEffect, FollowerMessage
-    from rattangate.platform.config_store import ConfigStore
+    from rattangate.records.config_store import ConfigStore
 
 TICK_S = 0.1
 
--- /dev/null
+++ b/rattangate/records/lease_row.py
@@ -0,0 +1,61 @@
+"""The row of a lease in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from rattangate.core.leases import LeaseRead, LeaseRecord, LeaseSwapped, ReadLease
+from rattangate.core.once_messages import SwapResult
+from rattangate.log_events import LogEvent, log
+from rattangate.platform.outcomes import StoreConflict, Unavailable
+from rattangate.records import TABLE
+
+if TYPE_CHECKING:
+    from rattangate.core.leases import LeaseEffect, LeaseMessage, SwapLease
+    from rattangate.platform.outcomes import StoreRow
+    from rattangate.platform.store import Store
+
+ORDERS_LEASE = "leases/orders"
+
+
+class LeaseRow:
+    """Carry out the effects of a lease on its row."""
+
+    def __init__(self, store: Store, key: str) -> None:
+        self.key = key
+        self._store = store
+
+    async def carry_out(self, effect: LeaseEffect) -> LeaseMessage:
+        """Read or swap the row and return what came of it."""
+        if isinstance(effect, ReadLease):
+            return await self._read()
+        return await self._swap(effect)
+
+    async def _read(self) -> LeaseRead:
+        row = await self._store.read_row(TABLE, self.key)
+        if isinstance(row, Unavailable):
+            return LeaseRead(found=False)
+        return LeaseRead(True, row.version, _record(row))
+
+    async def _swap(self, effect: SwapLease) -> LeaseSwapped:
+        value = msgspec.json.encode(effect.record)
+        outcome = await self._store.write_row(TABLE, self.key, value, effect.expected_version)
+        if isinstance(outcome, Unavailable):
+            result = SwapResult.UNKNOWN if outcome.may_have_applied else SwapResult.UNSENT
+            return LeaseSwapped(result)
+        if isinstance(outcome, StoreConflict):
+            row = outcome.row(self.key)
+            return LeaseSwapped(SwapResult.CONFLICT, row.version, _record(row))
+        return LeaseSwapped(SwapResult.APPLIED, outcome.version)
+
+
+def _record(row: StoreRow) -> LeaseRecord | None:
+    if row.value is None:
+        return None
+    try:
+        return msgspec.json.decode(row.value, type=LeaseRecord)
+    except msgspec.DecodeError as exc:
+        log(LogEvent.ENTRY_MALFORMED, table=TABLE, row=row.key, error=str(exc))
+        return None
--- a/rattangate/standins/rows_store.py
+++ b/rattangate/standins/rows_store.py
@@ -1,31 +1,17 @@
-"""A stand-in of the users' platform's store: rows under conditions, and a feed of changes."""
+"""The rows and blobs of the stand-in of the platform's store, without I/O."""
 
 from __future__ import annotations
 
 import base64
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 import trio
-from quart import Response, request
-
-from rattangate.standins.web import json_response, make_app, run_app
-
-if TYPE_CHECKING:
-    from quart_trio import QuartTrio
 
 FIRST_VERSION = 1
 
 
-@dataclass(slots=True)
-class StoreFaults:
-    """Hold the faults that a test asks for."""
-
-    is_down: bool = False
-    loses_answers: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class _Change:
     version: int
@@ -35,13 +21,12 @@
 
 
 class RowsStore:
-    """Keep rows and the history of their changes."""
+    """Keep rows and the history of their changes, and blobs."""
 
     def __init__(self) -> None:
-        self.faults = StoreFaults()
         self.version = FIRST_VERSION
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
-        self.writes = 0
+        self.blobs: dict[str, bytes] = {}
         self._changes: list[_Change] = []
         self._kept_after = 0
         self._changed = trio.Event()
@@ -60,20 +45,19 @@
         self._changes.clear()
         self._kept_after = self.version
 
-    def transact(self, body: dict[str, Any]) -> Response:
-        """Apply all entries of a transaction or none."""
+    def transact(self, body: dict[str, Any]) -> list[dict[str, Any]] | None:
+        """Apply all entries, or return the present rows of the conditions that do not hold."""
         failed = [item for item in body["expected"] if self._version_of(item) != item["ver"]]
         if failed:
-            rows = [self._row(item["table"], item["key"]) for item in failed]
-            return json_response({"rows": [row for row in rows if row]}, 412)
-        self.writes += 1
+            rows = [self._row(item["table"], item["key"]) for item in body["expected"]]
+            return [row for row in rows if row]
         puts = [
             (item["table"], item["key"], base64.b64decode(item["value"]))
             for item in body["set_keys"]
         ]
         removed = [(item["table"], item["key"], None) for item in body["remove"]]
         self._apply([*puts, *removed])
-        return json_response({"ver": self.version, "now_ms": 0})
+        return None
 
     def read(self, table: str, start: str, end: str) -> dict[str, Any]:
         """Return the rows of a range of keys."""
@@ -82,15 +66,15 @@
         rows = [self._row(table, key) for key in chosen]
         return {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 0}
 
-    async def feed(self, table: str, after: int, wait_s: float) -> Response:
-        """Return the changes after a version, waiting for the first."""
+    async def feed(self, table: str, after: int, wait_s: float) -> dict[str, Any] | None:
+        """Return the changes after a version, waiting for the first; None if they are dropped."""
         with trio.move_on_after(wait_s):
             while after >= self._kept_after and not self._since(table, after):
                 await self._changed.wait()
         if after < self._kept_after:
-            return json_response({}, 410)
+            return None
         rows = [_tell(change) for change in self._since(table, after)]
-        return json_response({"rows": rows, "ver": self.version, "now_ms": 0})
+        return {"rows": rows, "ver": self.version, "now_ms": 0}
 
     def _since(self, table: str, after: int) -> list[_Change]:
         return [item for item in self._changes if item.table == table and item.version > after]
@@ -116,37 +100,6 @@
         return _tell(_Change(found[0], table, key, found[1]))
 
 
-def make_store_app(store: RowsStore) -> QuartTrio:
-    """Create the web application of the store."""
-    app = make_app("rows-store")
-
-    @app.before_request
-    async def refuse_when_down() -> Response | None:
-        return json_response({}, 503) if store.faults.is_down else None
-
-    @app.get("/rows-get")
-    async def get() -> Response:
-        args = request.args
-        return json_response(store.read(args["table"], args.get("from", ""), args.get("to", "")))
-
-    @app.get("/rows-feed")
-    async def feed() -> Response:
-        args = request.args
-        return await store.feed(args["table"], int(args["after"]), int(args["wait_ms"]) / 1000)
-
-    @app.post("/rows-tx")
-    async def transact() -> Response:
-        answer = store.transact(msgspec.json.decode(await request.get_data()))
-        return json_response({}, 500) if store.faults.loses_answers else answer
-
-    return app
-
-
-async def run_store(address: str, store: RowsStore) -> None:
-    """Run the store until cancelled."""
-    await run_app(make_store_app(store), address)
-
-
 def _tell(change: _Change) -> dict[str, Any]:
     row: dict[str, Any] = {
         "table": change.table,
--- a/rattangate/warm_start.py
+++ b/rattangate/warm_start.py
@@ -10,14 +10,14 @@
 
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.picture_codec import decode_pictures, encode_pictures
-from rattangate.platform.client import Unavailable
+from rattangate.platform.outcomes import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rattangate.core.messages import PictureReceived
     from rattangate.driver import Driver
-    from rattangate.platform.client import PlatformClient
+    from rattangate.platform.store import Store
 
 PEERS_DEADLINE_S = 0.7
 OFFER_S = 10.0
@@ -42,12 +42,12 @@
     def __init__(
         self,
         driver: Driver,
-        platform: PlatformClient,
+        store: Store,
         ask_peers: Callable[[], None],
         is_writer: Callable[[], bool],
     ) -> None:
         self._driver = driver
-        self._platform = platform
+        self._store = store
         self._ask_peers = ask_peers
         self._is_writer = is_writer
         self._source: PictureSource | None = None
@@ -101,7 +101,7 @@
         return endpoint is not None and endpoint.seen.incarnation >= picture.incarnation
 
     async def _read_snapshot(self) -> None:
-        found = await self._platform.get_object(SNAPSHOT_KEY)
+        found = await self._store.get_blob(SNAPSHOT_KEY)
         if isinstance(found, Unavailable) or found.body is None:
             return
         try:
@@ -116,6 +116,6 @@
         body = encode_pictures(pictures)
         if body == self._written or not pictures:
             return
-        outcome = await self._platform.replace_object(SNAPSHOT_KEY, body)
+        outcome = await self._store.put_blob(SNAPSHOT_KEY, body, replaces=True)
         if not isinstance(outcome, Unavailable):
             self._written = body
--- a/tests/front/site.py
+++ b/tests/front/site.py
@@ -13,7 +13,7 @@
 from rattangate.front.app import FrontApp
 from rattangate.log_events import LineWriter
 from rattangate.platform.boot import BootSettings, Bounds
-from rattangate.standins.rows_store import RowsStore, run_store
+from rattangate.standins.platform import Platform, run_platform
 from tests.small_deployment import free_addresses
 
 KEY = "key-of-sese"
@@ -122,7 +122,7 @@
 class Site:
     """Hold the parts of a running site."""
 
-    store: RowsStore
+    platform: Platform
     app: FrontApp
     replicas: dict[str, Replica]
     client: httpx.AsyncClient
@@ -140,7 +140,7 @@
 
     def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration as the operator does."""
-        self.store.put("op", "config", {**make_config(version), **changes})
+        self.platform.store.put("op", "config", {**make_config(version), **changes})
 
     def list_replica(self, name: str, service: str, **changes: Any) -> None:
         """Write a replica's entry."""
@@ -154,7 +154,7 @@
             "born": 1000,
             "models": models,
         }
-        self.store.put("servers", name, {**entry, **changes})
+        self.platform.store.put("servers", name, {**entry, **changes})
 
     def calls(self) -> list[Call]:
         """Return the requests at all replicas."""
@@ -205,7 +205,12 @@
 
 
 @asynccontextmanager
-async def running_site(desk: Behaviour = say_done, llm: Behaviour = stream_events, copies: int = 2):
+async def running_site(
+    desk: Behaviour = say_done,
+    llm: Behaviour = stream_events,
+    copies: int = 2,
+    log_writer: LineWriter | None = None,
+):
     """Run a site whose replicas all behave alike."""
     addresses = free_addresses(4 + 2 * copies)
     store_address, caller, ready, peer = addresses[:4]
@@ -225,17 +230,17 @@
         for service, behaviour in (("desk", desk), ("llm", llm)):
             name = f"{service}-{number}"
             replicas[name] = Replica(name, next(rest), behaviour)
-    store = RowsStore()
-    app = FrontApp(boot, LineWriter(1, max_lines=0))
+    platform = Platform()
+    app = FrontApp(boot, log_writer or LineWriter(1, max_lines=0))
     with trio.fail_after(30):
         async with (
             trio.open_nursery() as nursery,
             httpx.AsyncClient(base_url=f"http://{caller}", trust_env=False, timeout=10.0) as client,
         ):
-            nursery.start_soon(run_store, store_address, store)
+            nursery.start_soon(run_platform, store_address, platform)
             for replica in replicas.values():
                 nursery.start_soon(replica.run)
-            site = Site(store, app, replicas, client, boot)
+            site = Site(platform, app, replicas, client, boot)
             site.configure(1)
             for name in replicas:
                 site.list_replica(name, name.split("-")[0])
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -256,12 +256,12 @@
 def test_keys_are_not_accepted_long_after_the_store_fell_silent():
     async def main() -> None:
         async with running_site() as site:
-            site.store.faults.is_down = True
+            site.platform.faults.refuses = True
             await wait_until(lambda: not _keys_hold(site))
             resp = await site.ask(BOOKING_PATH)
             assert resp.status_code == 503
             assert site.calls() == []
-            site.store.faults.is_down = False
+            site.platform.faults.refuses = False
             await wait_until(lambda: _keys_hold(site))
             assert (await site.ask(BOOKING_PATH)).status_code == 200
 
@@ -271,11 +271,11 @@
 def test_changes_are_read_again_where_the_store_dropped_its_history():
     async def main() -> None:
         async with running_site() as site:
-            site.store.faults.is_down = True
+            site.platform.faults.refuses = True
             await trio.sleep(1.3)
             site.configure(9)
-            site.store.forget_history()
-            site.store.faults.is_down = False
+            site.platform.store.forget_history()
+            site.platform.faults.refuses = False
             await wait_until(lambda: site.app.state.config.version == 9)
 
     trio.run(main)
@@ -298,9 +298,9 @@
 def test_entries_of_other_writers_name_no_endpoint():
     async def main() -> None:
         async with running_site() as site:
-            site.store.put("servers", "x", b"\xff\x00")
-            site.store.put("servers", "y", {"state": 7})
-            site.store.put("op", "config", b"{")
+            site.platform.store.put("servers", "x", b"\xff\x00")
+            site.platform.store.put("servers", "y", {"state": 7})
+            site.platform.store.put("op", "config", b"{")
             await trio.sleep(1.2)
             assert set(site.app.state.view.endpoints) == set(site.replicas)
             assert (await site.ask(BOOKING_PATH)).status_code == 200
--- a/tests/operators/test_admin.py
+++ b/tests/operators/test_admin.py
@@ -12,6 +12,7 @@
 import trio.testing
 import yaml
 
+from rattangate.auth import hash_key
 from rattangate.config.model import Role
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.messages import EndpointState
@@ -24,7 +25,6 @@
     release_quarantine,
 )
 from rattangate.http.admin_operations import OPERATIONS, describe_api
-from rattangate.http.auth import hash_key
 from tests.operators.applied import apply_files, wait_in_force
 from tests.small_deployment import Shape, small_deployment
 
--- a/tests/operators/test_rollout.py
+++ b/tests/operators/test_rollout.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+import json
 import threading
 import time
 
@@ -65,9 +67,10 @@
         )
 
     def holder(self):
-        url = f"http://{self.deployment.settings.platform.address}/table/get"
-        resp = httpx.post(url, json={"keys": ["leases/orders"]}, trust_env=False)
-        name = resp.json()["rows"][0]["value"]["holder"]["instance"]
+        platform = f"http://{self.deployment.settings.platform.address}"
+        url = f"{platform}/rows-get?table=rattangate&part=&from=leases/orders&to=leases/orders0"
+        (row,) = httpx.get(url, trust_env=False).json()["rows"]
+        name = json.loads(base64.b64decode(row["value"]))["holder"]["instance"]
         return self.deployment.processes[name]
 
     def assert_bounds(self) -> None:
--- a/tests/promises/test_at_most_once.py
+++ b/tests/promises/test_at_most_once.py
@@ -107,7 +107,8 @@
     def wait_row(self) -> None:
         """Wait until the platform has taken a write."""
         deadline = time.monotonic() + 20
-        url = f"http://{self.deployment.settings.platform.address}/table/scan?prefix=bookings/"
+        platform = f"http://{self.deployment.settings.platform.address}"
+        url = f"{platform}/rows-get?table=rattangate&part=&from=bookings/&to=bookings0"
         while not httpx.get(url, trust_env=False, timeout=20).json()["rows"]:
             assert time.monotonic() < deadline
             time.sleep(0.02)
--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -11,7 +11,7 @@
 import yaml
 
 from bench.processes import DEMO_PEER_SECRET, Deployment, EngineShape
-from rattangate.http.auth import hash_key
+from rattangate.auth import hash_key
 from rattangate.standins.text import expected_text
 
 if TYPE_CHECKING:
--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -5,14 +5,13 @@
 import pytest
 import trio
 
+from rattangate.auth import hash_key
 from rattangate.config.load import settings_from_sources
 from rattangate.config.tree import Source
 from rattangate.core.messages import EndpointSeen, EndpointState, RequestArrived
 from rattangate.core.prefix import Scope
 from rattangate.entry import Entry
-from rattangate.http.auth import hash_key
 from rattangate.log_events import LineWriter
-from rattangate.reconfigure import reconfigure
 from tests.config.test_load import BASE, HASH_A
 
 
@@ -30,14 +29,14 @@
 def test_keys_models_and_weights_are_replaced(entry: Entry):
     text = BASE.replace(HASH_A, hash_key("new")).replace("name: small", "name: large")
     text = text.replace("serves: small", "serves: large")
-    reconfigure(entry, load(text.replace("placement:", "placement:\n  recompute_weight: 9")))
-    assert entry.keyring.workspace("Bearer new").name == "blue"
-    assert set(entry.models) == {"large"}
+    entry.reconfigure(load(text.replace("placement:", "placement:\n  recompute_weight: 9")))
+    assert entry.in_force.keyring.workspace("Bearer new").name == "blue"
+    assert set(entry.in_force.models) == {"large"}
     assert entry.driver.gateway.cfg.recompute_weight == 9.0
 
 
 def test_bound_of_the_first_token_is_replaced(entry: Entry):
-    reconfigure(entry, load(BASE.replace("1500ms", "7s")))
+    entry.reconfigure(load(BASE.replace("1500ms", "7s")))
     scope = Scope("blue", "small", "", "v1")
     live = EndpointSeen("engine-1", 1, "v1", EndpointState.LIVE)
     entry.driver.gateway.handle(live, 9.0)
@@ -47,7 +46,7 @@
 
 def test_limits_of_callers_and_workspaces_are_replaced(entry: Entry):
     text = BASE.replace("64KiB", "1MB").replace(HASH_A, f"{HASH_A}\n    share: 3.0")
-    reconfigure(entry, load(text))
+    entry.reconfigure(load(text))
     assert entry._caller_app.config["MAX_CONTENT_LENGTH"] == 1_000_000
     assert entry.driver.gateway.intake.limits.shares() == {"blue": 3.0}
 
@@ -55,8 +54,8 @@
 def test_moved_endpoint_gets_a_client_of_its_own(entry: Entry):
     async def main() -> None:
         old = object()
-        entry.clients = {"engine-1": old}
-        reconfigure(entry, load(BASE.replace("9004", "9104")))
+        entry.clients["engine-1"] = old
+        entry.reconfigure(load(BASE.replace("9004", "9104")))
         assert entry.clients["engine-1"] is not old
         assert old in entry.clients.values()
 
@@ -64,8 +63,8 @@
 
 
 def test_size_of_a_piece_waits_for_a_restart(entry: Entry):
-    reconfigure(entry, load(BASE.replace("placement:", "placement:\n  piece_tokens: 50")))
-    assert entry.settings.placement.piece_tokens == 4000
+    entry.reconfigure(load(BASE.replace("placement:", "placement:\n  piece_tokens: 50")))
+    assert entry.in_force.settings.placement.piece_tokens == 4000
 
 
 def test_peers_come_and_go(entry: Entry):
@@ -74,7 +73,7 @@
         "    admin_address: 127.0.0.1:9012\n    peer_address: 127.0.0.1:9013\nmodels:"
     )
     text = f"{BASE}peers:\n  secret_hash: {hash_key('secret')}\n".replace("models:", peer)
-    reconfigure(entry, load(text))
+    entry.reconfigure(load(text))
     assert set(entry.roster.peers) == {"entry-2"}
-    reconfigure(entry, load(BASE))
+    entry.reconfigure(load(BASE))
     assert entry.roster.peers == {}
