Pass news between data centres through one relay each

Cause: each instance told each other one of every placement.

Change: `core/relays.py`: within a data centre all tell each other; the first live one by name passes the news on to the other relays, and theirs to its own, joined into one write each 50 ms. Connections follow: only relays connect across.

Ruled out: random gossip (several hops before all know of a placement). A relay that dies is replaced when its silence is noticed (2 s); the news of that time are lost between data centres, as placements are hints.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -1,4 +1,4 @@
-"""The other entry instances: found through the store, told of placements over direct links."""
+"""The other entry instances: found through the store, told of placements over links and relays."""
 
 from __future__ import annotations
 
@@ -10,17 +10,19 @@
 import trio
 
 from rattangate.core.messages import NewsReceived, PeerLost
+from rattangate.core.relays import RelayPlan
 from rattangate.core.roster import Greeting, Roster
 from rattangate.log_events import LogEvent, log
-from rattangate.peers.codec import news_of
+from rattangate.peers.codec import encode_news, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
-from rattangate.platform.store import StoreConflict, StoreRow, StoreRows, Written
+from rattangate.platform.outcomes import StoreConflict, StoreRow, StoreRows, Written
 
 if TYPE_CHECKING:
     from rattangate.core.fleet import WeightsNews
     from rattangate.core.messages import SendNews
     from rattangate.front.state import FrontState
     from rattangate.peers.codec import PeerNews
+    from rattangate.peers.link import Received
     from rattangate.platform.store import Store
 
 INSTANCE_TABLE = "rattangate-instances"
@@ -33,6 +35,7 @@
 RETRY_S = 0.3
 HEARTBEAT_S = 0.5
 LOST_AFTER_S = 2.0
+RELAY_INTERVAL_S = 0.05
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -57,7 +60,11 @@
         self._roster = Roster((), LOST_AFTER_S)
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
-        self._known: dict[str, str] = {}
+        self._known: dict[str, InstanceEntry] = {}
+        self._found_at: dict[str, float] = {}
+        self._plan = RelayPlan(boot.instance, boot.data_centre)
+        self._live: frozenset[str] = frozenset()
+        self._relayed: dict[tuple[str, ...], list[bytes]] = {}
 
     @property
     def count(self) -> int:
@@ -72,10 +79,13 @@
         """Register this instance, then find peers and talk to them until cancelled."""
         secret = await self._join()
         identity = PeerIdentity(self._name, self._incarnation, secret)
-        self._links = PeerLinks(identity, {}, self._receive, lambda: self._wrap(None))
+        self._links = PeerLinks(
+            identity, {}, self._receive, lambda: self._wrap(None), takes_relayed=True
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._links.run, self._address)
             nursery.start_soon(self._beat)
+            nursery.start_soon(self._relay)
             settled_at = trio.current_time() + FIRST_READS_S
             while True:
                 await self._read_peers()
@@ -98,7 +108,8 @@
 
     def _send(self, news: PeerNews) -> None:
         if self._links is not None:
-            self._links.send(news)
+            targets = self._plan.own_targets(self._live)
+            self._links.send_frames(targets, (encode_news(news),))
             self._sent_at = trio.current_time()
 
     async def _join(self) -> bytes:
@@ -128,18 +139,34 @@
         outcome = await self._store.read_table(INSTANCE_TABLE)
         if not isinstance(outcome, StoreRows):
             return
-        found: dict[str, str] = {}
+        found: dict[str, InstanceEntry] = {}
         for row in outcome.rows:
             name = row.key.removeprefix(INSTANCE_PREFIX)
             if name == row.key or name == self._name or row.value is None:
                 continue
             entry = _decode_entry(row)
             if entry is not None and entry.address != self._address:
-                found[name] = entry.address
-        if found != self._known and self._links is not None:
-            self._known = found
-            self._roster.configure(found, LOST_AFTER_S)
-            self._links.set_peers(found)
+                found[name] = entry
+        if found != self._known:
+            self._take_found(found)
+
+    def _take_found(self, found: dict[str, InstanceEntry]) -> None:
+        now = trio.current_time()
+        self._known = found
+        self._found_at = {name: self._found_at.get(name, now) for name in found}
+        self._roster.configure(found, LOST_AFTER_S)
+        self._plan.configure({name: entry.data_centre for name, entry in found.items()})
+        self._connect()
+
+    def _connect(self) -> None:
+        """Connect to whom the live instances make necessary; new ones count as live at first."""
+        since = trio.current_time() - LOST_AFTER_S
+        fresh = {name for name, at in self._found_at.items() if at > since}
+        heard = {name for name, peer in self._roster.peers.items() if peer.was_heard}
+        self._live = frozenset({*self._roster.staying(), *(fresh - heard)})
+        if self._links is not None:
+            addresses = {name: entry.address for name, entry in self._known.items()}
+            self._links.set_peers(addresses, self._plan.connections(self._live))
 
     async def _beat(self) -> None:
         while True:
@@ -150,13 +177,24 @@
                 incarnation = self._roster.peers[name].incarnation
                 log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
                 self._state.driver.feed(PeerLost(name))
+            self._connect()
+
+    async def _relay(self) -> None:
+        """Pass on what has come since the last time, each peer's in one write."""
+        while True:
+            await trio.sleep(RELAY_INTERVAL_S)
+            waiting, self._relayed = self._relayed, {}
+            for targets, frames in waiting.items():
+                if self._links is not None:
+                    self._links.send_frames(targets, frames)
 
     def _wrap(self, sent: SendNews | None) -> PeerNews:
         config = self._state.config
         version = config.version if config is not None else 0
         return news_of(sent, self._name, self._incarnation, version, leaving=False)
 
-    def _receive(self, news: PeerNews) -> None:
+    def _receive(self, received: Received) -> None:
+        news = received.news
         if news.instance not in self._roster.peers:
             return
         greeting = Greeting(
@@ -165,12 +203,15 @@
         heard = self._roster.hear(greeting, trio.current_time())
         if heard.is_stale:
             return
+        targets = self._plan.forward_targets(news.instance, received.via, self._live)
+        if targets:
+            self._relayed.setdefault(targets, []).append(received.frame)
         if heard.is_found:
             log(
                 LogEvent.PEER_FOUND,
                 instance=news.instance,
                 incarnation=news.incarnation,
-                data_centre="",
+                data_centre=self._known[news.instance].data_centre,
             )
         for item in news.weights:
             self._state.take_weights(item)
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -23,7 +23,7 @@
 from rattangate.sockets import tune_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Iterable
 
     from rattangate.peers.codec import PeerNews
 
@@ -46,6 +46,15 @@
     secret: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Hold news, the peer that sent them, and their frame to pass on."""
+
+    via: str
+    news: PeerNews
+    frame: bytes
+
+
 class PeerProtocolError(Exception):
     """Report a frame or a proof that is not acceptable."""
 
@@ -60,49 +69,59 @@
 
 
 class PeerLinks:
-    """Send news to all peers and receive theirs."""
+    """Send news to peers and receive theirs.
+
+    `receive` takes what arrives; with `takes_relayed`, also news that a peer passes on. `greet`
+    makes the news that open a connection.
+    """
 
     def __init__(
         self,
         identity: PeerIdentity,
         peers: dict[str, str],
-        receive_news: Callable[[PeerNews], None],
+        receive: Callable[[Received], None],
         greet: Callable[[], PeerNews],
+        takes_relayed: bool = False,
     ) -> None:
         self._identity = identity
         self._peers = peers
-        self._receive_news = receive_news
+        self._receive_news = receive
         self._greet = greet
+        self._takes_relayed = takes_relayed
+        self._connected = frozenset(peers)
         self._senders: dict[str, trio.MemorySendChannel[bytes]] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._seen: dict[str, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
 
     def send(self, news: PeerNews) -> None:
-        """Queue news for every peer; a peer that is behind loses the newest."""
-        frame = encode_news(news)
-        for sender in self._senders.values():
-            try:
-                sender.send_nowait(frame)
-            except trio.WouldBlock:
-                continue
+        """Queue news for every connected peer; a peer that is behind loses the newest."""
+        self.send_frames(self._senders, (encode_news(news),))
 
     def send_to(self, name: str, news: PeerNews) -> None:
         """Queue news for one peer; a peer that is behind or unknown gets none."""
-        sender = self._senders.get(name)
-        if sender is not None:
-            with suppress(trio.WouldBlock):
-                sender.send_nowait(encode_news(news))
-
-    def set_peers(self, peers: dict[str, str]) -> None:
-        """Connect to new and moved peers and drop the others."""
+        self.send_frames((name,), (encode_news(news),))
+
+    def send_frames(self, names: Iterable[str], frames: Iterable[bytes]) -> None:
+        """Queue encoded news for some peers, to be sent at once."""
+        data = b"".join(FRAME_HEAD.pack(len(frame)) + frame for frame in frames)
+        for name in names:
+            sender = self._senders.get(name)
+            if sender is not None:
+                with suppress(trio.WouldBlock):
+                    sender.send_nowait(data)
+
+    def set_peers(self, peers: dict[str, str], connected: Collection[str] | None = None) -> None:
+        """Accept the peers, and connect to those named, or to all; drop the others."""
         before, self._peers = self._peers, peers
+        self._connected = frozenset(peers if connected is None else connected)
         for name, address in before.items():
-            if peers.get(name) != address and name in self._scopes:
+            is_kept = peers.get(name) == address and name in self._connected
+            if not is_kept and name in self._scopes:
                 self._scopes.pop(name).cancel()
                 del self._senders[name]
         for name in peers:
-            if name not in self._senders:
+            if name in self._connected and name not in self._senders:
                 self._connect(name)
 
     async def run(self, address: str) -> None:
@@ -111,7 +130,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for name in self._peers:
-                self._connect(name)
+                if name in self._connected:
+                    self._connect(name)
             await trio.serve_tcp(self._serve_peer, int(port), host=host)
 
     def _connect(self, name: str) -> None:
@@ -154,9 +174,9 @@
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await self._introduce(_FrameReader(stream), stream)
             await _send_frame(stream, encode_news(self._greet()))
-        async for frame in frames:
+        async for data in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
-                await _send_frame(stream, frame)
+                await stream.send_all(data)
 
     async def _introduce(self, reader: _FrameReader, stream: trio.SocketStream) -> None:
         nonce = secrets.token_bytes(NONCE_BYTES)
@@ -197,9 +217,9 @@
         news = _parse(decode_news, frame)
         if name not in self._peers:
             raise PeerProtocolError(f"{name!r} left the settings")
-        if news.instance != name:
+        if news.instance != name and not self._takes_relayed:
             raise PeerProtocolError(f"news of {news.instance!r} from {name!r}")
-        self._receive_news(news)
+        self._receive_news(Received(name, news, frame))
 
     async def _send_sealed(self, stream: trio.SocketStream, message: object) -> None:
         frame = encode_message(message)
