Follow the store's tables by their changes, and load more weights at once on many replicas

Change: one `TableFeed` for the operator's entries, the list and the instances, which waits at the store for changes; only the first three candidates read the lease often; a quarter of the replicas may load side by side where that is more than three. Keys are used for 0.8 of their bound from the sending of the last answered read (0.6 before): the read is repeated each 2 s, so a cut leaves 2 s at least instead of 1.5 s.

Ruled out: a list that few read and tell the others, which needs a way back when the teller is wrong; the feed costs the same calls when nothing changes.

--- a/rattangate/core/freshness.py
+++ b/rattangate/core/freshness.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 NEVER = float("-inf")
-USABLE_SHARE = 0.6
+USABLE_SHARE = 0.8
 
 
 @dataclass(slots=True)
--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -24,14 +24,15 @@
     """Bound the loads.
 
     `settle_s` is how long a late order of an earlier holder may take, `stall_s` how long a replica
-    may load without an order of this holder, `max_loading` how many may load side by side, and
-    `max_loading_share` which share of the live replicas.
+    may load without an order of this holder. Side by side may load `max_loading` replicas, or
+    `loading_share` of the live ones where that is more, but no more than `max_loading_share`.
     """
 
     load_interval_s: float = 0.5
     settle_s: float = 3.0
     stall_s: float = 5.0
     max_loading: int = MAX_LOADING
+    loading_share: float = 0.0
     max_loading_share: float = 1.0
 
 
@@ -148,7 +149,9 @@
 
     def _max_loading(self, replicas: Sequence[Observed]) -> int:
         live = sum(not item.leaving for item in replicas)
-        return max(1, min(self._cfg.max_loading, round(self._cfg.max_loading_share * live)))
+        cfg = self._cfg
+        wanted = max(cfg.max_loading, round(cfg.loading_share * live))
+        return max(1, min(wanted, round(cfg.max_loading_share * live)))
 
     def _count_loading(self) -> int:
         return len(self._loading_since.keys() | self._ordered.keys())
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -135,7 +135,7 @@
 
     def _make_order_keeper(self, store: Store, client: OrderClient, peers: Peers) -> OrderKeeper:
         lease = Lease(Holder(self.boot.instance, self.incarnation), TERM_S)
-        orders = ReplicaOrders(client, self.state, peers.send_weights, peers.is_first)
+        orders = ReplicaOrders(client, self.state, peers.send_weights, peers.place)
         return OrderKeeper(lease, LeaseRow(store, ORDERS_LEASE), orders, boot_time)
 
     async def _wait_signal(self) -> None:
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -19,7 +19,6 @@
 def log_placed(state: FrontState, admitted: Admitted, dispatch: Dispatch) -> None:
     """Log the choice of an endpoint with what decided it."""
     config = state.config
-    read_at = state.list_read_at or 0.0
     now = trio.current_time()
     log(
         LogEvent.REQUEST_PLACED,
@@ -31,7 +30,7 @@
         source=dispatch.cache_source,
         reason=dispatch.retry_reason.value if dispatch.retry_reason else "first",
         config_version=config.version if config is not None else 0,
-        list_age_ms=int((now - read_at) * 1000),
+        list_age_ms=_list_age_ms(state),
         queued_ms=int((now - admitted.req.arrived_at) * 1000),
         missing=dispatch.missing_tokens,
         expected_ms=int(dispatch.first_token_s * 1000),
@@ -81,6 +80,12 @@
         waited_ms=0 if admitted is None else int((now - admitted.req.arrived_at) * 1000),
         endpoints_live=0 if admitted is None else state.count_live(admitted.service),
         config_version=0 if state.config is None else state.config.version,
-        list_age_ms=None if state.list_read_at is None else int((now - state.list_read_at) * 1000),
+        list_age_ms=_list_age_ms(state),
         credentials_left_ms=int(max(0.0, state.keys.deadline - boot_time()) * 1000),
     )
+
+
+def _list_age_ms(state: FrontState) -> int | None:
+    if state.list_read_at is None:
+        return None
+    return int((boot_time() - state.list_read_at) * 1000)
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -12,15 +12,17 @@
 from rattangate.core.messages import NewsReceived, PeerLost
 from rattangate.core.relays import RelayPlan
 from rattangate.core.roster import Greeting, Roster
+from rattangate.front.table_feed import FeedCfg, TableFeed
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import encode_news, news_of
 from rattangate.peers.link import PeerIdentity, PeerLinks
-from rattangate.platform.outcomes import StoreConflict, StoreRow, StoreRows, Written
+from rattangate.platform.outcomes import StoreConflict, StoreRow, Written
 
 if TYPE_CHECKING:
     from rattangate.core.fleet import WeightsNews
     from rattangate.core.messages import SendNews
     from rattangate.front.state import FrontState
+    from rattangate.front.table_feed import TableNews
     from rattangate.peers.codec import PeerNews
     from rattangate.peers.link import Received
     from rattangate.platform.store import Store
@@ -29,9 +31,7 @@
 SECRET_KEY = "secret"
 INSTANCE_PREFIX = "instance/"
 SECRET_BYTES = 32
-READ_INTERVAL_S = 5.0
-FIRST_READS_S = 10.0
-FIRST_READ_INTERVAL_S = 1.0
+FEED = FeedCfg(INSTANCE_TABLE, wait_s=10.0, least_interval_s=1.0)
 RETRY_S = 0.3
 HEARTBEAT_S = 0.5
 LOST_AFTER_S = 2.0
@@ -71,9 +71,9 @@
         """Return the number of peers that are heard from."""
         return self._roster.count_heard()
 
-    def is_first(self) -> bool:
-        """Tell whether no live peer comes before this instance by name."""
-        return all(self._name < name for name in self._roster.staying())
+    def place(self) -> int:
+        """Return the number of live peers that come before this instance by name."""
+        return sum(name < self._name for name in self._roster.staying())
 
     async def run(self) -> None:
         """Register this instance, then find peers and talk to them until cancelled."""
@@ -86,11 +86,7 @@
             nursery.start_soon(self._links.run, self._address)
             nursery.start_soon(self._beat)
             nursery.start_soon(self._relay)
-            settled_at = trio.current_time() + FIRST_READS_S
-            while True:
-                await self._read_peers()
-                is_settled = trio.current_time() >= settled_at
-                await trio.sleep(READ_INTERVAL_S if is_settled else FIRST_READ_INTERVAL_S)
+            await TableFeed(self._store, FEED, self._take_news).run()
 
     async def leave(self) -> None:
         """Remove this instance's row."""
@@ -135,18 +131,17 @@
         row = await self._store.read_row(INSTANCE_TABLE, SECRET_KEY)
         return row.value if isinstance(row, StoreRow) else None
 
-    async def _read_peers(self) -> None:
-        outcome = await self._store.read_table(INSTANCE_TABLE)
-        if not isinstance(outcome, StoreRows):
-            return
-        found: dict[str, InstanceEntry] = {}
-        for row in outcome.rows:
+    def _take_news(self, news: TableNews) -> None:
+        found = {} if news.is_whole else dict(self._known)
+        for row in news.rows:
             name = row.key.removeprefix(INSTANCE_PREFIX)
-            if name == row.key or name == self._name or row.value is None:
+            if name in (row.key, self._name):
                 continue
-            entry = _decode_entry(row)
+            entry = None if row.value is None else _decode_entry(row)
             if entry is not None and entry.address != self._address:
                 found[name] = entry
+            else:
+                found.pop(name, None)
         if found != self._known:
             self._take_found(found)
 
--- a/rattangate/front/replica_orders.py
+++ b/rattangate/front/replica_orders.py
@@ -25,9 +25,12 @@
     from rattangate.platform.orders import OrderClient, OrderEnd, Report
 
 TERM_S = 1.2
-# The first candidate watches the lease closely, the others in case that it is gone too.
+# The first candidate watches the lease closely, the next two in case that it is gone too, and the
+# others in case that all are.
 FIRST_POLL_S = 0.36
-OTHER_POLL_S = 2.0
+NEXT_POLL_S = 2.0
+NEXT_CANDIDATES = 2
+OTHER_POLL_S = 10.0
 # A replica that was ordered to load refuses new requests until it is done.
 LOAD_DEADLINE_S = 8.0
 FIRST_REPORT_S = 1.0
@@ -35,6 +38,8 @@
 REPORTS = 46
 # Replicas finish what runs before they load, so that of three ordered about two load at once.
 MAX_LOADING = 3
+# Many replicas must be done within the same bound as few.
+LOADING_SHARE = 0.25
 # The others must bear the traffic meanwhile.
 MAX_LOADING_SHARE = 0.45
 
@@ -50,8 +55,8 @@
 class ReplicaOrders:
     """Observe the listed replicas and order them to load the named versions.
 
-    `tell_peers` passes on what an order has shown of a replica's weights, `is_first` tells whether
-    this instance is the first candidate for the lease.
+    `tell_peers` passes on what an order has shown of a replica's weights, `place` tells how many
+    candidates for the lease come before this instance.
     """
 
     def __init__(
@@ -59,16 +64,19 @@
         client: OrderClient,
         state: FrontState,
         tell_peers: Callable[[WeightsNews], None],
-        is_first: Callable[[], bool],
+        place: Callable[[], int],
     ) -> None:
         self._client = client
         self._state = state
         self._tell_peers = tell_peers
-        self._is_first = is_first
+        self._place = place
 
     def poll_s(self) -> float:
         """Return the interval, in seconds, at which a candidate reads the lease."""
-        return FIRST_POLL_S if self._is_first() else OTHER_POLL_S
+        place = self._place()
+        if place == 0:
+            return FIRST_POLL_S
+        return NEXT_POLL_S if place <= NEXT_CANDIDATES else OTHER_POLL_S
 
     def rollout_cfg(self, rivals_until: float, now: float) -> RolloutCfg:
         """Return the bounds of the loads; an earlier holder's last order may still come."""
@@ -77,6 +85,7 @@
             load_interval_s=0.0,
             settle_s=settle_s,
             max_loading=MAX_LOADING,
+            loading_share=LOADING_SHARE,
             max_loading_share=MAX_LOADING_SHARE,
         )
 
--- a/rattangate/front/watch.py
+++ b/rattangate/front/watch.py
@@ -1,114 +1,102 @@
-"""The tasks that follow the operator's entries and the list of endpoints in the store."""
+"""What follows from the operator's entries and the list of endpoints in the store."""
 
 from __future__ import annotations
 
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import msgspec
-import trio
 
-from rattangate.front.state import boot_time
+from rattangate.core.fleet import ModelVersion
+from rattangate.core.routes import ServingConfig
+from rattangate.front.table_feed import FeedCfg, TableFeed
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.operator import (
-    CONFIG_KEY,
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
-    VERSION_PREFIX,
-    decode_config,
     decode_endpoint,
-    decode_named_version,
+    decode_operator_entry,
 )
-from rattangate.platform.outcomes import HistoryLost, StoreRows
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
+    from rattangate.core.fleet import ListedEndpoint
     from rattangate.front.state import FrontState
-    from rattangate.platform.outcomes import StoreRow, Unavailable
+    from rattangate.front.table_feed import TableNews
+    from rattangate.platform.outcomes import StoreRow
     from rattangate.platform.store import Store
 
-OPERATOR_WAIT_S = 1.5
+# The use of keys rests on this read, so it is repeated well within their bound.
+OPERATOR_WAIT_S = 2.0
+LIST_WAIT_S = 3.0
 LIST_INTERVAL_S = 0.8
-RETRY_S = 0.2
 
 
 class OperatorWatch:
-    """Follow the configuration and the named weights versions."""
+    """Take the configuration and the named weights versions."""
 
     def __init__(self, store: Store, state: FrontState) -> None:
-        self._store = store
         self._state = state
-        self._version: int | None = None
+        self._feed = TableFeed(store, FeedCfg(OPERATOR_TABLE, OPERATOR_WAIT_S), self._take)
 
     async def run(self) -> None:
-        """Read all entries once, then wait for changes, until cancelled."""
-        while True:
-            asked_at = boot_time()
-            outcome = await self._ask()
-            if isinstance(outcome, StoreRows):
-                self._take(outcome.rows)
-                self._version = outcome.version
-                self._state.keys.renew(asked_at)
-            elif isinstance(outcome, HistoryLost):
-                log(LogEvent.HISTORY_LOST, table=OPERATOR_TABLE, version=self._version)
-                self._version = None
-            else:
-                await trio.sleep(RETRY_S)
-
-    async def _ask(self) -> StoreRows | HistoryLost | Unavailable:
-        if self._version is None:
-            return await self._store.read_table(OPERATOR_TABLE)
-        return await self._store.watch_table(OPERATOR_TABLE, self._version, OPERATOR_WAIT_S)
-
-    def _take(self, rows: Iterable[StoreRow]) -> None:
-        for row in rows:
+        """Follow until cancelled."""
+        await self._feed.run()
+
+    def _take(self, news: TableNews) -> None:
+        for row in news.rows:
             if row.value is None:
                 continue
             try:
-                self._take_value(row.key, row.value)
+                self._take_entry(decode_operator_entry(row.key, row.value))
             except (msgspec.DecodeError, ValueError) as exc:
                 log(LogEvent.ENTRY_MALFORMED, table=OPERATOR_TABLE, row=row.key, error=str(exc))
+        self._state.keys.renew(news.asked_at)
+
+    @singledispatchmethod
+    def _take_entry(self, entry: object) -> None:
+        """Pass over entries that say nothing to an instance."""
 
-    def _take_value(self, key: str, value: bytes) -> None:
-        if key == CONFIG_KEY:
-            self._state.take_config(decode_config(value))
-        elif key.startswith(VERSION_PREFIX):
-            self._state.take_named_version(decode_named_version(value))
+    @_take_entry.register
+    def _take_config(self, entry: ServingConfig) -> None:
+        self._state.take_config(entry)
+
+    @_take_entry.register
+    def _take_version(self, entry: ModelVersion) -> None:
+        self._state.take_named_version(entry)
 
 
 class EndpointWatch:
-    """Read the list of endpoints at intervals."""
+    """Take the list of endpoints."""
 
     def __init__(self, store: Store, state: FrontState) -> None:
-        self._store = store
         self._state = state
+        cfg = FeedCfg(ENDPOINT_TABLE, LIST_WAIT_S, LIST_INTERVAL_S)
+        self._feed = TableFeed(store, cfg, self._take)
+        self._listed: dict[str, ListedEndpoint] = {}
         self._malformed: set[str] = set()
 
     async def run(self) -> None:
-        """Read until cancelled."""
-        while True:
-            asked_at = trio.current_time()
-            outcome = await self._store.read_table(ENDPOINT_TABLE)
-            if isinstance(outcome, StoreRows):
-                self._take(outcome.rows, asked_at)
-                await trio.sleep(LIST_INTERVAL_S)
-            else:
-                await trio.sleep(RETRY_S)
-
-    def _take(self, rows: Iterable[StoreRow], asked_at: float) -> None:
-        listed = []
-        for row in rows:
-            if row.value is None:
-                continue
-            entry = decode_endpoint(row.key, row.value)
-            if entry is not None:
-                listed.append(entry)
-            elif row.key not in self._malformed:
-                self._malformed.add(row.key)
-                log(
-                    LogEvent.ENTRY_MALFORMED,
-                    table=ENDPOINT_TABLE,
-                    row=row.key,
-                    error="not an endpoint's entry",
-                )
-        self._state.take_list(listed, asked_at)
+        """Follow until cancelled."""
+        await self._feed.run()
+
+    def _take(self, news: TableNews) -> None:
+        if news.is_whole:
+            self._listed.clear()
+        for row in news.rows:
+            self._take_row(row)
+        self._state.take_list(self._listed.values(), news.asked_at)
+
+    def _take_row(self, row: StoreRow) -> None:
+        entry = None if row.value is None else decode_endpoint(row.key, row.value)
+        if entry is not None:
+            self._listed[row.key] = entry
+            return
+        self._listed.pop(row.key, None)
+        if row.value is not None and row.key not in self._malformed:
+            self._malformed.add(row.key)
+            log(
+                LogEvent.ENTRY_MALFORMED,
+                table=ENDPOINT_TABLE,
+                row=row.key,
+                error="not an endpoint's entry",
+            )
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -147,10 +147,17 @@
     )
 
 
-def decode_named_version(value: bytes) -> ModelVersion:
-    """Decode the weights version that the operator named; raise DecodeError where malformed."""
-    raw = msgspec.json.decode(value, type=_Named)
-    return ModelVersion(raw.model, raw.version)
+def decode_operator_entry(key: str, value: bytes) -> ServingConfig | ModelVersion | None:
+    """Decode the configuration or a named weights version; return None for other entries.
+
+    Raises DecodeError where the entry is malformed.
+    """
+    if key == CONFIG_KEY:
+        return decode_config(value)
+    if key.startswith(VERSION_PREFIX):
+        raw = msgspec.json.decode(value, type=_Named)
+        return ModelVersion(raw.model, raw.version)
+    return None
 
 
 def encode_order(model: str, version: int, holder: str, fence: int, order_seq: int) -> bytes:
--- a/tests/core/test_rollout.py
+++ b/tests/core/test_rollout.py
@@ -104,3 +104,17 @@
     effects = [effect for _ in range(200) for effect in fleet.step("v2", 1)]
     assert WantOrders("r0", (LoadVersion("v2"),)) in effects
     assert set(fleet.versions.values()) == {"v2"}
+
+
+def test_many_replicas_load_in_more_places_than_few():
+    cfg = RolloutCfg(
+        load_interval_s=0.0, settle_s=0.0, max_loading=3, loading_share=0.25, max_loading_share=0.45
+    )
+    for count, expected in ((2, 1), (4, 2), (12, 3), (30, 8)):
+        replicas = [
+            Observed(f"e{number:02}", 1, "v1", "", ready=True, leaving=False)
+            for number in range(count)
+        ]
+        wanted = [WantedVersion("m", "v2", in_use="v2", min_replicas=0)]
+        effects = Rollout(cfg, 0.0).plan(wanted, {"m": replicas}, 0.0)
+        assert len(effects) == expected
