Send less to an endpoint that fails more of its requests than the others

Cause: an endpoint that answers 45 in 100 requests with an error looks idle, so it gets its share or more.

--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from rattangate.core.cache_model import CachePicture
+from rattangate.core.failures import FailureShare
 from rattangate.core.messages import EndpointState
 from rattangate.core.speeds import Speed
 
@@ -41,6 +42,7 @@
         self.piece_tokens = piece_tokens
         self.cache = CachePicture(seen.cache_pieces, learn)
         self.speed = Speed()
+        self.failures = FailureShare()
         self.work: OrderedDict[WorkKey, Work] = OrderedDict()
         self._tokens: dict[int, int] = {}
         self._head_since = now
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -11,6 +11,7 @@
 from rattangate.core.intake import Intake, IntakeCfg
 from rattangate.core.messages import (
     AttemptEnded,
+    AttemptResult,
     CacheChanged,
     Departure,
     Dispatch,
@@ -58,6 +59,7 @@
     intake: IntakeCfg = IntakeCfg()
     fetch_s_per_token: float = math.inf
     old_version_cost_s: float = 0.0
+    failure_cost_s: float = 0.0
     news_interval_s: float = 0.0
     usage_interval_s: float = USAGE_INTERVAL_S
 
@@ -128,6 +130,7 @@
         run = self._find_run(msg.req_id, msg.attempt)
         if run is None or run.placed_on is None:
             return []
+        _note_end(run.placed_on, msg, now)
         if msg.completion_tokens:
             run.pinned_version = run.placed_on.seen.weights_version
         return self.intake.end_attempt(run, msg, now)
@@ -204,7 +207,12 @@
     def candidates(self, run: Run, now: float) -> list[Candidate]:
         """Return the endpoints that may run a request."""
         weight = self.cfg.recompute_weight + self.intake.extra_recompute_weight(run)
-        cfg = PlacementCfg(weight, self.cfg.fetch_s_per_token, self.cfg.old_version_cost_s)
+        cfg = PlacementCfg(
+            weight,
+            self.cfg.fetch_s_per_token,
+            self.cfg.old_version_cost_s,
+            self.cfg.failure_cost_s,
+        )
         candidates = find_candidates(self.endpoints.values(), run.req, cfg, now)
         return [one for one in candidates if run.may_continue_at(one.endpoint)]
 
@@ -363,6 +371,15 @@
             if known.seen.state is EndpointState.LEAVING:
                 fresh.seen = replace(seen, state=EndpointState.LEAVING)
             fresh.speed = known.speed
+            fresh.failures = known.failures
             self.endpoints[seen.endpoint] = fresh
             return
         known.update(seen)
+
+
+def _note_end(endpoint: Endpoint, msg: AttemptEnded, now: float) -> None:
+    """Count an attempt that reached the endpoint as a failure or not."""
+    if msg.result in (AttemptResult.NOT_SENT, AttemptResult.CANCELLED):
+        return
+    failed = msg.reports_error or msg.result is not AttemptResult.COMPLETED
+    endpoint.failures.note(failed, now)
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -94,12 +94,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """Report the end of an attempt."""
+    """Report the end of an attempt; `reports_error` says that the whole answer told of a failure."""
 
     req_id: int
     attempt: int
     result: AttemptResult
     completion_tokens: int = 0
+    reports_error: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -52,12 +52,14 @@
 
     `recompute_weight` multiplies the prefill time; `fetch_s_per_token` is the time to fetch the cache
     entry of a token from another engine, infinite where engines cannot; `old_version_cost_s` is
-    added for an endpoint whose weights are not the newest.
+    added for an endpoint whose weights are not the newest, `failure_cost_s` for each attempt that is
+    expected to fail there rather than at the best one.
     """
 
     recompute_weight: float
     fetch_s_per_token: float = math.inf
     old_version_cost_s: float = 0.0
+    failure_cost_s: float = 0.0
 
 
 def find_candidates(
@@ -76,7 +78,21 @@
         if endpoint.seen.weights_version != req.scope.weights_version:
             candidate = replace(candidate, cost_s=candidate.cost_s + cfg.old_version_cost_s)
         found.append(candidate)
-    return found
+    return _with_failures(found, cfg, now) if cfg.failure_cost_s else found
+
+
+def _with_failures(found: list[Candidate], cfg: PlacementCfg, now: float) -> list[Candidate]:
+    """Add the cost of the attempts that fail at an endpoint beyond those that fail anywhere."""
+    shares = [one.endpoint.failures.share(now) for one in found]
+    least = min(shares, default=0.0)
+    return [
+        (
+            one
+            if share == least
+            else replace(one, cost_s=one.cost_s + cfg.failure_cost_s * (share - least))
+        )
+        for one, share in zip(found, shares, strict=True)
+    ]
 
 
 def _usable(
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -149,10 +149,13 @@
         """Report the first token."""
         self._driver.feed(FirstTokenSeen(self._req_id, attempt, cached_tokens))
 
-    def end_attempt(self, dispatch: Dispatch, result: AttemptResult, tokens: int) -> None:
+    def end_attempt(
+        self, dispatch: Dispatch, result: AttemptResult, tokens: int, reports_error: bool = False
+    ) -> None:
         """Report the end of the attempt."""
         if self.running is dispatch:
             self.running = None
         if result is AttemptResult.COMPLETED:
             self.closed = True
-        self._driver.feed(AttemptEnded(self._req_id, dispatch.attempt, result, tokens))
+        ended = AttemptEnded(self._req_id, dispatch.attempt, result, tokens, reports_error)
+        self._driver.feed(ended)
--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -43,6 +43,7 @@
     endpoint: str = ""
     first_token_at: float = 0.0
     may_have_run: bool = False
+    reports_error: bool = False
     failure_answer: WholeAnswer | None = None
     splicer: EventSplicer = field(default_factory=EventSplicer)
 
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -43,6 +43,7 @@
 RECOMPUTE_WEIGHT = 1.0
 FETCH_S_PER_TOKEN = 3e-6
 OLD_VERSION_COST_S = 0.3
+FAILURE_COST_S = 0.5
 NEWS_INTERVAL_S = 0.1
 USAGE_INTERVAL_S = 1.0
 BIND_WAIT_S = 0.3
@@ -128,13 +129,16 @@
             intake=intake,
             fetch_s_per_token=FETCH_S_PER_TOKEN,
             old_version_cost_s=OLD_VERSION_COST_S,
+            failure_cost_s=FAILURE_COST_S,
             news_interval_s=NEWS_INTERVAL_S,
             usage_interval_s=USAGE_INTERVAL_S,
         )
         return Gateway(cfg, seed=self.incarnation)
 
     def _make_order_keeper(self, store: Store, client: OrderClient, peers: Peers) -> OrderKeeper:
-        lease = Lease(Holder(self.boot.instance, self.incarnation), TERM_S)
+        # With the address: a machine that takes this one's place may bear its name before it ends.
+        holder = Holder(f"{self.boot.instance}@{self.boot.ip}", self.incarnation)
+        lease = Lease(holder, TERM_S)
         orders = ReplicaOrders(client, self.state, peers.send_weights, peers.place)
         return OrderKeeper(lease, LeaseRow(store, ORDERS_LEASE), orders, boot_time)
 
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -21,7 +21,7 @@
     OutboundRequest,
     open_exchange,
 )
-from rattangate.front.refusals import refuse
+from rattangate.front.refusals import FIRST_SERVER_ERROR, refuse
 from rattangate.front.translate import make_arrival, make_outbound
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.requests import decode_request, returned_headers
@@ -102,7 +102,7 @@
                     return
                 result = await self._attempt(admitted, decisions, effect, responder)
                 tokens = admitted.splicer.passed_on
-                decisions.end_attempt(effect, result, tokens)
+                decisions.end_attempt(effect, result, tokens, admitted.reports_error)
                 if result is AttemptResult.COMPLETED:
                     log_done(admitted)
                     return
@@ -152,6 +152,7 @@
             admitted.may_have_run = ran_before
             raise
         answer = exchange.answer
+        admitted.reports_error = answer.status >= FIRST_SERVER_ERROR
         if answer.was_refused and answer.status in PROMISE_STATUSES:
             admitted.may_have_run = ran_before
             await _read_all(exchange)
@@ -164,7 +165,7 @@
             await self._relay_stream(admitted, decisions, dispatch, exchange, responder)
         elif responder.is_started:
             raise ExchangeLost(f"status {answer.status} in the middle of a stream")
-        elif answer.status >= 500 and admitted.route.repeatable:
+        elif admitted.reports_error and admitted.route.repeatable:
             return await self._hold_failure(admitted, exchange)
         else:
             await self._relay_whole(admitted, decisions, dispatch, exchange, responder)
--- a/specs/leases_and_orders.pml
+++ b/specs/leases_and_orders.pml
@@ -5,10 +5,12 @@
  * steps, so it may send an order that it checked long ago; resting for good is a crash. A holder may
  * stop waiting for a reply at any time, so a reply may be lost or come late. Time is left out: a term
  * may end at any moment, and a candidate takes the lease over only after the term has ended on the
- * holder's own clock (rattangate/core/leases.py). Numbers are those of rattangate/core/orders.py.
+ * holder's own clock, after the holder has released it, or after its own restart
+ * (rattangate/core/leases.py). Numbers are those of rattangate/core/orders.py.
  *
- * At the end, when nothing can move, both endpoints must run the wanted state. The endpoint that
- * checks numbers must never go back to an older wanted state.
+ * No lease is taken while another holder may still give orders under it. At the end, when nothing can
+ * move, both endpoints must run the wanted state. The endpoint that checks numbers must never go back
+ * to an older wanted state.
  *
  * Mutants, each of which must break an assertion:
  *   NO_FENCE       orders carry no number that the endpoint could check
@@ -16,6 +18,9 @@
  *   NO_READ_BACK   an order that was sent is believed to hold
  *   BLIND_ACQUIRE  the lease is written without regard to its version
  *   NEVER_TAKEN    reachability: it is wrong that no lease is ever taken over
+ *   RELEASE_FIRST  a holder releases the lease before it stops giving orders
+ *   SHARED_NAME    two instances bear one name, and each takes the lease back as its own
+ *   NEVER_RESTARTED  reachability: it is wrong that no lease is taken back after a restart
  */
 
 #define HOLDERS 2
@@ -30,7 +35,11 @@
 
 byte fence = 0;                 /* the record in the table */
 byte lease_holder = NOBODY;
-bool term_ended = true;         /* on the clock of the record's holder */
+bool released = false;          /* by the record's holder */
+bool valid[HOLDERS];            /* each holder may give orders, on its own clock */
+bool restarts_left = true;
+#define MAY_TAKE(me) (lease_holder == NOBODY || released || \
+                      (lease_holder != me && !valid[lease_holder]))
 
 byte wanted = 1;
 byte state[ENDPOINTS];
@@ -49,7 +58,8 @@
 {
 end:
     do
-    :: atomic { !term_ended && fence < MAX_TERMS -> term_ended = true }
+    :: atomic { lease_holder != NOBODY && valid[lease_holder] && fence < MAX_TERMS ->
+                valid[lease_holder] = false }
     od
 }
 
@@ -86,7 +96,12 @@
 
 watching:
 end:
-    atomic { term_ended && lease_holder != me && fence < MAX_TERMS -> seen_fence = fence };
+    if
+    :: atomic { MAY_TAKE(me) && fence < MAX_TERMS -> seen_fence = fence }
+#ifdef SHARED_NAME
+    :: atomic { lease_holder != NOBODY && fence < MAX_TERMS -> seen_fence = fence }
+#endif
+    fi;
 
 acquiring:
     atomic {
@@ -101,9 +116,11 @@
            assert(fence == 0);
 #endif
            assert(own_fence > fence);
+           assert(!valid[1 - me]);
            fence = own_fence;
            lease_holder = me;
-           term_ended = false;
+           released = false;
+           valid[me] = true;
            sent = 0
         :: fence != seen_fence -> goto watching
         fi
@@ -112,7 +129,10 @@
 holding:
 end_holding:
     if
-    :: atomic { own_fence != fence || term_ended -> goto watching }
+    :: atomic { !valid[me] -> goto watching }
+    :: atomic { valid[me] && fence < MAX_TERMS -> goto releasing }
+    :: atomic { restarts_left && lease_holder == me && fence < MAX_TERMS ->
+                restarts_left = false; valid[me] = false; goto restarted }
     :: atomic { state[0] != wanted && !believed[0] -> endpoint = 0 }    /* read back */
     :: atomic { state[1] != wanted && !believed[1] -> endpoint = 1 }
     fi;
@@ -120,8 +140,8 @@
 
 checking:
     if
-    :: atomic { own_fence != fence || term_ended -> goto watching }
-    :: own_fence == fence && !term_ended    /* the last check before the first byte */
+    :: atomic { !valid[me] -> goto watching }
+    :: valid[me]    /* the last check before the first byte */
     fi;
 
 sending:
@@ -152,7 +172,41 @@
     if
     :: atomic { flying_number[slot] == 0 -> slot = 0; goto holding }
     :: atomic { lost < MAX_LOST -> lost++; slot = 0; goto holding } /* the reply is lost or late */
-    fi
+    fi;
+
+releasing:
+#ifdef RELEASE_FIRST
+    atomic {
+        if
+        :: own_fence == fence && lease_holder == me -> released = true
+        :: else
+        fi
+    };
+    valid[me] = false;
+#else
+    valid[me] = false;
+    atomic {
+        if
+        :: own_fence == fence && lease_holder == me -> released = true
+        :: else
+        fi
+    };
+#endif
+    goto watching;
+
+restarted:
+#ifdef NEVER_RESTARTED
+    assert(false);
+#endif
+    atomic {
+        own_fence = 0;
+        believed[0] = false;
+        believed[1] = false;
+        if
+        :: lease_holder == me && fence < MAX_TERMS -> seen_fence = fence; goto acquiring
+        :: else -> goto watching
+        fi
+    }
 }
 
 proctype Monitor()
