Divide the slack of retries by the instances there are

Cause: each instance took an eighth of the deployment's slack.

Change: the budgets hold the whole slack divided by the instances that the store lists, by eight at least; the ratio takes 0.8 of its bound instead of half, since the sum now holds for any number.

Tests: tests/core/test_retries.py spends all budgets of 3, 8 and 63 instances: within the slack.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -59,8 +59,8 @@
     `bind_wait_s` is the wait at an endpoint, in seconds, up to which it gets more work, and
     `borrow_wait_s` that up to which it gets work of a workspace that is above its share;
     `first_token_s` bounds the deadline of the first token; the retry budget of a model starts with
-    `retry_slack` and holds `retry_capacity` at the most; `can_withdraw` says that running attempts
-    can be stopped.
+    `retry_slack` and holds `retry_capacity` at the most, both divided by `retry_shares`;
+    `can_withdraw` says that running attempts can be stopped.
     """
 
     instance: str = ""
@@ -72,6 +72,7 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     retry_capacity: float = 200.0
+    retry_shares: int = 1
     first_token_s: float = math.inf
     can_withdraw: bool = False
 
@@ -116,6 +117,15 @@
         self.limits.configure(instances, workspaces)
         self.meter.configure(self.limits.shares())
 
+    def share_retries(self, shares: int) -> None:
+        """Divide the slack of the retry budgets by a number of instances."""
+        if shares == self._cfg.retry_shares:
+            return
+        self._cfg = replace(self._cfg, retry_shares=shares)
+        for budget in self.budgets.values():
+            budget.capacity = self._cfg.retry_capacity / shares
+            budget.tokens = min(budget.tokens, budget.capacity)
+
     def arrive(self, req: RequestArrived, now: float) -> list[Effect]:
         """Take a request in, or refuse it at once."""
         self._budget_of(req).count_arrival(now)
@@ -420,7 +430,11 @@
         name = req.scope.model
         if name not in self.budgets:
             cfg = self._cfg
-            self.budgets[name] = RetryBudget(cfg.retry_ratio, cfg.retry_capacity, cfg.retry_slack)
+            self.budgets[name] = RetryBudget(
+                cfg.retry_ratio,
+                cfg.retry_capacity / cfg.retry_shares,
+                cfg.retry_slack / cfg.retry_shares,
+            )
         return self.budgets[name]
 
     def _engine_priority(self, req: RequestArrived, now: float) -> int:
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -18,7 +18,7 @@
 from rattangate.driver import Driver
 from rattangate.front.caller_conn import CallerConn
 from rattangate.front.forward import Forwarder
-from rattangate.front.peers import Peers
+from rattangate.front.peers import LEAST_RETRY_SHARES, Peers
 from rattangate.front.reload import BootWatch
 from rattangate.front.replica_orders import TERM_S, ReplicaOrders
 from rattangate.front.state import PIECE_TOKENS, FrontState, boot_time
@@ -47,6 +47,7 @@
 NEWS_INTERVAL_S = 0.1
 USAGE_INTERVAL_S = 1.0
 BIND_WAIT_S = 0.3
+RETRY_RATIO_SHARE = 0.8
 NS_PER_MS = 1_000_000
 # The balancer asks once a second and takes an instance out after two misses.
 BALANCER_NOTICE_S = 2.5
@@ -117,9 +118,10 @@
         bounds = self.boot.bounds
         intake = IntakeCfg(
             instance=self.boot.instance,
-            retry_ratio=bounds.retry_ratio / 2,
-            retry_slack=bounds.retry_slack / 8,
-            retry_capacity=bounds.retry_slack / 8,
+            retry_ratio=RETRY_RATIO_SHARE * bounds.retry_ratio,
+            retry_slack=bounds.retry_slack,
+            retry_capacity=bounds.retry_slack,
+            retry_shares=LEAST_RETRY_SHARES,
             bind_wait_s=BIND_WAIT_S,
         )
         cfg = GatewayCfg(
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -36,6 +36,8 @@
 HEARTBEAT_S = 0.5
 LOST_AFTER_S = 2.0
 RELAY_INTERVAL_S = 0.05
+# Of the slack of retries that all instances share; more than there are leaves room for new ones.
+LEAST_RETRY_SHARES = 8
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -150,6 +152,8 @@
         self._known = found
         self._found_at = {name: self._found_at.get(name, now) for name in found}
         self._roster.configure(found, LOST_AFTER_S)
+        shares = max(LEAST_RETRY_SHARES, len(found) + 1)
+        self._state.driver.gateway.intake.share_retries(shares)
         self._plan.configure({name: entry.data_centre for name, entry in found.items()})
         self._connect()
 
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from rattangate.core.messages import AttemptResult
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.intake import IntakeCfg
+from rattangate.core.messages import AttemptResult, RequestArrived
+from rattangate.core.prefix import Scope
 from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
 
 
@@ -41,3 +44,27 @@
     assert retry_reason(AttemptResult.NOT_SENT, repeatable=False) is RetryReason.NOT_SENT
     assert retry_reason(AttemptResult.LOST, repeatable=True) is RetryReason.LOST
     assert retry_reason(AttemptResult.COMPLETED, repeatable=True) is None
+
+
+@pytest.mark.parametrize("instances", [3, 8, 63])
+def test_all_instances_together_stay_within_the_slack(instances):
+    slack = 40.0
+    cfg = IntakeCfg(retry_slack=slack, retry_capacity=slack, retry_ratio=0.0, retry_shares=8)
+    spent = 0
+    for number in range(instances):
+        gateway = Gateway(GatewayCfg(128, 1.0, intake=cfg), seed=number)
+        gateway.intake.share_retries(max(8, instances))
+        req = RequestArrived(1, Scope("", "desk", "", ""), (), 10, 0, b"", 0, 9.0)
+        budget = gateway.intake._budget_of(req)
+        while budget.take():
+            spent += 1
+    assert spent <= slack
+
+
+def test_a_smaller_share_takes_tokens_back():
+    cfg = IntakeCfg(retry_slack=40.0, retry_capacity=40.0, retry_ratio=1.0)
+    gateway = Gateway(GatewayCfg(128, 1.0, intake=cfg), seed=1)
+    req = RequestArrived(1, Scope("", "desk", "", ""), (), 10, 0, b"", 0, 9.0)
+    budget = gateway.intake._budget_of(req)
+    gateway.intake.share_retries(10)
+    assert (budget.tokens, budget.capacity) == (4.0, 4.0)
