Ask a store in trouble with short waits

Change: after a read without an answer the next ones wait 0.25 s for changes until one is answered, so a lost one costs 1.25 s at most.

Ruled out: shorter waits always (twice the calls); keep-alive probes (no sooner than 2 s).

Tests: tests/front/test_table_feed.py, with a scripted store; the case of the silent store fails without the change.

--- a/rattangate/front/table_feed.py
+++ b/rattangate/front/table_feed.py
@@ -9,15 +9,17 @@
 
 from rattangate.front.state import boot_time
 from rattangate.log_events import LogEvent, log
-from rattangate.platform.outcomes import HistoryLost, StoreRows
+from rattangate.platform.outcomes import HistoryLost, StoreRows, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rattangate.platform.outcomes import StoreRow, Unavailable
+    from rattangate.platform.outcomes import StoreRow
     from rattangate.platform.store import Store
 
 RETRY_S = 0.2
+# While the store is in trouble: a read whose answer was lost holds up the next one for less long.
+DOUBT_WAIT_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +51,7 @@
         self._cfg = cfg
         self._take = take
         self._version: int | None = None
+        self._is_doubted = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -57,6 +60,7 @@
             asked_at = boot_time()
             next_at = trio.current_time() + self._cfg.least_interval_s
             outcome = await self._ask()
+            self._is_doubted = isinstance(outcome, Unavailable)
             if isinstance(outcome, StoreRows):
                 self._version = outcome.version
                 self._take(TableNews(outcome.rows, is_whole, asked_at))
@@ -71,4 +75,5 @@
     async def _ask(self) -> StoreRows | HistoryLost | Unavailable:
         if self._version is None:
             return await self._store.read_table(self._cfg.table)
-        return await self._store.watch_table(self._cfg.table, self._version, self._cfg.wait_s)
+        wait_s = min(DOUBT_WAIT_S, self._cfg.wait_s) if self._is_doubted else self._cfg.wait_s
+        return await self._store.watch_table(self._cfg.table, self._version, wait_s)
--- /dev/null
+++ b/tests/front/test_table_feed.py
@@ -0,0 +1,92 @@
+"""A table is read whole once and then by its changes, also through trouble of the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+import trio.testing
+
+from rattangate.front.table_feed import DOUBT_WAIT_S, FeedCfg, TableFeed, TableNews
+from rattangate.platform.outcomes import HistoryLost, StoreRow, StoreRows, Unavailable
+
+ROW = StoreRow("k", 4, b"one")
+LATER = StoreRow("k", 6, b"two")
+SILENT = Unavailable("no answer", may_have_applied=False)
+TIMEOUT_S = 1.0
+
+
+@dataclass
+class ScriptedStore:
+    """Answer reads by a script; a silent answer comes when the read's wait is over and more."""
+
+    answers: list[StoreRows | HistoryLost | Unavailable]
+    asked: list[tuple[float, int | None, float]] = field(default_factory=list)
+
+    async def read_table(self, table: str) -> StoreRows | HistoryLost | Unavailable:
+        """Answer a whole read."""
+        return await self._answer(None, 0.0)
+
+    async def watch_table(
+        self, table: str, after: int, wait_s: float
+    ) -> StoreRows | HistoryLost | Unavailable:
+        """Answer a read of changes."""
+        return await self._answer(after, wait_s)
+
+    async def _answer(
+        self, after: int | None, wait_s: float
+    ) -> StoreRows | HistoryLost | Unavailable:
+        self.asked.append((trio.current_time(), after, wait_s))
+        if not self.answers:
+            await trio.sleep_forever()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Unavailable):
+            await trio.sleep(wait_s + TIMEOUT_S)
+        return answer
+
+
+def follow(
+    *answers: StoreRows | HistoryLost | Unavailable,
+) -> tuple[ScriptedStore, list[TableNews]]:
+    """Follow a scripted store to the end of the script."""
+    store = ScriptedStore(list(answers))
+    taken: list[TableNews] = []
+
+    async def main() -> None:
+        feed = TableFeed(store, FeedCfg("t", wait_s=2.0, least_interval_s=0.5), taken.append)
+        with trio.move_on_after(60.0):
+            await feed.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return store, taken
+
+
+def test_changes_follow_the_whole_table():
+    store, taken = follow(StoreRows((ROW,), 5), StoreRows((LATER,), 6), StoreRows((), 6))
+    assert [(news.rows, news.is_whole) for news in taken] == [
+        ((ROW,), True),
+        ((LATER,), False),
+        ((), False),
+    ]
+    assert [after for _, after, _ in store.asked] == [None, 5, 6, 6]
+
+
+def test_a_read_follows_one_with_changes_no_sooner_than_the_interval():
+    store, _ = follow(StoreRows((ROW,), 5), StoreRows((LATER,), 6), StoreRows((), 6))
+    times = [at for at, _, _ in store.asked]
+    assert [later - at for at, later in zip(times, times[1:], strict=False)] == [0.5, 0.5, 0.0]
+
+
+def test_dropped_history_leads_to_a_whole_read():
+    store, taken = follow(StoreRows((ROW,), 5), HistoryLost(), StoreRows((LATER,), 9))
+    assert [after for _, after, _ in store.asked] == [None, 5, None, 9]
+    assert [news.is_whole for news in taken] == [True, True]
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_a_store_in_trouble_is_asked_with_short_waits_until_it_answers(failures):
+    silent = [SILENT] * failures
+    store, _ = follow(StoreRows((ROW,), 5), *silent, StoreRows((), 5), StoreRows((), 5))
+    waits = [wait_s for _, _, wait_s in store.asked]
+    assert waits == [0.0, 2.0, *[DOUBT_WAIT_S] * failures, 2.0, 2.0]
