--- a/rattangate/explain/causes.py
+++ b/rattangate/explain/causes.py
@@ -72,7 +72,13 @@
     if not down:
         return f"{text} The store had not yet answered this instance since its start."
     ago_s = last.at - down[-1].at
-    return f"{text} The store fell silent {ago_s:.1f} s before: {down[-1].text('error')}."
+    text += f" The store fell silent {ago_s:.1f} s before: {down[-1].text('error')}."
+    up = [line for line in story.lines if line.event is LogEvent.PLATFORM_UP]
+    up = [line for line in up if line.instance == last.instance]
+    up = [line for line in up if down[-1].at < line.at <= last.at]
+    if up:
+        text += f" It answered a call again {last.at - up[-1].at:.1f} s before, not yet this read."
+    return text
 
 
 def _tell_config(story: Story, last: LogLine) -> str:
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -77,6 +77,12 @@
     assert "keys may be out of date" in story.cause
     assert "fell silent 50.0 s before: status 503" in story.cause
     assert [one.instance for one in story.lines] == ["e1", "e1"]
+    regained = tell(
+        line(50.0, "e1", "platform_down", service="store", error="status 503"),
+        line(99.0, "e1", "platform_up", service="store"),
+        refused(100.0, "platform_unavailable", "keys may be out of date"),
+    )
+    assert "answered a call again 1.0 s before" in regained.cause
 
 
 def test_unknown_key_names_the_version_and_since_when_it_holds():
