--- a/rattangate/core/rollout.py
+++ b/rattangate/core/rollout.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -26,8 +25,7 @@
 
     `settle_s` is how long a late order of an earlier holder may take, `stall_s` how long a replica
     may load without an order of this holder. Side by side may load `max_loading` replicas, or
-    `loading_share` of the live ones where that is more, but no more than `max_loading_share`, nor
-    so many that of all replicas less than `least_ready_share` serve.
+    `loading_share` of the live ones where that is more, but no more than `max_loading_share`.
     """
 
     load_interval_s: float = 0.5
@@ -36,21 +34,16 @@
     max_loading: int = MAX_LOADING
     loading_share: float = 0.0
     max_loading_share: float = 1.0
-    least_ready_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class WantedVersion:
-    """Say which version a model should run and which one serves it now.
-
-    `unreachable` counts the replicas that are there but do not answer.
-    """
+    """Say which version a model should run and which one serves it now."""
 
     model: str
     weights_version: str
     in_use: str
     min_replicas: int
-    unreachable: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,8 +107,7 @@
             takes_capacity = _serves(item, wanted.in_use)
             if takes_capacity and spare <= 0:
                 break
-            bound = self._max_loading(wanted, replicas)
-            if now < self._next_load_at or self._count_loading() >= bound:
+            if now < self._next_load_at or self._count_loading() >= self._max_loading(replicas):
                 return effects
             spare -= takes_capacity
             self._ordered[item.endpoint] = wanted.weights_version
@@ -155,12 +147,11 @@
         kept = [item for item in replicas if item.endpoint not in self._ordered]
         return _count_ready(kept, wanted.in_use) - wanted.min_replicas
 
-    def _max_loading(self, wanted: WantedVersion, replicas: Sequence[Observed]) -> int:
+    def _max_loading(self, replicas: Sequence[Observed]) -> int:
         live = sum(not item.leaving for item in replicas)
         cfg = self._cfg
-        bound = max(cfg.max_loading, round(cfg.loading_share * live))
-        must_serve = math.ceil(cfg.least_ready_share * (live + wanted.unreachable))
-        return max(1, min(bound, round(cfg.max_loading_share * live), live - must_serve))
+        wanted = max(cfg.max_loading, round(cfg.loading_share * live))
+        return max(1, min(wanted, round(cfg.max_loading_share * live)))
 
     def _count_loading(self) -> int:
         return len(self._loading_since.keys() | self._ordered.keys())
--- a/rattangate/front/replica_orders.py
+++ b/rattangate/front/replica_orders.py
@@ -42,7 +42,6 @@
 LOADING_SHARE = 0.25
 # The others must bear the traffic meanwhile.
 MAX_LOADING_SHARE = 0.45
-LEAST_READY_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +87,6 @@
             max_loading=MAX_LOADING,
             loading_share=LOADING_SHARE,
             max_loading_share=MAX_LOADING_SHARE,
-            least_ready_share=LEAST_READY_SHARE,
         )
 
     async def observe(self) -> Observation:
@@ -97,12 +95,12 @@
         replicas: dict[str, list[Observed]] = {}
         for model, version in self._state.named_versions.items():
             text = str(version)
-            view = self._state.view
-            listed = [one for one in view.endpoints.values() if one.version_of(model) is not None]
-            reachable = [one for one in listed if view.is_reachable(one)]
-            silent = len(listed) - len(reachable)
-            wanted.append(WantedVersion(model, text, text, min_replicas=0, unreachable=silent))
-            replicas[model] = [_observed(one, model) for one in reachable]
+            wanted.append(WantedVersion(model, text, in_use=text, min_replicas=0))
+            replicas[model] = [
+                _observed(item, model)
+                for item in self._state.view.endpoints.values()
+                if item.version_of(model) is not None and self._state.view.is_reachable(item)
+            ]
         return Observation(tuple(wanted), replicas)
 
     async def use_version(self, effect: UseVersion) -> None:
--- a/tests/core/test_rollout.py
+++ b/tests/core/test_rollout.py
@@ -118,20 +118,3 @@
         wanted = [WantedVersion("m", "v2", in_use="v2", min_replicas=0)]
         effects = Rollout(cfg, 0.0).plan(wanted, {"m": replicas}, 0.0)
         assert len(effects) == expected
-
-
-@pytest.mark.parametrize(("silent", "expected"), [(0, 3), (1, 2), (2, 1), (4, 1)])
-def test_replicas_that_are_silent_leave_fewer_to_load(silent, expected):
-    cfg = RolloutCfg(
-        load_interval_s=0.0,
-        settle_s=0.0,
-        max_loading=3,
-        max_loading_share=0.45,
-        least_ready_share=0.5,
-    )
-    replicas = [
-        Observed(f"e{number}", 1, "v1", "", ready=True, leaving=False)
-        for number in range(6 - silent)
-    ]
-    wanted = [WantedVersion("m", "v2", in_use="v2", min_replicas=0, unreachable=silent)]
-    assert len(Rollout(cfg, 0.0).plan(wanted, {"m": replicas}, 0.0)) == expected
