One instance of a data centre reads the list of endpoints for all; the widest link passes news on

And the relay was the first by name, though links there have 5 to 100 Mbit/s and passing news on to 20 peers takes about 12.

Change: the relay reads the list and tells its data centre what changed; who hears nothing for 1.3 s reads itself, and news with a gap before them are not taken. The relay is the live instance with the widest link.

Ruled out: telling the operator's entries too: keys must be counted from an own read.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -10,7 +10,7 @@
 import trio
 
 from rattangate.core.messages import NewsReceived, PeerLost
-from rattangate.core.relays import RelayPlan
+from rattangate.core.relays import Place, RelayPlan
 from rattangate.core.roster import Greeting, Roster
 from rattangate.front.table_feed import FeedCfg, TableFeed
 from rattangate.log_events import LogEvent, log
@@ -19,11 +19,13 @@
 from rattangate.platform.outcomes import StoreConflict, StoreRow, Written
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattangate.core.fleet import WeightsNews
     from rattangate.core.messages import SendNews
     from rattangate.front.state import FrontState
     from rattangate.front.table_feed import TableNews
-    from rattangate.peers.codec import PeerNews
+    from rattangate.peers.codec import PeerNews, ToldRows
     from rattangate.peers.link import Received
     from rattangate.platform.store import Store
 
@@ -46,6 +48,12 @@
     address: str
     data_centre: str
     incarnation: int
+    link_mbps: float = 0.0
+
+    @property
+    def place(self) -> Place:
+        """Return what decides on its part in passing news on."""
+        return Place(self.data_centre, self.link_mbps)
 
 
 class Peers:
@@ -57,16 +65,17 @@
         self._state = state
         self._name = boot.instance
         self._address = f"{boot.ip}:{boot.first_free_port}"
-        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation)
+        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation, boot.link_mbps)
         self._incarnation = incarnation
         self._roster = Roster((), LOST_AFTER_S)
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
         self._known: dict[str, InstanceEntry] = {}
         self._found_at: dict[str, float] = {}
-        self._plan = RelayPlan(boot.instance, boot.data_centre)
+        self._plan = RelayPlan(boot.instance, self._entry.place)
         self._live: frozenset[str] = frozenset()
         self._relayed: dict[tuple[str, ...], list[bytes]] = {}
+        self.on_listed: Callable[[ToldRows], None] | None = None
 
     @property
     def count(self) -> int:
@@ -77,6 +86,16 @@
         """Return the number of live peers that come before this instance by name."""
         return sum(name < self._name for name in self._roster.staying())
 
+    def follows_list(self) -> bool:
+        """Tell whether another instance reads the list of endpoints for this one."""
+        return not self._plan.is_relay(self._live)
+
+    def tell_list(self, told: ToldRows) -> None:
+        """Tell the own data centre of the list, if this instance reads it for all."""
+        if self._links is not None and not self.follows_list():
+            frame = encode_news(replace(self._wrap(None), listed=told))
+            self._links.send_frames(self._plan.near, (frame,))
+
     async def run(self) -> None:
         """Register this instance, then find peers and talk to them until cancelled."""
         secret = await self._join()
@@ -154,7 +173,7 @@
         self._roster.configure(found, LOST_AFTER_S)
         shares = max(LEAST_RETRY_SHARES, len(found) + 1)
         self._state.driver.gateway.intake.share_retries(shares)
-        self._plan.configure({name: entry.data_centre for name, entry in found.items()})
+        self._plan.configure({name: entry.place for name, entry in found.items()})
         self._connect()
 
     def _connect(self) -> None:
@@ -203,7 +222,7 @@
         if heard.is_stale:
             return
         targets = self._plan.forward_targets(news.instance, received.via, self._live)
-        if targets:
+        if targets and news.listed is None:
             self._relayed.setdefault(targets, []).append(received.frame)
         if heard.is_found:
             log(
@@ -214,6 +233,8 @@
             )
         for item in news.weights:
             self._state.take_weights(item)
+        if news.listed is not None and self.on_listed is not None:
+            self.on_listed(news.listed)
         if news.seq:
             self._state.driver.feed(
                 NewsReceived(
--- a/rattangate/front/table_feed.py
+++ b/rattangate/front/table_feed.py
@@ -9,6 +9,7 @@
 
 from rattangate.front.state import boot_time
 from rattangate.log_events import LogEvent, log
+from rattangate.peers.codec import ToldRows
 from rattangate.platform.outcomes import HistoryLost, StoreRows, Unavailable
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
 RETRY_S = 0.2
 # While the store is in trouble: a read whose answer was lost holds up the next one for less long.
 DOUBT_WAIT_S = 0.25
+# An instance that is told of changes reads itself after this long without news, so that with the
+# read a change is known within the bound for leaving endpoints.
+FOLLOW_S = 1.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,33 +48,77 @@
 
 
 class TableFeed:
-    """Give what changes in a table to a function, also when nothing did."""
+    """Give what changes in a table to a function, also when nothing did.
 
-    def __init__(self, store: Store, cfg: FeedCfg, take: Callable[[TableNews], None]) -> None:
+    While `follows` says so, another instance reads the table and tells of it (`tell`); if it is
+    silent for a while, this one reads itself. `pass_on` gets what this one has read.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        cfg: FeedCfg,
+        take: Callable[[TableNews], None],
+        follows: Callable[[], bool] = lambda: False,
+        pass_on: Callable[[ToldRows], None] | None = None,
+    ) -> None:
         self._store = store
         self._cfg = cfg
         self._take = take
+        self._follows = follows
+        self._pass_on = pass_on
         self._version: int | None = None
         self._is_doubted = False
+        self._told = trio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            is_whole = self._version is None
-            asked_at = boot_time()
-            next_at = trio.current_time() + self._cfg.least_interval_s
-            outcome = await self._ask()
-            self._is_doubted = isinstance(outcome, Unavailable)
-            if isinstance(outcome, StoreRows):
-                self._version = outcome.version
-                self._take(TableNews(outcome.rows, is_whole, asked_at))
-                if outcome.rows:
-                    await trio.sleep_until(next_at)
-            elif isinstance(outcome, HistoryLost):
-                log(LogEvent.HISTORY_LOST, table=self._cfg.table, version=self._version)
-                self._version = None
-            else:
-                await trio.sleep(RETRY_S)
+            if not await self._is_told():
+                await self._read()
+
+    def tell(self, told: ToldRows) -> None:
+        """Take what another instance has read, unless changes before it are missing here."""
+        if self._version is None or not told.after <= self._version <= told.version:
+            return
+        self._version = told.version
+        self._take(TableNews(told.rows, False, boot_time() - told.age_s))
+        self._told.set()
+
+    async def _is_told(self) -> bool:
+        """Wait for news of another instance, where this one follows it."""
+        if self._version is None or not self._follows():
+            return False
+        self._told = trio.Event()
+        with trio.move_on_after(FOLLOW_S):
+            await self._told.wait()
+        return self._told.is_set()
+
+    async def _read(self) -> None:
+        after = self._version
+        asked_at = boot_time()
+        next_at = trio.current_time() + self._cfg.least_interval_s
+        outcome = await self._ask()
+        self._is_doubted = isinstance(outcome, Unavailable)
+        if isinstance(outcome, StoreRows):
+            self._take_read(outcome, after, asked_at)
+            if outcome.rows:
+                await trio.sleep_until(next_at)
+        elif isinstance(outcome, HistoryLost):
+            log(LogEvent.HISTORY_LOST, table=self._cfg.table, version=self._version)
+            self._version = None
+        else:
+            await trio.sleep(RETRY_S)
+
+    def _take_read(self, outcome: StoreRows, after: int | None, asked_at: float) -> None:
+        # What was told meanwhile may be newer.
+        if self._version is not None and outcome.version < self._version:
+            return
+        self._version = outcome.version
+        self._take(TableNews(outcome.rows, after is None, asked_at))
+        if self._pass_on is not None and after is not None:
+            age_s = boot_time() - asked_at
+            self._pass_on(ToldRows(after, outcome.version, age_s, outcome.rows))
 
     async def _ask(self) -> StoreRows | HistoryLost | Unavailable:
         if self._version is None:
--- a/rattangate/front/watch.py
+++ b/rattangate/front/watch.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from rattangate.core.fleet import ListedEndpoint
+    from rattangate.front.peers import Peers
     from rattangate.front.state import FrontState
     from rattangate.front.table_feed import TableNews
     from rattangate.platform.outcomes import StoreRow
@@ -66,12 +67,13 @@
 
 
 class EndpointWatch:
-    """Take the list of endpoints."""
+    """Take the list of endpoints, which one instance of a data centre reads for all."""
 
-    def __init__(self, store: Store, state: FrontState) -> None:
+    def __init__(self, store: Store, state: FrontState, peers: Peers) -> None:
         self._state = state
         cfg = FeedCfg(ENDPOINT_TABLE, LIST_WAIT_S, LIST_INTERVAL_S)
-        self._feed = TableFeed(store, cfg, self._take)
+        self._feed = TableFeed(store, cfg, self._take, peers.follows_list, peers.tell_list)
+        peers.on_listed = self._feed.tell
         self._listed: dict[str, ListedEndpoint] = {}
         self._malformed: set[str] = set()
 
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -14,6 +14,7 @@
 from rattangate.peers.idl import MS_PER_S, idl
 from rattangate.peers.limits_codec import limits_news, limits_struct
 from rattangate.peers.picture_codec import PIECE, pictures_of, pictures_struct
+from rattangate.platform.outcomes import StoreRow
 
 if TYPE_CHECKING:
     from rattangate.core.messages import LimitsNews, PictureReceived, SendNews
@@ -31,6 +32,19 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ToldRows:
+    """Hold the rows of the list of endpoints that changed after a version of the store.
+
+    They were asked for `age_s` seconds ago and hold up to `version`.
+    """
+
+    after: int
+    version: int
+    age_s: float
+    rows: tuple[StoreRow, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerNews:
     """Hold what one instance tells its peers.
@@ -52,6 +66,7 @@
     wants_pictures: bool = False
     pictures: tuple[PictureReceived, ...] = ()
     weights: tuple[WeightsNews, ...] = ()
+    listed: ToldRows | None = None
 
 
 def encode_message(message: object) -> bytes:
@@ -97,6 +112,7 @@
             wants_pictures=news.wants_pictures or None,
             pictures=pictures_struct(news.pictures) if news.pictures else None,
             weights=[_weights_struct(item) for item in news.weights] or None,
+            listed=_listed_struct(news.listed) if news.listed is not None else None,
         )
     )
 
@@ -119,6 +135,7 @@
         bool(raw.wants_pictures),
         pictures_of(raw.pictures) if raw.pictures is not None else (),
         tuple(_weights_news(item) for item in raw.weights or ()),
+        _told_rows(raw.listed) if raw.listed is not None else None,
     )
 
 
@@ -221,3 +238,14 @@
     return WeightsNews(
         raw.endpoint, raw.incarnation, raw.model, raw.version, raw.loading_ms / MS_PER_S
     )
+
+
+def _listed_struct(told: ToldRows) -> Any:
+    rows = [idl.ListedRow(name=row.key, version=row.version, value=row.value) for row in told.rows]
+    age_ms = int(told.age_s * MS_PER_S)
+    return idl.Listed(after=told.after, version=told.version, age_ms=age_ms, rows=rows)
+
+
+def _told_rows(raw: Any) -> ToldRows:
+    rows = tuple(StoreRow(row.name, row.version, row.value) for row in raw.rows or ())
+    return ToldRows(raw.after, raw.version, raw.age_ms / MS_PER_S, rows)
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -100,6 +100,21 @@
   5: i32 loading_ms
 }
 
+/** A row of the list of endpoints; no value for a removed one. */
+struct ListedRow {
+  1: string name
+  2: i64 version
+  3: optional binary value
+}
+
+/** The rows of the list that changed after one version of the store, up to another. */
+struct Listed {
+  1: i64 after
+  2: i64 version
+  3: i32 age_ms
+  4: list<ListedRow> rows
+}
+
 /** What an instance tells its peers; it is the heartbeat too. */
 struct News {
   1: string instance
@@ -120,4 +135,5 @@
   13: optional bool wants_pictures
   14: optional Pictures pictures
   15: optional list<Weights> weights
+  16: optional Listed listed
 }
--- a/tests/front/test_table_feed.py
+++ b/tests/front/test_table_feed.py
@@ -8,7 +8,14 @@
 import trio
 import trio.testing
 
-from rattangate.front.table_feed import DOUBT_WAIT_S, FeedCfg, TableFeed, TableNews
+from rattangate.front.table_feed import (
+    DOUBT_WAIT_S,
+    FOLLOW_S,
+    FeedCfg,
+    TableFeed,
+    TableNews,
+)
+from rattangate.peers.codec import ToldRows
 from rattangate.platform.outcomes import HistoryLost, StoreRow, StoreRows, Unavailable
 
 ROW = StoreRow("k", 4, b"one")
@@ -90,3 +97,55 @@
     store, _ = follow(StoreRows((ROW,), 5), *silent, StoreRows((), 5), StoreRows((), 5))
     waits = [wait_s for _, _, wait_s in store.asked]
     assert waits == [0.0, 2.0, *[DOUBT_WAIT_S] * failures, 2.0, 2.0]
+
+
+def test_a_follower_reads_itself_only_when_nobody_tells():
+    store = ScriptedStore([StoreRows((ROW,), 5), StoreRows((), 9)])
+    taken: list[TableNews] = []
+
+    async def main() -> None:
+        cfg = FeedCfg("t", wait_s=2.0)
+        feed = TableFeed(store, cfg, taken.append, follows=lambda: True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            for version in (6, 7, 8):
+                await trio.sleep(1.0)
+                feed.tell(ToldRows(version - 1, version, 0.1, (LATER,)))
+            await trio.sleep(FOLLOW_S + 0.1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert [(at, after) for at, after, _ in store.asked] == [(0.0, None), (3.0 + FOLLOW_S, 8)]
+    assert [news.is_whole for news in taken] == [True, False, False, False, False]
+
+
+def test_news_with_a_gap_before_them_are_not_taken():
+    store = ScriptedStore([StoreRows((ROW,), 5)])
+    taken: list[TableNews] = []
+
+    async def main() -> None:
+        feed = TableFeed(store, FeedCfg("t", wait_s=2.0), taken.append, follows=lambda: True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(0.5)
+            feed.tell(ToldRows(6, 9, 0.0, (LATER,)))
+            feed.tell(ToldRows(2, 4, 0.0, (LATER,)))
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert len(taken) == 1
+
+
+def test_a_reader_passes_on_what_it_reads_after_the_whole():
+    store = ScriptedStore([StoreRows((ROW,), 5), StoreRows((LATER,), 6)])
+    passed: list[ToldRows] = []
+
+    async def main() -> None:
+        cfg = FeedCfg("t", wait_s=2.0)
+        feed = TableFeed(store, cfg, lambda news: None, pass_on=passed.append)
+        with trio.move_on_after(1.0):
+            await feed.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert [(told.after, told.version, told.rows) for told in passed] == [(5, 6, (LATER,))]
