--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -78,7 +78,7 @@
         detail=failure.detail,
         attempts=0 if admitted is None else admitted.attempts,
         waited_ms=0 if admitted is None else int((now - admitted.req.arrived_at) * 1000),
-        endpoints_live=0 if admitted is None else state.count_live(admitted.service),
+        endpoints_live=None if admitted is None else state.count_live(admitted.service),
         config_version=0 if state.config is None else state.config.version,
         list_age_ms=_list_age_ms(state),
         credentials_left_ms=int(max(0.0, state.keys.deadline - boot_time()) * 1000),
