Bound no workspace that the platform's operator does not bound

Cause: a workspace without a limit of its own got the product's default of 256 streams over all instances, and on the platform all that share caches count as one. A peer more heard of made it worse, as each counts starts for its peers too.

Change: `unlisted_streams`, without bound on this path.

Tests: tests/core/test_limits.py, tests/front/test_forward.py; both fail without the change.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -13,7 +13,7 @@
 from rattangate.core.doubts import Doubts
 from rattangate.core.fairness import BANDS, FairQueue, QueueItem, UsageMeter
 from rattangate.core.flights import Flights
-from rattangate.core.limits import WorkspaceLimits
+from rattangate.core.limits import DEFAULT_STREAMS, WorkspaceLimits
 from rattangate.core.messages import (
     AttemptResult,
     LimitsNews,
@@ -60,7 +60,8 @@
     `borrow_wait_s` that up to which it gets work of a workspace that is above its share;
     `first_token_s` bounds the deadline of the first token; the retry budget of a model starts with
     `retry_slack` and holds `retry_capacity` at the most, both divided by `retry_shares`;
-    `can_withdraw` says that running attempts can be stopped.
+    `unlisted_streams` bounds the streams of a workspace without a limit of its own, over all
+    instances; `can_withdraw` says that running attempts can be stopped.
     """
 
     instance: str = ""
@@ -73,6 +74,7 @@
     retry_slack: float = 20.0
     retry_capacity: float = 200.0
     retry_shares: int = 1
+    unlisted_streams: float = DEFAULT_STREAMS
     first_token_s: float = math.inf
     can_withdraw: bool = False
 
@@ -95,7 +97,7 @@
 
     def __init__(self, cfg: IntakeCfg, seed: int, pool: Pool) -> None:
         self.runs: dict[int, Run] = {}
-        self.limits = WorkspaceLimits(cfg.instances, cfg.workspaces)
+        self.limits = WorkspaceLimits(cfg.instances, cfg.workspaces, cfg.unlisted_streams)
         self.meter = UsageMeter(self.limits.shares())
         self.queue = FairQueue(self.meter, cfg.queue_bound)
         self.budgets: dict[str, RetryBudget] = {}
--- a/rattangate/core/limits.py
+++ b/rattangate/core/limits.py
@@ -17,6 +17,7 @@
 BURST_S = 2.0
 DEMAND_WINDOW_S = 5.0
 MAX_WAIT_S = 10.0
+DEFAULT_STREAMS = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +26,7 @@
 
     name: str
     share: float = 1.0
-    max_streams: int = 256
+    max_streams: float = DEFAULT_STREAMS
     tokens_per_s: float = math.inf
 
 
@@ -54,8 +55,14 @@
 class WorkspaceLimits:
     """Admit requests within the limits; unheard instances keep their share reserved."""
 
-    def __init__(self, instances: int = 1, limits: Iterable[WorkspaceLimit] = ()) -> None:
+    def __init__(
+        self,
+        instances: int = 1,
+        limits: Iterable[WorkspaceLimit] = (),
+        unlisted_streams: float = DEFAULT_STREAMS,
+    ) -> None:
         self._instances = instances
+        self._unlisted_streams = unlisted_streams
         self._limits: dict[str, WorkspaceLimit] = {}
         self._own: dict[str, _Own] = {}
         self._peers: dict[str, dict[str, WorkspaceUsage]] = {}
@@ -72,7 +79,9 @@
 
     def admit(self, workspace: str, tokens: int, now: float) -> Denial | None:
         """Count a request in, or say why not."""
-        limit = self._limits.get(workspace, WorkspaceLimit(workspace))
+        limit = self._limits.get(workspace)
+        if limit is None:
+            limit = WorkspaceLimit(workspace, max_streams=self._unlisted_streams)
         own = self._own.setdefault(workspace, _Own(demand_at=now, filled_at=now))
         own.demand = _decayed(own, now) + tokens
         own.demand_at = now
@@ -113,6 +122,8 @@
 
     def _deny_stream(self, limit: WorkspaceLimit, own: _Own, now: float) -> Denial | None:
         """Divide the free streams by the instances that may start some before the next news."""
+        if math.isinf(limit.max_streams):
+            return None
         while own.starts and own.starts[0] <= now - EXCHANGE_S:
             own.starts.popleft()
         unseen = len(own.starts) * len(self._peers)
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import time
 from contextlib import AsyncExitStack
@@ -125,6 +126,8 @@
             retry_slack=bounds.retry_slack,
             retry_capacity=bounds.retry_slack,
             retry_shares=LEAST_RETRY_SHARES,
+            # The operator's configuration of this platform bounds no workspace.
+            unlisted_streams=math.inf,
             bind_wait_s=BIND_WAIT_S,
         )
         cfg = GatewayCfg(
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
 from rattangate.core.limits import MAX_WAIT_S, WorkspaceLimit, WorkspaceLimits
+from rattangate.core.messages import WorkspaceUsage
 from rattangate.core.refusals import RefusalReason
 
 LIMIT = WorkspaceLimit("festival", max_streams=70, tokens_per_s=7000.0)
@@ -85,3 +88,14 @@
     site = _site(WorkspaceLimit("festival", max_streams=10**6, tokens_per_s=7000.0))
     admitted, _ = _flood(site, ["g0"], 20.0, apart=frozenset(["g0"]))
     assert admitted <= 1.2 * 200
+
+
+def test_workspaces_without_a_limit_may_be_left_unbounded():
+    limits = WorkspaceLimits(63, unlisted_streams=math.inf)
+    for number in range(62):
+        limits.take_usage(f"g{number}", [WorkspaceUsage("", 40, 0)])
+    assert [limits.admit("", 100, 1.0) for _ in range(1000)] == [None] * 1000
+    bounded = WorkspaceLimits(63)
+    for number in range(62):
+        bounded.take_usage(f"g{number}", [WorkspaceUsage("", 40, 0)])
+    assert bounded.admit("", 100, 1.0) is not None
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -62,6 +62,16 @@
     trio.run(main)
 
 
+def test_callers_of_all_workspaces_are_not_bounded_together():
+    async def main() -> None:
+        async with running_site() as site:
+            limits = site.app.state.driver.gateway.intake.limits
+            now = trio.current_time()
+            assert not any(limits.admit("", 100, now) for _ in range(1000))
+
+    trio.run(main)
+
+
 def test_refusals_everywhere_are_told_as_not_run():
     async def refuse(call: Call) -> None:
         await call.refuse()
