--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -63,8 +63,11 @@
 class FrontApp:
     """Run one entry instance."""
 
-    def __init__(self, boot: BootSettings, log_writer: LineWriter) -> None:
+    def __init__(
+        self, boot: BootSettings, log_writer: LineWriter, metrics_port: int = METRICS_PORT
+    ) -> None:
         self.boot = boot
+        self._metrics_address = f"{boot.ip}:{metrics_port}"
         self.incarnation = time.time_ns() // NS_PER_MS
         self.metrics = Metrics()
         self.is_leaving = False
@@ -84,7 +87,7 @@
             self.state = FrontState(self.boot, driver, nursery)
             self.forwarder = Forwarder(self.state, self.metrics, lambda: self.is_closing)
             nursery.start_soon(self._serve, self.boot.ready_address, self._answer_ready)
-            nursery.start_soon(self._serve, f"{self.boot.ip}:{METRICS_PORT}", self._answer_metrics)
+            nursery.start_soon(self._serve, self._metrics_address, self._answer_metrics)
             nursery.start_soon(self._serve_callers, nursery)
             nursery.start_soon(OperatorWatch(store, self.state).run)
             self._peers = Peers(store, self.state, self.incarnation)
--- a/tests/front/site.py
+++ b/tests/front/site.py
@@ -212,8 +212,8 @@
     log_writer: LineWriter | None = None,
 ):
     """Run a site whose replicas all behave alike."""
-    addresses = free_addresses(4 + 2 * copies)
-    store_address, caller, ready, peer = addresses[:4]
+    addresses = free_addresses(5 + 2 * copies)
+    store_address, caller, ready, peer, metrics = addresses[:5]
     boot = BootSettings(
         "entry-1",
         "riverside",
@@ -224,14 +224,15 @@
         store_address,
         Bounds(grace_s=3.0),
     )
-    rest = iter(addresses[4:])
+    rest = iter(addresses[5:])
     replicas = {}
     for number in range(copies):
         for service, behaviour in (("desk", desk), ("llm", llm)):
             name = f"{service}-{number}"
             replicas[name] = Replica(name, next(rest), behaviour)
     platform = Platform()
-    app = FrontApp(boot, log_writer or LineWriter(1, max_lines=0))
+    metrics_port = int(metrics.rsplit(":", 1)[1])
+    app = FrontApp(boot, log_writer or LineWriter(1, max_lines=0), metrics_port)
     with trio.fail_after(30):
         async with (
             trio.open_nursery() as nursery,
