--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -10,7 +10,7 @@
 import trio
 
 from rattangate.core.messages import NewsReceived, PeerLost
-from rattangate.core.relays import Place, RelayPlan
+from rattangate.core.relays import RelayPlan
 from rattangate.core.roster import Greeting, Roster
 from rattangate.front.table_feed import FeedCfg, TableFeed
 from rattangate.log_events import LogEvent, log
@@ -48,12 +48,6 @@
     address: str
     data_centre: str
     incarnation: int
-    link_mbps: float = 0.0
-
-    @property
-    def place(self) -> Place:
-        """Return what decides on its part in passing news on."""
-        return Place(self.data_centre, self.link_mbps)
 
 
 class Peers:
@@ -65,14 +59,14 @@
         self._state = state
         self._name = boot.instance
         self._address = f"{boot.ip}:{boot.first_free_port}"
-        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation, boot.link_mbps)
+        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation)
         self._incarnation = incarnation
         self._roster = Roster((), LOST_AFTER_S)
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
         self._known: dict[str, InstanceEntry] = {}
         self._found_at: dict[str, float] = {}
-        self._plan = RelayPlan(boot.instance, self._entry.place)
+        self._plan = RelayPlan(boot.instance, boot.data_centre)
         self._live: frozenset[str] = frozenset()
         self._relayed: dict[tuple[str, ...], list[bytes]] = {}
         self._has_relayed = trio.Event()
@@ -174,7 +168,7 @@
         self._roster.configure(found, LOST_AFTER_S)
         shares = max(LEAST_RETRY_SHARES, len(found) + 1)
         self._state.driver.gateway.intake.share_retries(shares)
-        self._plan.configure({name: entry.place for name, entry in found.items()})
+        self._plan.configure({name: entry.data_centre for name, entry in found.items()})
         self._connect()
 
     def _connect(self) -> None:
--- a/rattangate/platform/boot.py
+++ b/rattangate/platform/boot.py
@@ -39,7 +39,6 @@
     first_free_port: int
     store_address: str
     bounds: Bounds
-    link_mbps: float = 0.0
 
 
 class BootError(Exception):
@@ -55,10 +54,6 @@
     address: str
 
 
-class _Limits(msgspec.Struct):
-    link_mbps: float = 0
-
-
 class _Bounds(msgspec.Struct):
     drain_ms: float = 2000
     grace_s: float = 8
@@ -78,7 +73,6 @@
     port_range: tuple[int, int]
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_boot() -> BootSettings:
@@ -119,5 +113,4 @@
         boot.port_range[0],
         boot.platform.address,
         bounds,
-        boot.limits.link_mbps,
     )
