Forget a peer's work at an endpoint whose end never came

Cause: news between instances can be lost (a link that breaks, a queue that is full, a relay that dies). A placement whose end is lost stayed among the work of its endpoint until the peer itself was lost; as the oldest entry it also makes the endpoint look slow, the more the longer it stays.

Change: on the platform, work of peers is forgotten after 6 s.

Tests: tests/core/test_gateway.py; fails without the change.

--- a/rattangate/core/endpoint_state.py
+++ b/rattangate/core/endpoint_state.py
@@ -154,6 +154,17 @@
         for key in [key for key in self.work if key[0] == owner]:
             self.drop(key, now)
 
+    def drop_stale(self, owner: str, limit: float, now: float) -> None:
+        """Release work placed before `limit` by others than `owner`: its end was lost on the way."""
+        stale = []
+        for key, work in self.work.items():
+            if work.placed_at >= limit:
+                break
+            if key[0] != owner:
+                stale.append(key)
+        for key in stale:
+            self.drop(key, now)
+
     def report_load(self, msg: LoadReported, now: float) -> None:
         """Keep the waiting tokens that no known placement explains; forget work of an idle engine."""
         if msg.running == 0 and msg.waiting == 0:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -41,6 +41,7 @@
     from rattangate.core.runs import Run
 
 OWN = ""
+STALE_INTERVAL_S = 1.0
 RESEND_S = 1.0
 USAGE_INTERVAL_S = 0.25
 # Puts late requests behind all others in an engine's queue.
@@ -51,7 +52,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayCfg:
-    """Hold the settings of the gateway core."""
+    """Hold the settings of the gateway core.
+
+    News of a first token at a peer that do not come within `peer_work_s` are taken to be lost.
+    """
 
     piece_tokens: int
     recompute_weight: float
@@ -60,6 +64,7 @@
     fetch_s_per_token: float = math.inf
     old_version_cost_s: float = 0.0
     failure_cost_s: float = 0.0
+    peer_work_s: float = math.inf
     news_interval_s: float = 0.0
     usage_interval_s: float = USAGE_INTERVAL_S
 
@@ -78,6 +83,7 @@
         self._told = LimitsNews()
         self._told_at = -RESEND_S
         self._next_news_at = 0.0
+        self._next_stale_at = 0.0
         self._peers: dict[str, tuple[int, int]] = {}
         # Binding a singledispatchmethod wraps its function anew at each access.
         self._apply: Callable[[Message, float], list[Effect]] = self._handle
@@ -200,6 +206,10 @@
 
     @_handle.register
     def _on_tick(self, msg: Tick, now: float) -> list[Effect]:
+        if now >= self._next_stale_at:
+            self._next_stale_at = now + STALE_INTERVAL_S
+            for endpoint in self.endpoints.values():
+                endpoint.drop_stale(OWN, now - self.cfg.peer_work_s, now)
         return [*self.intake.tick(now), *self._send_news(now)]
 
     # What the intake needs of the endpoints
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -48,6 +48,7 @@
 FETCH_S_PER_TOKEN = 3e-6
 OLD_VERSION_COST_S = 0.3
 FAILURE_COST_S = 0.5
+PEER_WORK_S = 6.0
 NEWS_INTERVAL_S = 0.1
 USAGE_INTERVAL_S = 1.0
 BIND_WAIT_S = 0.3
@@ -141,6 +142,7 @@
             fetch_s_per_token=FETCH_S_PER_TOKEN,
             old_version_cost_s=OLD_VERSION_COST_S,
             failure_cost_s=FAILURE_COST_S,
+            peer_work_s=PEER_WORK_S,
             news_interval_s=NEWS_INTERVAL_S,
             usage_interval_s=USAGE_INTERVAL_S,
         )
--- a/tests/core/test_gateway.py
+++ b/tests/core/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -210,3 +211,20 @@
     begun = AttemptEnded(1, first.attempt, AttemptResult.LOST, completion_tokens=3)
     (effect,) = gateway.handle(begun, 2.0)
     assert isinstance(effect, Refuse)
+
+
+def test_work_of_a_peer_whose_end_was_lost_does_not_hold_an_endpoint_for_busy():
+    cfg = replace(CFG, peer_work_s=6.0)
+    teller, hearer = Gateway(cfg, seed=1), Gateway(cfg, seed=2)
+    for gateway in (teller, hearer):
+        gateway.handle(_seen("a"), 0.0)
+    teller.handle(_request(1, (1, 2)), 1.0)
+    hearer.handle(_news(teller, "peer", 1.1), 1.1)
+    own = _place(hearer, 7, (9,), 1.2)
+    endpoint = hearer.endpoints["a"]
+    assert len(endpoint.work) == 2
+    hearer.handle(Tick(), 6.9)
+    assert len(endpoint.work) == 2
+    hearer.handle(Tick(), 8.1)
+    assert list(endpoint.work) == [("", 1)]
+    assert own.endpoint == "a"
