Repeat a lost order soon on the platform

Half of the orders get no answer for 21 s and are carried out 2 to 12 s later. The log of front-riverside-1, which held the lease throughout: orders lost at 13.2, 16.9 and 18.8 s, busy at 14.3 and 14.9 s; the wait before a repeat had doubled to 4 s, and a replica whose order is lost keeps its turn, so two replicas still ran version 2 12 s after version 3 was named.

Change: on the platform the wait stays at 0.5 s.

Ruled out: a change of the holder (lease_lost only at 24.7 s).

Tests: tests/core/test_orders.py.

--- a/rattangate/core/orders.py
+++ b/rattangate/core/orders.py
@@ -110,10 +110,14 @@
 
 
 class OrderDriver:
-    """Give the orders of one holder under one fencing number, one at a time for each endpoint."""
+    """Give the orders of one holder under one fencing number, one at a time for each endpoint.
 
-    def __init__(self, fence: int) -> None:
+    The wait before a repeat doubles up to `max_retry_s`.
+    """
+
+    def __init__(self, fence: int, max_retry_s: float = MAX_RETRY_S) -> None:
         self.fence = fence
+        self._max_retry_s = max_retry_s
         self._sent = 0
         self._targets: dict[str, _Target] = {}
 
@@ -159,7 +163,7 @@
             return [SteppedDown(self.fence)]
         if msg.result is not OrderResult.ACCEPTED:
             target.retry_at = now + target.backoff_s
-            target.backoff_s = min(MAX_RETRY_S, 2 * target.backoff_s)
+            target.backoff_s = min(self._max_retry_s, 2 * target.backoff_s)
         return []
 
 
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -21,7 +21,7 @@
 from rattangate.front.forward import Forwarder
 from rattangate.front.peers import LEAST_RETRY_SHARES, Peers
 from rattangate.front.reload import BootWatch
-from rattangate.front.replica_orders import TERM_S, ReplicaOrders
+from rattangate.front.replica_orders import MAX_RETRY_S, TERM_S, ReplicaOrders
 from rattangate.front.state import PIECE_TOKENS, FrontState, boot_time
 from rattangate.front.watch import EndpointWatch, OperatorWatch
 from rattangate.log_events import LogEvent, log
@@ -153,7 +153,8 @@
         holder = Holder(f"{self.boot.instance}@{self.boot.ip}", self.incarnation)
         lease = Lease(holder, TERM_S)
         orders = ReplicaOrders(client, self.state, peers.send_weights, peers.place)
-        return OrderKeeper(lease, LeaseRow(store, ORDERS_LEASE), orders, boot_time)
+        row = LeaseRow(store, ORDERS_LEASE)
+        return OrderKeeper(lease, row, orders, boot_time, MAX_RETRY_S)
 
     async def _wait_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
--- a/rattangate/front/replica_orders.py
+++ b/rattangate/front/replica_orders.py
@@ -31,6 +31,8 @@
 NEXT_POLL_S = 2.0
 NEXT_CANDIDATES = 2
 OTHER_POLL_S = 10.0
+# An order whose answer was lost is repeated soon: its replica's turn is waited for.
+MAX_RETRY_S = 0.5
 # A replica that was ordered to load refuses new requests until it is done.
 LOAD_DEADLINE_S = 8.0
 FIRST_REPORT_S = 1.0
--- a/rattangate/orders.py
+++ b/rattangate/orders.py
@@ -8,7 +8,13 @@
 import trio
 
 from rattangate.core.leases import LeaseWakeUp
-from rattangate.core.orders import OrderDriver, OrderEnded, SendOrder, WantOrders
+from rattangate.core.orders import (
+    MAX_RETRY_S,
+    OrderDriver,
+    OrderEnded,
+    SendOrder,
+    WantOrders,
+)
 from rattangate.core.rollout import Rollout, RolloutCfg, UseVersion
 from rattangate.log_events import LogEvent, log
 
@@ -63,16 +69,23 @@
 class OrderKeeper:
     """Give orders while this instance holds the lease of orders.
 
-    `clock` is the one that lease deadlines are measured on.
+    `clock` is the one that lease deadlines are measured on; the wait before an order is repeated
+    doubles up to `max_retry_s`.
     """
 
     def __init__(
-        self, lease: Lease, row: LeaseRow, site: OrderSite, clock: Callable[[], float]
+        self,
+        lease: Lease,
+        row: LeaseRow,
+        site: OrderSite,
+        clock: Callable[[], float],
+        max_retry_s: float = MAX_RETRY_S,
     ) -> None:
         self.lease = lease
         self._row = row
         self._site = site
         self._clock = clock
+        self._max_retry_s = max_retry_s
         self._is_leaving = False
         self._driver = OrderDriver(0)
         self._rollout = Rollout(RolloutCfg(), 0.0)
@@ -114,7 +127,7 @@
         if fence is None or self._is_leaving:
             return False
         if fence != self._driver.fence:
-            self._driver = OrderDriver(fence)
+            self._driver = OrderDriver(fence, self._max_retry_s)
             self._rollout = Rollout(self._site.rollout_cfg(self.lease.rivals_until, now), now)
         seen = await self._site.observe()
         await self._plan(seen, now)
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -60,3 +60,14 @@
     (order,) = driver.handle(SEEN, 0.0)
     ended = OrderEnded("e", order.number, OrderResult.OLD_NUMBER)
     assert driver.handle(ended, 0.1) == [SteppedDown(3)]
+
+
+def test_a_lost_order_is_repeated_within_the_bound():
+    driver = OrderDriver(1, max_retry_s=0.5)
+    driver.handle(WantOrders("e", (LoadVersion("v2"),)), 0.0)
+    now = 0.0
+    for _ in range(6):
+        (sent,) = driver.handle(SEEN, now)
+        driver.handle(OrderEnded("e", sent.number, OrderResult.LOST), now + 1.0)
+        assert driver.handle(SEEN, now + 1.4) == []
+        now += 1.5
