--- a/rattangate/explain/causes.py
+++ b/rattangate/explain/causes.py
@@ -57,7 +57,7 @@
 def _tell_failed(story: Story, last: LogLine) -> str:
     failed = _last_failure(story)
     if failed is None:
-        return f"It failed without a failed attempt in the logs ({last.text('detail')})."
+        return _tell_unanswered(story, last)
     ran = "may have run" if last.text("run_state") == "may have run" else "did not run"
     text = f"{_describe_failure(story, failed)} The request {ran}"
     if last.text("kind") == ErrorKind.OUTCOME_UNKNOWN.value:
@@ -65,6 +65,20 @@
     return f"{text}; its attempts or the budget of retries were used up ({last.text('detail')})."
 
 
+def _tell_unanswered(story: Story, last: LogLine) -> str:
+    placed = [line for line in story.own if line.event is LogEvent.REQUEST_PLACED]
+    if not placed:
+        return f"It failed without a failed attempt in the logs ({last.text('detail')})."
+    waited_ms = round((last.at - placed[-1].at) * 1000)
+    text = (
+        f"It was sent to {placed[-1].text('endpoint')}, which had not answered {waited_ms} ms later"
+        f" ({last.text('detail')}); it {last.text('run_state')}."
+    )
+    if story.failures_elsewhere:
+        text += f" {story.failures_elsewhere} attempts of other requests failed there too."
+    return text
+
+
 def _tell_store(story: Story, last: LogLine) -> str:
     text = f"It was refused because {last.text('detail')}."
     down = [line for line in story.lines if line.event is LogEvent.PLATFORM_DOWN]
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -113,6 +113,18 @@
     assert expected in tell(text).cause
 
 
+def test_an_endpoint_that_did_not_answer_in_time_is_named():
+    story = tell(
+        line(100.0, "e1", "request_placed", request_id="a1", endpoint="desk-1"),
+        line(101.0, "e2", "attempt_failed", request_id="b1", endpoint="desk-1", result="lost"),
+        refused(101.1, "outcome_unknown", "out of time", run_state="may have run"),
+    )
+    assert story.cause == (
+        "It was sent to desk-1, which had not answered 1100 ms later (out of time);"
+        " it may have run. 1 attempts of other requests failed there too."
+    )
+
+
 def test_lines_of_others_are_counted_and_prefixes_ignored():
     log = read_log(["front-1 | " + refused(1.0, "overloaded"), "plain words", "", '{"x": 1}'])
     assert (len(log.lines), log.unreadable) == (1, 2)
