--- a/rattangate/cmd/explain.py
+++ b/rattangate/cmd/explain.py
@@ -27,7 +27,7 @@
 
 
 def explain(
-    request_id: Annotated[str, typer.Argument(help="Id of the request: its X-Attempt-Id.")],
+    request_id: Annotated[str, typer.Argument(help="Id of the request, as its caller gave it.")],
     logs: LogPaths,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ) -> None:
