--- a/bench/platform_days.py
+++ b/bench/platform_days.py
@@ -176,6 +176,16 @@
 time charged; a figure is the mean over these scores. Worth is the share of the credit owed that was served
 (the whole day, the worst windows, the worst class and, at Sadaf, the worst zone, by the site's weights) less
 the prices. The mark is what the site's day asks for at the most.
+
+What binds, from the logs of single runs (`fleetbench replay SITE NAME --log front`):
+
+- Heavy days: while some engines are silent and others load new weights, one to three of six serve
+  (`scale-1`: 83d41efcb37cd158 in `docs/OPERATIONS.md`); the worst windows are these seconds and those
+  around the final fault. Fewer loads at once moved the loss to old weights and cold caches (tried).
+- Shared parts read again: each load empties an engine's cache, and requests of one prefix that reach
+  several engines before the first has read it read it in each.
+- Bytes between data centres: prompts of 18 kB that go where their prefix is held; news are the smaller
+  part since they cross once to each data centre.
 """
 
 
