Log what makes a request suspect, confirmed crashes and verdicts

New lines request_suspected (with the parts of the prompt that others may share), endpoint_crashed and verdict_changed; counters of crashes and verdicts. No decision changes: a test lists the reports of three crashes, the verdict and its release.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -20,9 +20,10 @@
     CancelAttempt,
     LimitsUpdate,
     Refuse,
+    Verdict,
 )
 from rattangate.core.prefill_speed import DEFAULT_S_PER_TOKEN
-from rattangate.core.quarantine import PROPAGATION_S, Verdict
+from rattangate.core.quarantine import PROPAGATION_S
 from rattangate.core.refusals import RefusalReason, make_failure
 from rattangate.core.retries import RetryBudget, RetryReason, retry_reason
 from rattangate.core.suspects import RefuseQuarantined, Requeue, StartTrial, Suspects
@@ -377,7 +378,9 @@
             )
         ran_s = now - request.placed_at
         if request.digest:
-            self.suspects.quarantine.record_failure(request.digest, key, ran_s, now)
+            self.suspects.quarantine.record_failure(
+                request.digest, key, ran_s, now, request.req.parts
+            )
         if not request.req.repeatable:
             return self._refuse(request, RefusalReason.NOT_REPEATABLE, now)
         if not request.has_runs_left:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -45,6 +45,14 @@
     CACHE_STORE = "keeper"
 
 
+class Verdict(Enum):
+    """Name the states of a request digest; a GUILTY one is quarantined."""
+
+    FREE = "free"
+    SUSPECT = "suspect"
+    GUILTY = "guilty"
+
+
 # Messages
 
 
@@ -68,7 +76,8 @@
     An answer that begins after `soft_deadline` is late: it is of use until `deadline`, but the request is
     queued behind those that can still be on time. `max_runs` bounds the number of endpoints on
     which the request may have run, None for no bound of its own. A request that is not `repeatable`
-    is not retried once it may have run.
+    is not retried once it may have run. `parts` identify the parts of the prompt that other
+    requests may share, within the model.
     """
 
     req_id: int
@@ -84,6 +93,7 @@
     max_runs: int | None = None
     unshared_blocks: int = 0
     soft_deadline: float = math.inf
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -367,4 +377,37 @@
     limits: LimitsUpdate | None = None
 
 
-Effect = Dispatch | CancelAttempt | Refuse | SendPeerUpdate
+@dataclass(frozen=True, slots=True)
+class SuspicionRecorded:
+    """Report that this instance lost an attempt, which makes its request and its parts suspect."""
+
+    digest: bytes
+    parts: tuple[str, ...]
+    endpoint: str
+    incarnation: int
+    ran_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecorded:
+    """Report that an endpoint is known to have crashed; `suspects` counts the requests on it."""
+
+    endpoint: str
+    incarnation: int
+    suspects: int
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictChanged:
+    """Report that a suspect was quarantined or cleared; `crashes` counts its confirmed crashes.
+
+    `subject` is the digest of a request in hexadecimal.
+    """
+
+    subject: str
+    verdict: Verdict
+    crashes: int
+
+
+QuarantineChange = SuspicionRecorded | CrashRecorded | VerdictChanged
+Effect = Dispatch | CancelAttempt | Refuse | SendPeerUpdate | QuarantineChange
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -8,14 +8,22 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import EndpointState, Suspicion
+from rattangate.core.messages import (
+    CrashRecorded,
+    EndpointState,
+    Suspicion,
+    SuspicionRecorded,
+    Verdict,
+    VerdictChanged,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from rattangate.core.messages import QuarantineChange
+
 # Confirmed crashes after which a digest is quarantined.
 QUARANTINE_CRASHES = 3
 # Crashes of endpoints that did not run the digest, within the window, after which one crash more
@@ -36,14 +44,6 @@
 IncarnationKey = tuple[str, int]
 
 
-class Verdict(Enum):
-    """Name the states of a request digest; a GUILTY one is quarantined."""
-
-    FREE = "free"
-    SUSPECT = "suspect"
-    GUILTY = "guilty"
-
-
 @dataclass(slots=True)
 class _Failure:
     """Record the failure of an endpoint incarnation that ran a digest for `ran_s` seconds.
@@ -92,6 +92,12 @@
         self._attributed: set[IncarnationKey] = set()
         self._unsent: set[tuple[bytes, IncarnationKey]] = set()
         self._resend_at = 0.0
+        self._changes: list[QuarantineChange] = []
+
+    def take_changes(self) -> list[QuarantineChange]:
+        """Return the changes since the last call, in their order."""
+        taken, self._changes = self._changes, []
+        return taken
 
     def record_endpoint(
         self, endpoint: str, incarnation: int, state: EndpointState, now: float
@@ -102,13 +108,21 @@
             return
         self._endpoint_states[endpoint] = (incarnation, state)
         if state is EndpointState.DOWN:
-            self._crashes[endpoint, incarnation] = now
+            self._record_crash((endpoint, incarnation), now)
         elif incarnation > known[0] and known[1] is EndpointState.LIVE:
-            self._crashes[endpoint, known[0]] = now
-
-    def record_failure(self, digest: bytes, key: IncarnationKey, ran_s: float, now: float) -> None:
-        """Record a lost attempt, which makes its request a suspect."""
+            self._record_crash((endpoint, known[0]), now)
+
+    def record_failure(
+        self,
+        digest: bytes,
+        key: IncarnationKey,
+        ran_s: float,
+        now: float,
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        """Record a lost attempt, which makes its request and the parts of its prompt suspect."""
         self._add(digest, key, _Failure(ran_s, now, now + QUARANTINE_S), now)
+        self._changes.append(SuspicionRecorded(digest, parts, *key, ran_s))
 
     def clear(self, digest: bytes, now: float) -> None:
         """Clear the failures of a request that completed."""
@@ -249,10 +263,17 @@
             self._update_attributed()
         return False
 
+    def _record_crash(self, key: IncarnationKey, now: float) -> None:
+        if key not in self._crashes:
+            suspects = sum(key in history.failures for history in self._histories.values())
+            self._changes.append(CrashRecorded(*key, suspects))
+        self._crashes[key] = now
+
     def _clear(self, digest: bytes, deadline: float) -> None:
         history = self._histories.get(digest)
         if history is None:
             return
+        self._changes.append(VerdictChanged(digest.hex(), Verdict.FREE, 0))
         for key, failure in history.failures.items():
             if not failure.cleared:
                 failure.cleared = True
@@ -275,6 +296,7 @@
         ):
             return
         history.quarantined = True
+        self._changes.append(VerdictChanged(digest.hex(), Verdict.GUILTY, len(crashed_on)))
         self._update_attributed()
 
     def _crashes_needed(self, digest: bytes) -> int:
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.quarantine import Quarantine, Verdict
+from rattangate.core.messages import Verdict
+from rattangate.core.quarantine import Quarantine
 from rattangate.core.trials import TrialScheduler
 
 if TYPE_CHECKING:
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -14,12 +14,17 @@
     AttemptEnded,
     AttemptResult,
     CancelAttempt,
+    CrashRecorded,
     Dispatch,
     FirstTokenSeen,
     Refuse,
     RequestAbandoned,
     SendPeerUpdate,
+    SuspicionRecorded,
+    VerdictChanged,
 )
+from rattangate.log_events import LogEvent, log
+from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -100,6 +105,37 @@
     def _peer_update(self, effect: SendPeerUpdate) -> None:
         self._send_update(effect)
 
+    @_carry_out.register
+    def _log_suspicion(self, effect: SuspicionRecorded) -> None:
+        log(
+            LogEvent.REQUEST_SUSPECTED,
+            digest=effect.digest.hex(),
+            parts=",".join(effect.parts),
+            endpoint=effect.endpoint,
+            incarnation=effect.incarnation,
+            ran_ms=round(effect.ran_s * MS_PER_S),
+        )
+
+    @_carry_out.register
+    def _log_crash(self, effect: CrashRecorded) -> None:
+        self._metrics.crashes.inc()
+        log(
+            LogEvent.ENDPOINT_CRASHED,
+            endpoint=effect.endpoint,
+            incarnation=effect.incarnation,
+            suspects=effect.suspects,
+        )
+
+    @_carry_out.register
+    def _log_verdict(self, effect: VerdictChanged) -> None:
+        self._metrics.count_verdict(effect.verdict)
+        log(
+            LogEvent.VERDICT_CHANGED,
+            subject=effect.subject,
+            verdict=effect.verdict.value,
+            crashes=effect.crashes,
+        )
+
     def _deliver(self, req_id: int, effect: Dispatch | Refuse) -> None:
         exchange = self._exchanges.get(req_id)
         if exchange is not None:
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -116,6 +116,16 @@
         "An attempt at an endpoint failed.",
         ("request_id", "attempt", "endpoint", "result", "detail"),
     )
+    REQUEST_SUSPECTED = (
+        212,
+        "An attempt was lost, so its request and the parts of its prompt are suspect.",
+        ("digest", "parts", "endpoint", "incarnation", "ran_ms"),
+    )
+    VERDICT_CHANGED = (
+        213,
+        "A suspect was quarantined after so many crashes, or cleared.",
+        ("subject", "verdict", "crashes"),
+    )
     ENDPOINT_LIVE = (300, "An endpoint became live.", ("endpoint", "incarnation", "weights"))
     ENDPOINT_LEAVING = (301, "An endpoint is leaving.", ("endpoint", "incarnation", "source"))
     ENDPOINT_DOWN = (302, "An endpoint does not answer.", ("endpoint", "error"))
@@ -131,6 +141,11 @@
         "An endpoint asked for a back-off: no requests for the time `wait_ms`.",
         ("endpoint", "incarnation", "wait_ms"),
     )
+    ENDPOINT_CRASHED = (
+        308,
+        "An endpoint is known to have crashed while it ran so many suspect requests.",
+        ("endpoint", "incarnation", "suspects"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from rattangate.core.messages import EndpointState
+from rattangate.core.messages import EndpointState, Verdict
 from rattangate.core.refusals import RefusalReason
 from rattangate.core.retries import RetryReason
 from rattangate.errors import ErrorKind
@@ -114,6 +114,20 @@
         "Configuration version in force.",
         "All instances show the same number within 8 s of a change.",
     )
+    ENDPOINT_CRASHES = (
+        "rattangate_endpoint_crashes",
+        MetricKind.COUNTER,
+        (),
+        "Endpoints that are known to have crashed.",
+        "Many without a verdict: look at `request_suspected` for what they ran.",
+    )
+    QUARANTINE_VERDICTS = (
+        "rattangate_quarantine_verdicts",
+        MetricKind.COUNTER,
+        ("verdict",),
+        "Suspects that were quarantined (`guilty`) or cleared (`free`).",
+        "Look at `verdict_changed`; see the operators' page on quarantine.",
+    )
     LOG_LINES_DROPPED = (
         "rattangate_log_lines_dropped",
         MetricKind.COUNTER,
@@ -229,6 +243,8 @@
         self.cache_hit_tokens = Series()
         self.completion_tokens = Series()
         self.log_lines_dropped = Series()
+        self.crashes = Series()
+        self.verdicts = Series()
         self.streams = Series()
         self.peers = Series()
         self.endpoints = Series()
@@ -245,6 +261,8 @@
             Metric.PROMPT_TOKENS: self.prompt_tokens,
             Metric.CACHE_HIT_TOKENS: self.cache_hit_tokens,
             Metric.COMPLETION_TOKENS: self.completion_tokens,
+            Metric.ENDPOINT_CRASHES: self.crashes,
+            Metric.QUARANTINE_VERDICTS: self.verdicts,
             Metric.LOG_LINES_DROPPED: self.log_lines_dropped,
             Metric.STREAMS: self.streams,
             Metric.PEERS: self.peers,
@@ -278,6 +296,10 @@
         """Count one retry of a request."""
         self.retries.inc(label=reason.value)
 
+    def count_verdict(self, verdict: Verdict) -> None:
+        """Count one change of a verdict."""
+        self.verdicts.inc(label=verdict.value)
+
     def set_endpoints(self, counts: dict[EndpointState, int]) -> None:
         """Set the number of endpoints in each state."""
         for state in EndpointState:
@@ -305,6 +327,8 @@
             self.refusal_reasons.set(0.0, refusal.value)
         for reason in RetryReason:
             self.retries.set(0.0, reason.value)
+        for verdict in Verdict:
+            self.verdicts.set(0.0, verdict.value)
         self.set_endpoints({})
 
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -4,14 +4,20 @@
 
 import pytest
 
-from rattangate.core.messages import EndpointState, LimitsUpdate
+from rattangate.core.messages import (
+    CrashRecorded,
+    EndpointState,
+    LimitsUpdate,
+    SuspicionRecorded,
+    Verdict,
+    VerdictChanged,
+)
 from rattangate.core.quarantine import (
     CONFIRM_TIMEOUT_S,
     PROPAGATION_S,
     QUARANTINE_S,
     SUSPECT_S,
     Quarantine,
-    Verdict,
 )
 from rattangate.core.trials import TrialScheduler
 
@@ -96,6 +102,27 @@
     assert new_instance.listing(2 * LATER)[0].digest == POISON
 
 
+def test_each_change_of_belief_is_reported_once():
+    quarantine = Quarantine()
+    for endpoint in ("a", "b", "c"):
+        quarantine.record_endpoint(endpoint, 1, EndpointState.LIVE, 0.0)
+        quarantine.record_failure(POISON, (endpoint, 1), 0.1, 0.0, ("part",))
+        quarantine.record_endpoint(endpoint, 2, EndpointState.LIVE, 0.0)
+    quarantine.verdict_on(POISON, LATER)
+    quarantine.release(POISON)
+    assert quarantine.take_changes() == [
+        SuspicionRecorded(POISON, ("part",), "a", 1, 0.1),
+        CrashRecorded("a", 1, 1),
+        SuspicionRecorded(POISON, ("part",), "b", 1, 0.1),
+        CrashRecorded("b", 1, 1),
+        SuspicionRecorded(POISON, ("part",), "c", 1, 0.1),
+        CrashRecorded("c", 1, 1),
+        VerdictChanged(POISON.hex(), Verdict.GUILTY, 3),
+        VerdictChanged(POISON.hex(), Verdict.FREE, 0),
+    ]
+    assert quarantine.take_changes() == []
+
+
 def test_quarantine_expires_on_all_instances_at_the_same_time(quarantined):
     quarantined.expire(QUARANTINE_S - 1.0)
     peer = Quarantine()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -18,6 +18,8 @@
     "count_refusal",
     "count_refusal_reason",
     "count_retry",
+    "count_verdict",
+    "crashes",
     "prompt_tokens",
     "cache_hit_tokens",
     "completion_tokens",
