--- a/tests/simulated_deployment.py
+++ b/tests/simulated_deployment.py
@@ -53,7 +53,8 @@
 class SimulatedDeployment:
     """Run gateways and engines from a queue of timed events.
 
-    `poison` maps the digest of a request to the seconds after which it crashes its engine. `cut`
+    `poison` maps the digest of a request to the seconds after which it crashes its engine;
+    `poison_parts` maps a part of prompts to the seconds from the first token to the crash. `cut`
     holds the gateways that are partitioned from the others, and `down` the crashed engines.
     """
 
@@ -63,6 +64,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.poison = {}
+        self.poison_parts = {}
         self.crashes = []
         self.outcomes = {}
         self.retries = Counter()
@@ -110,6 +112,8 @@
         timeout_s=10.0,
         max_tokens=100,
         priority=0,
+        repeatable=True,
+        parts=(),
     ):
         """Deliver a new request to an instance now; return its id.
 
@@ -119,7 +123,18 @@
         deadline = self.now + timeout_s
         self.outcomes[req_id] = Outcome(digest, workspace, self.now, deadline)
         scope = CacheScope(workspace, "m", "", "v1")
-        req = RequestArrived(req_id, scope, blocks, tokens, max_tokens, digest, priority, deadline)
+        req = RequestArrived(
+            req_id,
+            scope,
+            blocks,
+            tokens,
+            max_tokens,
+            digest,
+            priority,
+            deadline,
+            repeatable=repeatable,
+            parts=parts,
+        )
         self.deliver(instance, req)
         return req_id
 
@@ -232,6 +247,9 @@
         if isinstance(event, FirstToken):
             outcome.first_token_at = outcome.first_token_at or self.now
             msg = FirstTokenSeen(*event.job_id, event.cached_tokens)
+            for part in self.poison_parts.keys() & set(req.parts):
+                crash_at = self.now + self.poison_parts[part]
+                self.at(crash_at, self._crash_engine_of, event.job_id)
         else:
             del self._jobs[event.job_id]
             outcome.completed = True
