Count an endpoint as crashed only if no connection to it opens

An endpoint that loaded weights, paused, ran outdated weights, had just lost an attempt, or had drained and left was reported DOWN like a dead one, and the quarantine took each for a crash. So a lost answer confirmed itself, and planned work raised the number of crashes that a verdict needs (3 to 4).

New state SUSPENDED for those that take no requests for now; DOWN stays for those that are not listed or to which a connection failed. Four cases of test_endpoint_that_takes_no_requests_for_now_or_has_left_did_not_crash failed before.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -93,6 +93,7 @@
         # Keys are the name and the incarnation of an endpoint.
         self._loading_until: dict[tuple[str, int], float] = {}
         self._unreachable: set[tuple[str, int]] = set()
+        self._gone: set[tuple[str, int]] = set()
         self._suspended_until: dict[tuple[str, int], float] = {}
         self._last_reported: dict[str, EndpointStatus] = {}
         self._min_versions: Mapping[str, int] = {}
@@ -154,10 +155,16 @@
         key = (endpoint, incarnation)
         if is_reachable:
             self._unreachable.discard(key)
+            self._gone.discard(key)
         else:
             self._unreachable.add(key)
         return self._collect_changes(now)
 
+    def mark_gone(self, endpoint: str, incarnation: int, now: float) -> list[EndpointStatus]:
+        """Report an unreachable endpoint as down, as no new connection to it could be opened."""
+        self._gone.add((endpoint, incarnation))
+        return self._collect_changes(now)
+
     def is_reachable(self, item: ListedEndpoint) -> bool:
         """Tell whether connections to an endpoint can be opened; true until one failed."""
         return (item.endpoint, item.incarnation) not in self._unreachable
@@ -229,13 +236,15 @@
     def _state(self, item: ListedEndpoint, now: float) -> EndpointState:
         if item.is_leaving:
             return EndpointState.LEAVING
-        if not self.is_reachable(item):
-            return EndpointState.DOWN
         key = (item.endpoint, item.incarnation)
-        if key in self._suspended_until or now < self._loading_until.get(key, 0.0):
+        if key in self._gone:
             return EndpointState.DOWN
+        if not self.is_reachable(item):
+            return EndpointState.SUSPENDED
+        if key in self._suspended_until or now < self._loading_until.get(key, 0.0):
+            return EndpointState.SUSPENDED
         if any(loaded.version < self._min_versions.get(loaded.model, 0) for loaded in item.models):
-            return EndpointState.DOWN
+            return EndpointState.SUSPENDED
         return EndpointState.LIVE
 
 
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -35,12 +35,15 @@
 class EndpointState(Enum):
     """Name the states of an endpoint as seen from one instance.
 
-    A LEAVING endpoint is draining. A CACHE_STORE runs no requests: it is a store from which engines
+    A SUSPENDED endpoint takes no requests for now: it loads weights, asked for a pause, runs outdated
+    weights, or has lost an attempt and not been reached again. A DOWN one takes no connections or is
+    not listed. A LEAVING endpoint is draining. A CACHE_STORE runs no requests: it is a store from which engines
     fetch KV-cache entries and to which they write them.
     """
 
     LIVE = "live"
     LEAVING = "leaving"
+    SUSPENDED = "suspended"
     DOWN = "down"
     CACHE_STORE = "keeper"
 
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -162,7 +162,7 @@
     """Return an endpoint as a source of a prompt's blocks, None if none can be fetched there."""
     status = endpoint.status
     is_cache_server = status.state is EndpointState.CACHE_STORE
-    if status.state is EndpointState.DOWN or (
+    if status.state in (EndpointState.SUSPENDED, EndpointState.DOWN) or (
         not is_cache_server and status.weights_version != version
     ):
         return None
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -108,8 +108,10 @@
             return
         self._endpoint_states[endpoint] = (incarnation, state)
         if state is EndpointState.DOWN:
-            self._record_crash((endpoint, incarnation), now)
-        elif incarnation > known[0] and known[1] is EndpointState.LIVE:
+            # One that was leaving has left.
+            if known != (incarnation, EndpointState.LEAVING):
+                self._record_crash((endpoint, incarnation), now)
+        elif incarnation > known[0] and known[1] in (EndpointState.LIVE, EndpointState.SUSPENDED):
             self._record_crash((endpoint, known[0]), now)
 
     def record_failure(
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -130,6 +130,8 @@
             pool = self.pool_of(endpoint, incarnation)
             if pool is None or await pool.probe():
                 break
+            now = trio.current_time()
+            self._feed_changes(self.view.mark_gone(endpoint, incarnation, now))
             await trio.sleep(PROBE_INTERVAL_S)
         self._probing.discard((endpoint, incarnation))
         now = trio.current_time()
@@ -200,9 +202,15 @@
             incarnation=seen.incarnation,
             source=source,
         )
+    elif seen.state is EndpointState.SUSPENDED:
+        log(
+            LogEvent.ENDPOINT_DOWN,
+            endpoint=seen.endpoint,
+            error="loading weights, backing off, on an outdated version, or an attempt was lost",
+        )
     elif seen.state is EndpointState.DOWN:
         log(
             LogEvent.ENDPOINT_DOWN,
             endpoint=seen.endpoint,
-            error="not listed, loading weights, backing off or on an outdated weights version",
+            error="not listed, or no connection can be opened",
         )
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -4,6 +4,13 @@
 
 import pytest
 
+from rattangate.core.fleet import (
+    FleetView,
+    FleetViewCfg,
+    ListedEndpoint,
+    ModelVersion,
+    WeightsUpdate,
+)
 from rattangate.core.messages import (
     CrashRecorded,
     EndpointState,
@@ -74,6 +81,25 @@
     assert quarantine.verdict_on(HARMLESS, CONFIRM_TIMEOUT_S + 0.1) is Verdict.FREE
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda view: view.set_reachable("e1", 1, False, 1.0),
+        lambda view: view.suspend_until("e1", 1, 9.0, 1.0),
+        lambda view: view.update_weights(WeightsUpdate("e1", 1, "m", 0, 4.0), 1.0),
+        lambda view: [*view.mark_leaving("e1", 1, 1.0), *view.update_list([], 1.0)],
+    ],
+    ids=["in doubt", "pausing", "loading", "left"],
+)
+def test_endpoint_that_takes_no_requests_for_now_or_has_left_did_not_crash(change):
+    quarantine = Quarantine()
+    view = FleetView(FleetViewCfg("dc", 128, 0.0))
+    listed = ListedEndpoint("e1", 1, "m", "", "dc", 1, False, (ModelVersion("m", 1),))
+    for status in [*view.update_list([listed], 0.0), *change(view)]:
+        quarantine.record_endpoint(status.endpoint, status.incarnation, status.state, 1.0)
+    assert quarantine.take_changes() == []
+
+
 def test_unrelated_crashes_require_one_more_crash(quarantined):
     for endpoint in ("d", "e"):
         _crash(quarantined, endpoint, now=1.0)
