Quarantine the parts of prompts that crash endpoints

Cause: evidence was kept by the digest of a whole request. No two requests with the part are alike, so each crash opened a new record and none reached three. The class of fault: failures counted under an identity narrower than their cause.

Now each lost attempt also makes suspect the parts of its prompt that other requests may share. A part is quarantined when runs of at least two requests with it crashed three endpoints, each after the one before, while no answer on it has gone well since and no other part explains the same crashes. Good runs refute crashes that came before them, so what sound requests share stays free. Verdicts follow from sets of runs and times of good runs, which merge alike on every instance. Queued and running requests with the part are refused at once.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -109,7 +109,7 @@
     def handle(self, msg: Message, now: float) -> list[Effect]:
         """Apply one message and return the effects to carry out."""
         effects = self._apply(msg, now)
-        return [*effects, *self.scheduler.suspects.quarantine.take_changes()]
+        return [*effects, *self.scheduler.suspects.take_changes()]
 
     def weights_versions(self, model: str) -> tuple[str, ...]:
         """Return the weights versions of a model that live endpoints run."""
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -141,9 +141,8 @@
         """Admit a request, or refuse it at once."""
         self._budget_of(req).count_arrival(now)
         request = ActiveRequest(req, now, min(req.deadline, now + self._cfg.first_token_s))
-        verdict = self.suspects.quarantine.verdict_on(request.digest, now)
-        if verdict is Verdict.GUILTY:
-            wait_s = self.suspects.quarantine.remaining_s(request.digest, now)
+        wait_s = self.suspects.quarantined_for_s(request, now)
+        if wait_s is not None:
             return [_refusal(req.req_id, RefusalReason.QUARANTINED, wait_s)]
         denial = self.limits.admit(req.scope.workspace, req.prompt_tokens, now)
         if denial is not None:
@@ -153,7 +152,7 @@
         self.active_requests[req.req_id] = request
         if req.soft_deadline < math.inf:
             heapq.heappush(self._latest_starts, (self._latest_start(req, now), req.req_id))
-        if verdict is Verdict.SUSPECT:
+        if self.suspects.quarantine.verdict_on(request.digest, now) is Verdict.SUSPECT:
             self.suspects.hold(request, now)
             return self._advance_suspects(now)
         evicted = self.queue.push(_queue_item(request), now)
@@ -200,13 +199,13 @@
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[Effect]:
         """Apply a peer's update on its usage of limits, its queue and its suspects."""
         if instance not in self._peer_queued_tokens:
-            self.suspects.quarantine.schedule_resend()
+            self.suspects.resend_all()
         self.limits.set_peer_usage(instance, update.usages)
         self._peer_queued_tokens[instance] = update.queued_tokens
         effects: list[Effect] = []
         for digest in self.suspects.apply_peer_update(instance, update, now):
             effects.extend(self._hold_copies(digest, now))
-        return effects
+        return [*effects, *self._refuse_poisoned(now)]
 
     def take_placement(self, placement: Placement, now: float) -> None:
         """Charge a request that a peer dispatched to its workspace."""
@@ -224,7 +223,7 @@
 
     def has_urgent_update(self, last_sent: LimitsUpdate) -> bool:
         """Tell whether suspects changed since the last update to peers."""
-        return self.suspects.quarantine.has_unsent or self.suspects.claims() != last_sent.claims
+        return self.suspects.has_unsent or self.suspects.claims() != last_sent.claims
 
     def make_peer_update(self, now: float) -> LimitsUpdate:
         """Return the update for peers."""
@@ -233,6 +232,7 @@
             self.queue.queued_tokens,
             self.suspects.quarantine.suspicions(now),
             self.suspects.claims(),
+            self.suspects.good_runs(now),
         )
 
     def tick(self, now: float) -> list[Effect]:
@@ -241,7 +241,11 @@
         self.suspects.quarantine.expire(now)
         self.in_flight.expire(now)
         self._ejections.expire(now)
-        return [*self._advance_suspects(now), *self._schedule(now)]
+        return [
+            *self._refuse_poisoned(now),
+            *self._advance_suspects(now),
+            *self._schedule(now),
+        ]
 
     # The methods of `WaitingRequests`
 
@@ -376,11 +380,8 @@
             return self._retry(
                 request, retry_reason(AttemptResult.LOST, request.req.repeatable), now
             )
-        ran_s = now - request.placed_at
         if request.digest:
-            self.suspects.quarantine.record_failure(
-                request.digest, key, ran_s, now, request.req.parts
-            )
+            self.suspects.record_lost(request, key, now)
         if not request.req.repeatable:
             return self._refuse(request, RefusalReason.NOT_REPEATABLE, now)
         if not request.has_runs_left:
@@ -454,8 +455,21 @@
         self.queue.push_front(_queue_item(request))
         return []
 
+    def _refuse_poisoned(self, now: float) -> list[Effect]:
+        """Refuse the active requests with newly quarantined parts before they crash an endpoint."""
+        effects: list[Effect] = []
+        for entry in self.suspects.judge_parts(now):
+            for request in list(self.active_requests.values()):
+                if not entry.parts.issubset(request.req.parts):
+                    continue
+                if request.placed_on is not None:
+                    effects.append(CancelAttempt(request.req.req_id, request.attempt))
+                wait_s = entry.deadline - now
+                effects.extend(self._refuse(request, RefusalReason.QUARANTINED, now, wait_s))
+        return effects
+
     def _record_completed(self, request: ActiveRequest, now: float) -> None:
-        self.suspects.quarantine.clear(request.digest, now)
+        self.suspects.record_completed(request, now)
         if request.digest:
             self.in_flight.record_completed(request.digest)
 
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -229,8 +229,9 @@
 class Suspicion:
     """Record that a request was running on an endpoint when it failed, and may have crashed it.
 
-    `ran_s` is how long the request had run; `confirmed` says that the endpoint did crash, as it
-    restarted with another incarnation; `cleared` withdraws the suspicion permanently.
+    `ran_s` is how long the request had run; `confirmed` says that the endpoint did crash: it takes
+    no connections or restarted with another incarnation; `cleared` withdraws the suspicion
+    permanently. `parts` are the suspect parts of its prompt.
     """
 
     digest: bytes
@@ -240,6 +241,15 @@
     expires_in_s: float
     confirmed: bool = False
     cleared: bool = False
+    parts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GoodRun:
+    """Record that an answer on a suspect part began `age_s` seconds ago and went well."""
+
+    part: str
+    age_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,6 +273,7 @@
     queued_tokens: int = 0
     suspicions: tuple[Suspicion, ...] = ()
     claims: tuple[TrialClaim, ...] = ()
+    good_runs: tuple[GoodRun, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -404,7 +415,7 @@
 class VerdictChanged:
     """Report that a suspect was quarantined or cleared; `crashes` counts its confirmed crashes.
 
-    `subject` is the digest of a request in hexadecimal.
+    `subject` is the digest of a request in hexadecimal, or the quarantined parts of prompts.
     """
 
     subject: str
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -1,7 +1,8 @@
 """Detect poison requests, which crash the endpoints that run them, and quarantine them everywhere.
 
 A failure history holds, for one request digest, the endpoint incarnations that failed while they
-ran it. Histories of peers are merged as sets, so that all instances reach the same verdict.
+ran it. Histories of peers are merged as sets, so that all instances reach the same verdict. The
+same failures tell which parts of prompts crash endpoints, whatever request they are in.
 """
 
 from __future__ import annotations
@@ -18,9 +19,10 @@
     Verdict,
     VerdictChanged,
 )
+from rattangate.core.poison_parts import CrashedRun
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Container, Iterable, Iterator
 
     from rattangate.core.messages import QuarantineChange
 
@@ -48,8 +50,9 @@
 class _Failure:
     """Record the failure of an endpoint incarnation that ran a digest for `ran_s` seconds.
 
-    `confirmed` says that a peer saw the endpoint crash; `cleared` says that the failure no longer
-    counts against the digest, which completed elsewhere or was released by an operator.
+    `confirmed` says that this instance or a peer saw the endpoint crash; `cleared` says that the
+    failure no longer counts against the digest, which completed elsewhere or was released by an
+    operator. `parts` are the suspect parts of the prompt.
     """
 
     ran_s: float
@@ -57,6 +60,7 @@
     deadline: float
     confirmed: bool = False
     cleared: bool = False
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -93,6 +97,8 @@
         self._unsent: set[tuple[bytes, IncarnationKey]] = set()
         self._resend_at = 0.0
         self._changes: list[QuarantineChange] = []
+        self._poison_crashes: frozenset[IncarnationKey] = frozenset()
+        self._has_new_evidence = False
 
     def take_changes(self) -> list[QuarantineChange]:
         """Return the changes since the last call, in their order."""
@@ -123,7 +129,8 @@
         parts: tuple[str, ...] = (),
     ) -> None:
         """Record a lost attempt, which makes its request and the parts of its prompt suspect."""
-        self._add(digest, key, _Failure(ran_s, now, now + QUARANTINE_S), now)
+        failure = _Failure(ran_s, now, now + QUARANTINE_S, key in self._crashes, parts=parts)
+        self._add(digest, key, failure, now)
         self._changes.append(SuspicionRecorded(digest, parts, *key, ran_s))
 
     def clear(self, digest: bytes, now: float) -> None:
@@ -140,7 +147,12 @@
         for suspicion in suspicions:
             deadline = now + suspicion.expires_in_s
             failure = _Failure(
-                suspicion.ran_s, now, deadline, suspicion.confirmed, suspicion.cleared
+                suspicion.ran_s,
+                deadline - QUARANTINE_S,
+                deadline,
+                suspicion.confirmed,
+                suspicion.cleared,
+                suspicion.parts,
             )
             if self._add(
                 suspicion.digest, (suspicion.endpoint, suspicion.incarnation), failure, now
@@ -166,6 +178,7 @@
                 failure.deadline - now,
                 failure.confirmed or self._is_replaced(key),
                 failure.cleared,
+                failure.parts,
             )
             for digest, key, failure in self._all_failures()
             if (digest, key) in self._unsent
@@ -173,6 +186,33 @@
         self._unsent.clear()
         return sent
 
+    def take_new_evidence(self) -> bool:
+        """Tell whether crashed runs were added, confirmed or cleared since the last call."""
+        taken, self._has_new_evidence = self._has_new_evidence, False
+        return taken
+
+    def crashed_runs(self) -> list[CrashedRun]:
+        """Return the runs that were lost in confirmed crashes and not cleared since."""
+        return [
+            CrashedRun(
+                digest, failure.parts, key, failure.recorded_at - failure.ran_s, failure.recorded_at
+            )
+            for digest, key, failure in self._all_failures()
+            if failure.parts and not failure.cleared and self._is_crash(key, failure)
+        ]
+
+    def attribute(self, crashed: frozenset[IncarnationKey]) -> None:
+        """Attribute crashes to quarantined parts, so that they do not count against requests."""
+        self._poison_crashes = crashed
+        self._update_attributed()
+
+    def crashes_needed(self, explained: Container[IncarnationKey]) -> int:
+        """Return the crashes required, one more while endpoints also crash for other reasons."""
+        unrelated = sum(
+            key not in explained and key not in self._attributed for key in self._crashes
+        )
+        return QUARANTINE_CRASHES + (unrelated >= UNRELATED_CRASHES)
+
     def verdict_on(self, digest: bytes, now: float) -> Verdict:
         """Return the verdict on a digest."""
         history = self._histories.get(digest)
@@ -197,7 +237,7 @@
 
     def awaits_verdict(self, digest: bytes, now: float) -> bool:
         """Tell whether enough failures to quarantine a digest await confirmation or propagation."""
-        if self.failure_count(digest, now) < self._crashes_needed(digest):
+        if self.failure_count(digest, now) < self.crashes_needed(self._histories[digest].failures):
             return False
         unconfirmed = len(self._unexplained_failures(digest, now)) > len(
             self._confirmed_crashes(digest, now)
@@ -255,19 +295,33 @@
             history.failures[key] = failure
             history.changed_at = now
             self._unsent.add((digest, key))
+            self._has_new_evidence = True
             return not failure.cleared
-        known.confirmed = known.confirmed or failure.confirmed
+        if failure.confirmed and not known.confirmed:
+            known.confirmed = True
+            self._has_new_evidence = True
         if failure.cleared and not known.cleared:
             known.cleared = True
             known.deadline = min(known.deadline, failure.deadline)
             history.quarantined = False
+            self._has_new_evidence = True
             self._unsent.add((digest, key))
             self._update_attributed()
         return False
 
     def _record_crash(self, key: IncarnationKey, now: float) -> None:
+        """Record a crash that this instance saw, and confirm the failures that it explains."""
+        suspects = 0
+        for digest, history in self._histories.items():
+            failure = history.failures.get(key)
+            if failure is None:
+                continue
+            suspects += 1
+            if not failure.confirmed:
+                failure.confirmed = True
+                self._has_new_evidence = True
+                self._unsent.add((digest, key))
         if key not in self._crashes:
-            suspects = sum(key in history.failures for history in self._histories.values())
             self._changes.append(CrashRecorded(*key, suspects))
         self._crashes[key] = now
 
@@ -276,6 +330,7 @@
         if history is None:
             return
         self._changes.append(VerdictChanged(digest.hex(), Verdict.FREE, 0))
+        self._has_new_evidence = True
         for key, failure in history.failures.items():
             if not failure.cleared:
                 failure.cleared = True
@@ -288,27 +343,20 @@
         """Collect the failures that are attributed to quarantined digests."""
         quarantined = [history for history in self._histories.values() if history.quarantined]
         self._attributed = {key for history in quarantined for key in history.failures}
+        self._attributed |= self._poison_crashes
 
     def _try_quarantine(self, digest: bytes, history: _FailureHistory, now: float) -> None:
         if not self.is_propagated(digest, now):
             return
         crashed_on = set(self._confirmed_crashes(digest, now))
-        if len(crashed_on) < self._crashes_needed(digest) or self._has_other_suspect(
-            digest, crashed_on, now
-        ):
+        if len(crashed_on) < self.crashes_needed(history.failures):
+            return
+        if self._has_other_suspect(digest, crashed_on, now):
             return
         history.quarantined = True
         self._changes.append(VerdictChanged(digest.hex(), Verdict.GUILTY, len(crashed_on)))
         self._update_attributed()
 
-    def _crashes_needed(self, digest: bytes) -> int:
-        """Return the crashes required, one more while endpoints also crash without the request."""
-        unrelated = sum(
-            key not in self._histories[digest].failures and key not in self._attributed
-            for key in self._crashes
-        )
-        return QUARANTINE_CRASHES + (unrelated >= UNRELATED_CRASHES)
-
     def _has_other_suspect(
         self, digest: bytes, crashed_on: set[IncarnationKey], now: float
     ) -> bool:
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -6,19 +6,30 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import Verdict
-from rattangate.core.quarantine import Quarantine
+from rattangate.core.messages import GoodRun, Verdict, VerdictChanged
+from rattangate.core.poison_parts import PartQuarantine
+from rattangate.core.quarantine import QUARANTINE_S, Quarantine
 from rattangate.core.trials import TrialScheduler
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from rattangate.core.active_requests import ActiveRequest
-    from rattangate.core.messages import EndpointStatus, LimitsUpdate, TrialClaim
+    from rattangate.core.messages import (
+        EndpointStatus,
+        LimitsUpdate,
+        QuarantineChange,
+        TrialClaim,
+    )
+    from rattangate.core.poison_parts import PoisonParts
+    from rattangate.core.quarantine import IncarnationKey
 
 # Other trials may join one at its endpoint once it has run for this much longer than each failed
 # attempt of its digest, and for this long after its first token.
 EXCLUSIVITY_MARGIN_S = 1.0
+# A run that produced tokens for this long before its endpoint crashed does not make the parts of
+# its prompt suspect.
+SURVIVAL_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,16 +69,86 @@
 class Suspects:
     """Hold the suspects that wait or run at this instance.
 
-    `quarantine` decides which digests are suspect; the trial scheduler decides where and when a
-    suspect runs.
+    `quarantine` decides which digests are suspect, and `part_quarantine` which parts of prompts
+    crash endpoints; the trial scheduler decides where and when a suspect runs.
     """
 
     def __init__(self, instance: str, propagation_s: float) -> None:
         self.quarantine = Quarantine(propagation_s)
+        self.part_quarantine = PartQuarantine()
+        self._unsent_good_runs: set[str] = set()
+        self._has_new_evidence = False
+        self._changes: list[QuarantineChange] = []
         self._trials = TrialScheduler(instance, self.quarantine)
         self._waiting: dict[int, ActiveRequest] = {}
         self._in_trial: dict[int, ActiveRequest] = {}
 
+    def quarantined_for_s(self, request: ActiveRequest, now: float) -> float | None:
+        """Return for how many seconds a request or its parts stay quarantined, None if not."""
+        if self.quarantine.verdict_on(request.digest, now) is Verdict.GUILTY:
+            return self.quarantine.remaining_s(request.digest, now)
+        entry = self.part_quarantine.find(request.req.parts, now)
+        return None if entry is None else entry.deadline - now
+
+    def record_lost(self, request: ActiveRequest, key: IncarnationKey, now: float) -> None:
+        """Record a lost attempt, which makes its request suspect and the parts of its prompt."""
+        began_at = request.first_token_at
+        parts = request.req.parts
+        if began_at is not None and now > began_at + SURVIVAL_S:
+            parts = ()
+        ran_s = now - request.placed_at
+        self.quarantine.record_failure(request.digest, key, ran_s, now, parts)
+
+    def record_completed(self, request: ActiveRequest, now: float) -> None:
+        """Clear a request that completed, and the parts of its prompt."""
+        self.quarantine.clear(request.digest, now)
+        began_at = now if request.first_token_at is None else request.first_token_at
+        for part in request.req.parts:
+            if self.part_quarantine.record_good_run(part, began_at):
+                self._unsent_good_runs.add(part)
+                self._has_new_evidence = True
+
+    def judge_parts(self, now: float) -> list[PoisonParts]:
+        """Apply new evidence to the parts of prompts; return those quarantined since last time."""
+        if not self.quarantine.take_new_evidence() and not self._has_new_evidence:
+            return []
+        self._has_new_evidence = False
+        self.part_quarantine.expire(now - QUARANTINE_S)
+        added = self.part_quarantine.update(
+            self.quarantine.crashed_runs(), self.quarantine.crashes_needed
+        )
+        crashed = (entry.endpoints for entry in self.part_quarantine.entries())
+        self.quarantine.attribute(frozenset().union(*crashed))
+        for entry in added:
+            subject = "+".join(sorted(entry.parts))
+            self._changes.append(VerdictChanged(subject, Verdict.GUILTY, entry.crashes))
+        return added
+
+    def take_changes(self) -> list[QuarantineChange]:
+        """Return the changes of suspects and verdicts since the last call."""
+        taken, self._changes = self._changes, []
+        return [*self.quarantine.take_changes(), *taken]
+
+    def good_runs(self, now: float) -> tuple[GoodRun, ...]:
+        """Return the good runs of suspect parts that peers were not told of."""
+        sent = tuple(
+            GoodRun(part, now - began_at)
+            for part, began_at in self.part_quarantine.good_runs()
+            if part in self._unsent_good_runs
+        )
+        self._unsent_good_runs.clear()
+        return sent
+
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether peers were not told of all evidence."""
+        return self.quarantine.has_unsent or bool(self._unsent_good_runs)
+
+    def resend_all(self) -> None:
+        """Send all evidence with the next update, for a new peer."""
+        self.quarantine.schedule_resend()
+        self._unsent_good_runs.update(part for part, _ in self.part_quarantine.good_runs())
+
     def record_endpoint(self, seen: EndpointStatus, now: float) -> None:
         """Record the state of an endpoint, which confirms a crash or rules it out."""
         self.quarantine.record_endpoint(seen.endpoint, seen.incarnation, seen.state, now)
@@ -115,6 +196,9 @@
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[bytes]:
         """Merge a peer's failure histories and claims; return the digests that became suspect."""
         self._trials.set_peer_claims(instance, update.claims)
+        for good_run in update.good_runs:
+            self.part_quarantine.merge_good_run(good_run.part, now - good_run.age_s)
+            self._has_new_evidence = True
         return self.quarantine.merge(update.suspicions, now)
 
     def claims(self) -> tuple[TrialClaim, ...]:
--- a/rattangate/front/translate.py
+++ b/rattangate/front/translate.py
@@ -50,7 +50,7 @@
         admitted.route.max_attempts,
         count_blocks(head.parts[-1], PIECE_TOKENS) if head.parts else 0,
         admitted.req.arrived_at + admitted.route.target_latency_s,
-        tuple(part.part_id for part in head.parts[:-1]),
+        tuple(f"{admitted.service}/{part.part_id}" for part in head.parts[:-1]),
     )
 
 
--- a/rattangate/peers/limits_codec.py
+++ b/rattangate/peers/limits_codec.py
@@ -4,7 +4,13 @@
 
 from typing import Any
 
-from rattangate.core.messages import LimitsUpdate, Suspicion, TrialClaim, WorkspaceUsage
+from rattangate.core.messages import (
+    GoodRun,
+    LimitsUpdate,
+    Suspicion,
+    TrialClaim,
+    WorkspaceUsage,
+)
 from rattangate.peers import peers_thrift as idl
 from rattangate.units import MS_PER_S
 
@@ -18,6 +24,7 @@
         queued_tokens=update.queued_tokens,
         suspected=[_suspicion_to_thrift(suspicion) for suspicion in update.suspicions],
         trials=[_claim_to_thrift(claim) for claim in update.claims],
+        good_runs=[_good_run_to_thrift(run) for run in update.good_runs] or None,
     )
 
 
@@ -33,6 +40,7 @@
         tuple(
             TrialClaim(trial.digest, trial.endpoint, bool(trial.exclusive)) for trial in raw.trials
         ),
+        tuple(GoodRun(run.part, run.age_ms / MS_PER_S) for run in raw.good_runs or ()),
     )
 
 
@@ -53,6 +61,7 @@
         expires_in_ms=_clamp_to_ms(suspicion.expires_in_s),
         confirmed=suspicion.confirmed,
         cleared=suspicion.cleared,
+        parts=list(suspicion.parts) or None,
     )
 
 
@@ -65,9 +74,14 @@
         raw.expires_in_ms / MS_PER_S,
         bool(raw.confirmed),
         bool(raw.cleared),
+        tuple(raw.parts or ()),
     )
 
 
+def _good_run_to_thrift(run: GoodRun) -> Any:
+    return idl.GoodRun(part=run.part, age_ms=_clamp_to_ms(run.age_s))
+
+
 def _claim_to_thrift(claim: TrialClaim) -> Any:
     return idl.Trial(digest=claim.digest, endpoint=claim.endpoint, exclusive=claim.exclusive)
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -58,6 +58,14 @@
   5: i32 expires_in_ms
   6: bool confirmed
   7: bool cleared
+  /** The suspect parts of its prompt. */
+  8: optional list<string> parts
+}
+
+/** An answer on a suspect part of a prompt that began age_ms ago and went well. */
+struct GoodRun {
+  1: string part
+  2: i32 age_ms
 }
 
 /** A suspect request that an instance holds; endpoint is where it runs, empty while it waits. */
@@ -73,6 +81,7 @@
   2: i64 queued_tokens
   3: list<Suspected> suspected
   4: list<Trial> trials
+  5: optional list<GoodRun> good_runs
 }
 
 /** What an instance believes to be in an engine's cache, least recently used piece first. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -117,6 +117,7 @@
         5: (TType.I32, "expires_in_ms", False),
         6: (TType.BOOL, "confirmed", False),
         7: (TType.BOOL, "cleared", False),
+        8: (TType.LIST, "parts", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("digest", None),
@@ -126,6 +127,20 @@
         ("expires_in_ms", None),
         ("confirmed", None),
         ("cleared", None),
+        ("parts", None),
+    ]
+
+
+class GoodRun(TPayload):
+    """Carry the struct GoodRun."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "part", False),
+        2: (TType.I32, "age_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("part", None),
+        ("age_ms", None),
     ]
 
 
@@ -152,12 +167,14 @@
         2: (TType.I64, "queued_tokens", False),
         3: (TType.LIST, "suspected", (TType.STRUCT, Suspected), False),
         4: (TType.LIST, "trials", (TType.STRUCT, Trial), False),
+        5: (TType.LIST, "good_runs", (TType.STRUCT, GoodRun), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("usages", None),
         ("queued_tokens", None),
         ("suspected", None),
         ("trials", None),
+        ("good_runs", None),
     ]
 
 
--- /dev/null
+++ b/tests/peers/test_limits_codec.py
@@ -0,0 +1,17 @@
+"""Check that updates on suspects survive the way over the wire."""
+
+from __future__ import annotations
+
+from rattangate.core.messages import GoodRun, LimitsUpdate, Suspicion
+from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
+
+
+def test_suspect_parts_and_good_runs_reach_peers():
+    update = LimitsUpdate(
+        suspicions=(
+            Suspicion(b"d", "e1", 7, 0.25, 600.0, confirmed=True, parts=("m/a", "m/b")),
+            Suspicion(b"e", "e1", 7, 0.5, 60.0, cleared=True),
+        ),
+        good_runs=(GoodRun("m/a", 1.5),),
+    )
+    assert limits_from_thrift(limits_to_thrift(update)) == update
