Treat a stream that ends inside an event as broken off

The rest of such an event was sent to the caller and the answer ended as complete, so a caller got a whole-looking stream with its tail missing, also where it could have been resumed.

The splicer now raises at an end inside an event: the attempt counts as lost, and the stream resumes elsewhere or ends without its end mark. Another new test holds what the front reports as the suspect parts of a lost attempt.

--- a/rattangate/core/events.py
+++ b/rattangate/core/events.py
@@ -10,7 +10,7 @@
 
 
 class EventStreamError(Exception):
-    """Report an event that is too large, repeated, or does not follow the last one forwarded."""
+    """Report an event that is too large, incomplete, repeated, or does not follow the last one."""
 
 
 class EventSplicer:
@@ -56,10 +56,10 @@
         self._buffer = self._buffer[start:]
         return b"".join(forwarded)
 
-    def finish(self) -> bytes:
-        """Return the bytes after the last complete event, once the answer has ended normally."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
+    def finish(self) -> None:
+        """Raise EventStreamError if the answer ended inside an event."""
+        if self._buffer.strip():
+            raise EventStreamError(f"{len(self._buffer)} bytes of an incomplete event at the end")
 
     def _should_forward(self, event: bytes) -> bool:
         found = _ID_LINE.search(event)
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -262,10 +262,8 @@
                     self._record_first_token(admitted, decisions, dispatch)
                 await self._start_response(responder, exchange)
                 await responder.send(events)
+        splicer.finish()
         await self._start_response(responder, exchange)
-        remaining = splicer.finish()
-        if remaining:
-            await responder.send(remaining)
         await responder.finish()
 
     def _record_first_token(
--- a/tests/core/test_events.py
+++ b/tests/core/test_events.py
@@ -26,7 +26,21 @@
     assert splicer.feed(event(1) + event(2) + b"id: 3\nda") == event(1) + event(2)
     splicer.begin_attempt()
     assert splicer.feed(event(2) + event(3)) == event(3)
-    assert splicer.finish() == b""
+    splicer.finish()
+
+
+@pytest.mark.parametrize("rest", [b"i", b"id: 2\ndata: x", b"id: 2\ndata: x\n"])
+def test_end_inside_an_event_raises(rest):
+    splicer = EventSplicer()
+    assert splicer.feed(event(1) + rest) == event(1)
+    with pytest.raises(EventStreamError):
+        splicer.finish()
+
+
+def test_blank_lines_after_the_last_event_are_no_event():
+    splicer = EventSplicer()
+    assert splicer.feed(event(1) + b"\n") == event(1)
+    splicer.finish()
 
 
 def test_gap_at_the_start_of_the_next_attempt_raises():
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import eliot
 import httpx
 import pytest
 import trio
@@ -226,6 +227,81 @@
     trio.run(main)
 
 
+async def _start_unframed(call: Call) -> None:
+    await call.stream.send_all(
+        b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "
+        + call.headers["x-attempt-id"].encode()
+        + b"\r\nContent-Type: text/event-stream\r\n\r\n"
+    )
+
+
+def test_a_stream_without_length_or_chunks_ends_with_its_connection():
+    async def stream_unframed(call: Call) -> None:
+        await _start_unframed(call)
+        await call.stream.send_all(event(1) + event(2))
+        await call.stream.aclose()
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=stream_unframed) as deployment:
+            resp = await deployment.request(STREAM_PATH)
+            assert resp.content == event(1) + event(2)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("rest", [b"i", b"id: 2\ndata: tok", b"id: 2\ndata: token2\n"])
+def test_a_stream_without_length_or_chunks_that_ends_inside_an_event_is_resumed(rest):
+    cuts = iter([True, False])
+
+    async def end_inside_an_event(call: Call) -> None:
+        if next(cuts):
+            await _start_unframed(call)
+            await call.stream.send_all(event(1) + rest)
+            await call.stream.aclose()
+        else:
+            await stream_events(call)
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=end_inside_an_event) as deployment:
+            resp = await deployment.request(RESUMABLE_PATH)
+            assert resp.content == event(1) + event(2) + event(3)
+
+    trio.run(main)
+
+
+def test_a_stream_that_ends_inside_an_event_and_cannot_resume_does_not_look_complete():
+    async def end_inside_an_event(call: Call) -> None:
+        await call.start_stream()
+        await call.send_chunk(event(1) + b"id: 2\ndata: tok")
+        await call.send_chunk(b"")
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=end_inside_an_event) as deployment:
+            with pytest.raises(httpx.RemoteProtocolError):
+                await deployment.request(STREAM_PATH)
+
+    trio.run(main)
+
+
+def test_a_lost_attempt_makes_the_shared_parts_of_its_prompt_suspect():
+    lines: list[dict[str, object]] = []
+
+    async def cut(call: Call) -> None:
+        await call.stream.aclose()
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=cut) as deployment:
+            await deployment.request(STREAM_PATH)
+
+    eliot.add_destinations(lines.append)
+    try:
+        trio.run(main)
+    finally:
+        eliot.remove_destination(lines.append)
+    (suspected,) = [line for line in lines if line["message_type"] == "request_suspected"]
+    assert suspected["parts"] == "llm/aa"
+
+
 def test_a_request_ends_at_its_routes_timeout():
     async def stay_silent(call: Call) -> None:
         await trio.sleep_forever()
