--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -15,7 +15,7 @@
 
 from rattangate.core.messages import RequestArrived, VersionedBlocks
 from rattangate.core.prefix import CacheScope, count_tokens, hash_blocks
-from rattangate.core.prompts import InvalidPrompt, prompt_bytes
+from rattangate.core.prompts import InvalidPrompt, prompt_bytes, shared_part_ids
 from rattangate.errors import ErrorKind, Failure
 from rattangate.http.relay import ModelCall, Relay, RelayError
 from rattangate.http.responses import (
@@ -212,6 +212,7 @@
         priority,
         arrived_at + limits.request_timeout_s,
         _hash_for_other_versions(deps, scope, prompt),
+        parts=shared_part_ids(model.name, body),
     )
     return ModelCall(req, request.path, body, request_id, arrived_at)
 
