Judge parts of prompts on settled evidence, and the inner of nested ones

Of nested parts at the same crashes, the inner one is judged first, and what it explains no longer counts against the outer one. A part on which answers went well before needs two crashes more; instances recall that when the part becomes suspect. An answer that has run for a second counts as a good run before it ends, and good runs are sent again like the rest of the evidence.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -167,6 +167,7 @@
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
         """Record the first token of a request and use the capacity that its prefill occupied."""
         request.first_token_at = now
+        self.suspects.record_first_token(request, now)
         return self._schedule(now)
 
     def end_attempt(self, request: ActiveRequest, msg: AttemptEnded, now: float) -> list[Effect]:
@@ -241,6 +242,7 @@
         self.suspects.quarantine.expire(now)
         self.in_flight.expire(now)
         self._ejections.expire(now)
+        self.suspects.record_survivors(now)
         return [
             *self._refuse_poisoned(now),
             *self._advance_suspects(now),
--- a/rattangate/core/poison_parts.py
+++ b/rattangate/core/poison_parts.py
@@ -1,9 +1,10 @@
 """Find the parts of prompts that crash the endpoints that answer on them.
 
 A crashed run is an attempt that was lost when its endpoint crashed. A part is quarantined when runs
-of different requests with it crashed endpoints one after the other, no run with it went well since
-the first of them, and no other part explains the same crashes. All of this follows from sets of
-runs and the times of good runs, which merge alike at all instances.
+of different requests with it crashed endpoints one after the other, no answer on it went well since
+the first of them, and no other part explains the same crashes. A part on which answers went well
+before needs more crashes. All of this follows from sets of runs and the times of good runs, which
+merge alike at all instances.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 CRASHES_NEEDED = 3
 # Requests among them; a part of one request only is not told apart from the request itself.
 REQUESTS_NEEDED = 2
+# Further crashes required of a part on which answers went well before.
+EXTRA_CRASHES_IF_KNOWN_GOOD = 2
 # The first quarantine of a part ends this long after its last crash; the time doubles with each
 # further crash, up to a maximum.
 FIRST_QUARANTINE_S = 120.0
@@ -40,6 +43,9 @@
     ended_at: float
 
 
+RunsByPart = dict[str, frozenset[CrashedRun]]
+
+
 @dataclass(frozen=True, slots=True)
 class PoisonParts:
     """Name parts that crash endpoints; those of one entry never occurred apart from each other.
@@ -71,8 +77,12 @@
         self.merge_good_run(part, began_at)
         return True
 
+    def has_good_run(self, part: str) -> bool:
+        """Tell whether an answer on the part is known to have gone well."""
+        return part in self._well_at
+
     def merge_good_run(self, part: str, began_at: float) -> None:
-        """Record an answer that went well and that a peer told of."""
+        """Record an answer that went well before, or that a peer told of."""
         self._well_at[part] = max(began_at, self._well_at.get(part, -math.inf))
 
     def good_runs(self) -> tuple[tuple[str, float], ...]:
@@ -103,27 +113,20 @@
         self._suspect_since = {
             part: min(run.ended_at for run in those) for part, those in runs_by_part.items()
         }
-        known = {
-            parts: entry
-            for parts, entry in self._entries.items()
-            if all(part in runs_by_part for part in parts)
-        }
-        found = {}
-        for part in _suspects(runs_by_part):
-            entry = self._judge(part, runs_by_part, crashes_needed)
-            if entry is not None:
-                found[entry.parts] = entry
-        merged = {**known, **found}
-        self._entries = {
-            parts: entry for parts, entry in merged.items() if not any(o < parts for o in merged)
-        }
-        return [entry for parts, entry in found.items() if parts not in known]
+        kept = [parts for parts in self._entries if self._still_holds(parts, runs_by_part)]
+        added = []
+        self._entries = {parts: _make_entry(parts, runs_by_part) for parts in kept}
+        while found := self._find_poison(self._unexplained(runs_by_part), crashes_needed):
+            for parts in found:
+                self._entries[parts] = _make_entry(parts, runs_by_part)
+                added.append(self._entries[parts])
+        return added
 
     def expire(self, oldest: float) -> None:
         """Forget good runs that began before a time, as do all crashed runs that they refute."""
         self._well_at = {part: at for part, at in self._well_at.items() if at > oldest}
 
-    def _runs_by_part(self, runs: Iterable[CrashedRun]) -> dict[str, frozenset[CrashedRun]]:
+    def _runs_by_part(self, runs: Iterable[CrashedRun]) -> RunsByPart:
         """Return the runs of each part that ended after its last good run had begun."""
         grouped: defaultdict[str, set[CrashedRun]] = defaultdict(set)
         for run in runs:
@@ -132,37 +135,68 @@
                     grouped[part].add(run)
         return {part: frozenset(those) for part, those in grouped.items()}
 
-    def _judge(
+    def _still_holds(self, parts: frozenset[str], runs_by_part: RunsByPart) -> bool:
+        """Tell whether crashes count against all of these parts, in the same runs and enough."""
+        runs_of_each = {runs_by_part.get(part, frozenset()) for part in parts}
+        if len(runs_of_each) > 1:
+            return False
+        extra = max(self._extra_crashes(part) for part in parts)
+        return _successive_crashes(runs_of_each.pop()) >= CRASHES_NEEDED + extra
+
+    def _extra_crashes(self, part: str) -> int:
+        return EXTRA_CRASHES_IF_KNOWN_GOOD if part in self._well_at else 0
+
+    def _find_poison(
         self,
-        part: str,
-        runs_by_part: dict[str, frozenset[CrashedRun]],
+        runs_by_part: RunsByPart,
         crashes_needed: Callable[[frozenset[IncarnationKey]], int],
-    ) -> PoisonParts | None:
-        runs = runs_by_part[part]
-        crashed = _endpoints(runs)
-        chain = _successive_crashes(runs)
-        if chain < crashes_needed(crashed):
-            return None
-        inseparable = {part}
-        for other in _suspects(runs_by_part):
-            if runs_by_part[other] == runs:
-                inseparable.add(other)
-            elif _endpoints(runs_by_part[other]) >= crashed:
-                return None
-        last = max(run.ended_at for run in runs)
-        return PoisonParts(
-            frozenset(inseparable), chain, crashed, last + _quarantine_s(len(crashed))
+    ) -> set[frozenset[str]]:
+        """Return the parts to quarantine, each with those that occurred in exactly the same runs."""
+        suspects = {}
+        for part, runs in runs_by_part.items():
+            crashed = _endpoints(runs)
+            if len(crashed) < CRASHES_NEEDED or len({run.digest for run in runs}) < REQUESTS_NEEDED:
+                continue
+            needed = crashes_needed(crashed) + self._extra_crashes(part)
+            if _successive_crashes(runs) >= needed:
+                suspects[part] = runs
+        return {
+            frozenset(other for other, those in suspects.items() if those == runs)
+            for runs in suspects.values()
+            if not any(_explains_better(other, runs) for other in suspects.values())
+        }
+
+    def _unexplained(self, runs_by_part: RunsByPart) -> RunsByPart:
+        """Leave out the crashes that the entries explain, and the parts that have no others."""
+        explained = frozenset[IncarnationKey]().union(
+            *(entry.endpoints for entry in self._entries.values())
         )
+        if not explained:
+            return runs_by_part
+        remaining = {
+            part: frozenset(run for run in runs if run.endpoint not in explained)
+            for part, runs in runs_by_part.items()
+        }
+        return {part: runs for part, runs in remaining.items() if runs}
+
+
+def _explains_better(other: frozenset[CrashedRun], runs: frozenset[CrashedRun]) -> bool:
+    """Tell whether another part is at least as likely to have caused the crashes of a part.
+
+    Where a part occurred only together with a more frequent one, at the same crashes, the rarer one
+    is the likely cause: the other would have crashed endpoints without it too.
+    """
+    if _endpoints(other) != _endpoints(runs):
+        return _endpoints(other) > _endpoints(runs)
+    return not other >= runs
 
 
-def _suspects(runs_by_part: dict[str, frozenset[CrashedRun]]) -> list[str]:
-    """Return the parts with enough crashes and requests to be judged."""
-    return [
-        part
-        for part, runs in runs_by_part.items()
-        if len(_endpoints(runs)) >= CRASHES_NEEDED
-        and len({run.digest for run in runs}) >= REQUESTS_NEEDED
-    ]
+def _make_entry(parts: frozenset[str], runs_by_part: RunsByPart) -> PoisonParts:
+    runs = runs_by_part[next(iter(parts))]
+    last_crash = max(run.ended_at for run in runs)
+    crashed = _endpoints(runs)
+    deadline = last_crash + _quarantine_s(len(crashed))
+    return PoisonParts(parts, len(crashed), crashed, deadline)
 
 
 def _endpoints(runs: frozenset[CrashedRun]) -> frozenset[IncarnationKey]:
