--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -177,7 +177,7 @@
 
     @_handle.register
     def _on_quarantine_released(self, msg: QuarantineReleased, now: float) -> list[Effect]:
-        self.scheduler.suspects.quarantine.release(msg.digest)
+        self.scheduler.suspects.release(msg.digest, now)
         return []
 
     @_handle.register
--- a/rattangate/core/poison_parts.py
+++ b/rattangate/core/poison_parts.py
@@ -12,6 +12,7 @@
 import math
 from collections import defaultdict
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
 # further crash, up to a maximum.
 FIRST_QUARANTINE_S = 120.0
 MAX_QUARANTINE_S = 600.0
+DIGEST_BYTES = 16
 
 # The name and the incarnation of an endpoint.
 IncarnationKey = tuple[str, int]
@@ -58,6 +60,11 @@
     endpoints: frozenset[IncarnationKey]
     deadline: float
 
+    @property
+    def digest(self) -> bytes:
+        """Return the digest by which operators name the entry."""
+        return blake2b("\n".join(sorted(self.parts)).encode(), digest_size=DIGEST_BYTES).digest()
+
 
 class PartQuarantine:
     """Derive the quarantined parts from the crashed runs and the good runs of all instances."""
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -74,12 +74,16 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineEntry:
-    """Describe a suspect or quarantined digest for operators; the entry expires at `deadline`."""
+    """Describe a suspect or quarantined digest for operators; the entry expires at `deadline`.
+
+    `parts` are quarantined parts of prompts, whose digest it is then.
+    """
 
     digest: bytes
     verdict: Verdict
     crashed: tuple[IncarnationKey, ...]
     deadline: float
+    parts: tuple[str, ...] = ()
 
 
 class Quarantine:
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -10,7 +10,13 @@
 
 from rattangate.core.messages import GoodRun, Verdict, VerdictChanged
 from rattangate.core.poison_parts import PartQuarantine
-from rattangate.core.quarantine import PROPAGATION_S, QUARANTINE_S, RESEND_S, Quarantine
+from rattangate.core.quarantine import (
+    PROPAGATION_S,
+    QUARANTINE_S,
+    RESEND_S,
+    Quarantine,
+    QuarantineEntry,
+)
 from rattangate.core.trials import TrialScheduler
 
 if TYPE_CHECKING:
@@ -99,6 +105,32 @@
         entry = self.part_quarantine.find(request.req.parts, now)
         return None if entry is None else entry.deadline - now
 
+    def listing(self, now: float) -> tuple[QuarantineEntry, ...]:
+        """Return the suspect and quarantined requests and parts of prompts, for operators."""
+        parts = tuple(
+            QuarantineEntry(
+                entry.digest,
+                Verdict.GUILTY,
+                tuple(sorted(entry.endpoints)),
+                entry.deadline,
+                tuple(sorted(entry.parts)),
+            )
+            for entry in self.part_quarantine.entries()
+            if now < entry.deadline
+        )
+        return (*self.quarantine.listing(now), *parts)
+
+    def release(self, digest: bytes, now: float) -> None:
+        """Release a request or parts of prompts as if they had run well now."""
+        self.quarantine.release(digest)
+        for entry in self.part_quarantine.entries():
+            if entry.digest != digest:
+                continue
+            for part in entry.parts:
+                self.part_quarantine.merge_good_run(part, now)
+                self._unsent_good_runs.add(part)
+            self._judge_soon(now)
+
     def record_lost(self, request: ActiveRequest, key: IncarnationKey, now: float) -> None:
         """Record a lost attempt, which makes its request suspect and the parts of its prompt."""
         began_at = request.first_token_at
--- a/rattangate/http/admin_handlers.py
+++ b/rattangate/http/admin_handlers.py
@@ -24,7 +24,8 @@
 
     from rattangate.config.edit import Edit
     from rattangate.config.model import WorkspaceCfg
-    from rattangate.core.quarantine import Quarantine, QuarantineEntry
+    from rattangate.core.quarantine import QuarantineEntry
+    from rattangate.core.suspects import Suspects
     from rattangate.http.admin_dependencies import AdminDependencies
 
 KEY_ID_HEX_DIGITS = 12
@@ -130,9 +131,9 @@
 
 
 async def list_quarantine(call: AdminCall) -> object:
-    """List the suspected and quarantined request digests known to this instance."""
+    """List the suspected and quarantined requests and parts of prompts known to this instance."""
     now = trio.current_time()
-    entries = _get_quarantine(call).listing(now)
+    entries = _get_suspects(call).listing(now)
     return {"digests": [_view_quarantine_entry(entry, now) for entry in entries]}
 
 
@@ -144,7 +145,7 @@
     if not _DIGEST_PATTERN.fullmatch(call.params["digest"]):
         return Failure(ErrorKind.BAD_REQUEST, "digest: must be hexadecimal, as listed")
     digest = bytes.fromhex(call.params["digest"])
-    known_digests = {item.digest for item in _get_quarantine(call).listing(trio.current_time())}
+    known_digests = {item.digest for item in _get_suspects(call).listing(trio.current_time())}
     if digest in known_digests:
         call.deps.driver.feed(QuarantineReleased(digest))
         log(LogEvent.QUARANTINE_RELEASED, digest=digest.hex(), who=call.key_name)
@@ -241,8 +242,8 @@
 }
 
 
-def _get_quarantine(call: AdminCall) -> Quarantine:
-    return call.deps.driver.gateway.scheduler.suspects.quarantine
+def _get_suspects(call: AdminCall) -> Suspects:
+    return call.deps.driver.gateway.scheduler.suspects
 
 
 def _view_quarantine_entry(entry: QuarantineEntry, now: float) -> dict[str, Any]:
@@ -253,6 +254,7 @@
             {"endpoint": name, "incarnation": incarnation} for name, incarnation in entry.crashed
         ],
         "remaining_s": round(max(0.0, entry.deadline - now), 1),
+        "parts": list(entry.parts),
     }
 
 
--- a/rattangate/http/admin_operations.py
+++ b/rattangate/http/admin_operations.py
@@ -177,7 +177,7 @@
         "GET",
         "/v1/quarantine",
         READERS,
-        "List the digests of requests that are suspected or known to crash endpoints.",
+        "List the digests of requests, and parts of prompts, that seem to crash endpoints.",
     ),
     Operation(
         "release_quarantine",
--- a/tests/operators/test_admin.py
+++ b/tests/operators/test_admin.py
@@ -236,6 +236,32 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def test_quarantined_part_is_listed_and_released():
+    async def main() -> None:
+        now = trio.current_time()
+        gateway = Gateway(GatewayCfg(100, 1.0), seed=1)
+        suspects = gateway.scheduler.suspects
+        for number in range(3):
+            name = f"engine-{number}"
+            at = now + number
+            suspects.quarantine.record_endpoint(name, 1, EndpointState.LIVE, at)
+            digest = str(number).encode()
+            suspects.quarantine.record_failure(digest, (name, 1), 0.1, at, ("m/deadly",))
+            suspects.quarantine.record_endpoint(name, 2, EndpointState.LIVE, at)
+        suspects.judge_parts(now + 3.0)
+        driver = SimpleNamespace(gateway=gateway, feed=lambda msg: gateway.handle(msg, now + 4.0))
+        deps = SimpleNamespace(driver=driver)
+        listed = await list_quarantine(AdminCall(deps, {}, {}, {}))
+        (entry,) = [item for item in listed["digests"] if item["verdict"] == "guilty"]
+        assert entry["parts"] == ["m/deadly"]
+        release = AdminCall(deps, {"digest": entry["digest"]}, {}, {}, "ann")
+        assert await release_quarantine(release) == {"released": True}
+        suspects.judge_parts(now + 4.1)
+        assert suspects.part_quarantine.entries() == ()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_versions_and_audit_record_author_and_reason(api):
     accepted = api.edit("PUT", "/v1/limits", {"max_streams": 700}, Change_Reason="summer")
     versions = api.call("GET", "/v1/config/versions").json()["versions"]
