Allow for the delay of peer updates between successive crashes

Times may now overlap by 0.1 s, and crashes that close together still count once. The new unit test failed before.

--- a/rattangate/core/poison_parts.py
+++ b/rattangate/core/poison_parts.py
@@ -28,6 +28,8 @@
 # further crash, up to a maximum.
 FIRST_QUARANTINE_S = 120.0
 MAX_QUARANTINE_S = 600.0
+# Times of a peer's runs are late by the delay of its update.
+MAX_PEER_DELAY_S = 0.1
 DIGEST_BYTES = 16
 
 # The name and the incarnation of an endpoint.
@@ -218,7 +220,10 @@
     count = 0
     last_crash = -math.inf
     for run in sorted(runs, key=lambda item: item.ended_at):
-        if run.started_at >= last_crash:
+        if (
+            run.started_at >= last_crash - MAX_PEER_DELAY_S
+            and run.ended_at > last_crash + MAX_PEER_DELAY_S
+        ):
             count += 1
             last_crash = run.ended_at
     return count
--- a/tests/core/test_poison_parts.py
+++ b/tests/core/test_poison_parts.py
@@ -64,6 +64,15 @@
     assert _found(_judge(*runs)) == set()
 
 
+def test_delay_of_peer_updates_hides_no_successive_crash():
+    runs = [
+        _run(1, "deadly", at=10.08),
+        _run(2, "deadly", at=10.2, ran_s=0.2),
+        _run(3, "deadly", at=10.4, ran_s=0.2),
+    ]
+    assert _found(_judge(*runs)) == {frozenset({"deadly"})}
+
+
 def test_part_of_one_request_only_is_left_to_the_quarantine_of_requests():
     runs = [_run(number, "rare", at=10.0 * number, digest=b"same") for number in (1, 2, 3)]
     assert _found(_judge(*runs)) == set()
