Keep what holds when the store returns from an older copy

Versions now have the era as their leading part, split only by the client of the store; so do fencing numbers. The holder goes on under a new number, others wait out an unknown one. Tables are read anew, instances write their rows again, and endpoints that the copy lacks are kept for 3 s. Where the header is absent nothing changes.

--- a/rattangate/core/leases.py
+++ b/rattangate/core/leases.py
@@ -4,6 +4,11 @@
 candidate takes the lease over once it has seen the record unchanged for the whole term on its own
 clock, so the clocks of two instances are never compared. A holder may be paused between its last
 check of the lease and the sending of an order; the fencing number lets endpoints reject that order.
+
+After the store has returned from an older copy, the record may be missing or be an older one, and
+fencing numbers above it may have been given out. So numbers start anew above all of earlier eras.
+Whoever holds the lease then may go on under a new number; a candidate waits until any holder of the
+earlier era has stopped and its orders are no longer in flight.
 """
 
 from __future__ import annotations
@@ -12,6 +17,7 @@
 from functools import singledispatchmethod
 
 from rattangate.core.compare_and_swap import CompareAndSwapResult
+from rattangate.core.store_version import era_of, lowest_fence
 
 # Fractions of the lease term: when the holder renews, and how often a candidate reads the record.
 RENEW_SHARE = 0.3
@@ -115,6 +121,8 @@
         self._requested_at = DISTANT_PAST
         self._is_awaiting_reply = False
         self._claims: frozenset[str] = frozenset()
+        # Until when a holder of an earlier era of the store may go on in the current one.
+        self._may_continue_until = DISTANT_PAST
 
     @property
     def last_known_holder(self) -> str:
@@ -158,7 +166,7 @@
             return []
         if msg.version != self._last_version:
             self._observe(msg.version, msg.record, now)
-        if now < self._takeover_at:
+        if now < self._takeover_at and now >= self._may_continue_until:
             return []
         self._is_awaiting_reply = True
         return self._request(now)
@@ -174,11 +182,12 @@
         ):
             return []
         self._pending_swap = None
-        if msg.result is CompareAndSwapResult.APPLIED or msg.record == pending.record:
+        is_written = msg.result is CompareAndSwapResult.APPLIED or msg.record == pending.record
+        if is_written and not self._is_of_earlier_era(msg.version, pending.record):
             self._confirm(msg.version, pending.record, now)
             return []
-        self._deadline = DISTANT_PAST
         self._observe(msg.version, msg.record, now)
+        self._deadline = DISTANT_PAST
         return []
 
     def release(self, now: float) -> list[LeaseEffect]:
@@ -194,8 +203,14 @@
     def _request(self, now: float) -> list[LeaseEffect]:
         last = self._last_record
         renewal = 1 if last is None else last.renewal + 1
-        fence = 1 if last is None else last.fence + (not self._is_own(last))
-        if not self._is_own(last):
+        fence = (
+            lowest_fence(era_of(self._last_version)) + 1
+            if last is None
+            else last.fence + (not self._is_own(last))
+        )
+        if now < self._may_continue_until:
+            self.inherited_claims = tuple(sorted(self._claims))
+        elif not self._is_own(last):
             # Keep the previous holder's claims: a third holder must know what the first ordered.
             self.inherited_claims = () if last is None else last.named
             self._claims = frozenset(self.inherited_claims)
@@ -207,6 +222,7 @@
     def _confirm(self, version: int, record: LeaseRecord, now: float) -> None:
         self._last_version = version
         self._last_record = record
+        self._may_continue_until = DISTANT_PAST
         self._fence = record.fence
         self.recorded_claims = frozenset(record.named)
         self._deadline = self._requested_at + record.term_s
@@ -214,7 +230,11 @@
 
     def _observe(self, version: int, record: LeaseRecord | None, now: float) -> None:
         self._last_version = version
+        if self._is_of_earlier_era(version, record):
+            self._begin_era(now)
+            return
         self._last_record = record
+        self._may_continue_until = DISTANT_PAST
         self._takeover_at = DISTANT_PAST
         if record is None or record.holder.instance == self.holder.instance:
             return
@@ -223,5 +243,20 @@
         margin_s = TAKEOVER_MARGIN_S if record.term_s else 0.0
         self._takeover_at = self.previous_holder_until + margin_s
 
+    def _begin_era(self, now: float) -> None:
+        """Wait for the end of an unknown holder; this one, if it is the holder, goes on at once."""
+        self._last_record = None
+        self.previous_holder_until = now + self._term_s
+        # Its claims may be lost, so the time for which its orders count passes too.
+        self._takeover_at = self.previous_holder_until + self._term_s + TAKEOVER_MARGIN_S
+        if now < self._deadline:
+            self._may_continue_until = self._deadline + self._term_s
+            self.wake_at = now
+
+    def _is_of_earlier_era(self, version: int, record: LeaseRecord | None) -> bool:
+        """Tell whether a record in the store was not written in the era of its row's version."""
+        era = era_of(version)
+        return era > 0 and (record is None or record.fence <= lowest_fence(era))
+
     def _is_own(self, record: LeaseRecord | None) -> bool:
         return record is not None and record.holder == self.holder
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -101,7 +101,7 @@
             nursery.start_soon(self._serve, self.boot.ready_address, self._handle_readiness)
             nursery.start_soon(self._serve, self._metrics_address, self._handle_metrics)
             nursery.start_soon(self._serve_callers, nursery)
-            self._peers = Peers(store, self.state, self.incarnation)
+            self._peers = Peers(store, self.state, self.incarnation, self.metrics)
             nursery.start_soon(OperatorConfigWatcher(store, self.state, self._peers).run)
             nursery.start_soon(EndpointListWatcher(store, self.state, self._peers).run)
             order_controller = self._make_order_controller(store, client, self._peers)
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -5,6 +5,7 @@
 import secrets
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 import msgspec
 import trio
@@ -25,6 +26,7 @@
     from rattangate.core.messages import SendPeerUpdate
     from rattangate.front.state import FrontState
     from rattangate.front.table_watcher import TableUpdate
+    from rattangate.metrics import Metrics
     from rattangate.peers.codec import PeerUpdate, TableDelta
     from rattangate.peers.link import ReceivedUpdate
     from rattangate.platform.store import Store
@@ -35,6 +37,9 @@
 SECRET_BYTES = 32
 WATCHER_CFG = TableWatcherCfg(INSTANCE_TABLE, wait_s=10.0, min_interval_s=1.0, peer_timeout_s=15.0)
 RETRY_DELAY_S = 0.3
+# Time over which the instances of a large deployment write lost rows again.
+RESTORE_SPREAD_S = 1.0
+CRC_RANGE = 2.0**32
 HEARTBEAT_INTERVAL_S = 0.5
 LOST_AFTER_S = 2.0
 # How often the relay of a large deployment announces the live instances, and how long an
@@ -61,8 +66,12 @@
 class Peers:
     """Track the other instances and exchange peer updates with them."""
 
-    def __init__(self, store: Store, state: FrontState, incarnation: int) -> None:
+    def __init__(self, store: Store, state: FrontState, incarnation: int, metrics: Metrics) -> None:
         boot = state.boot
+        self._metrics = metrics
+        self._secret = b""
+        self._is_leaving = False
+        self._nursery: trio.Nursery | None = None
         self._store = store
         self._state = state
         self._name = boot.instance
@@ -116,12 +125,13 @@
 
     async def run(self) -> None:
         """Register this instance, then discover peers and exchange peer updates until cancelled."""
-        secret = await self._register()
-        identity = PeerIdentity(self._name, self._incarnation, secret)
+        self._secret = await self._register()
+        identity = PeerIdentity(self._name, self._incarnation, self._secret)
         self._links = PeerLinks(
             identity, {}, self._receive, lambda: self._make_update(None), accepts_relayed=True
         )
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._links.run, self._address)
             nursery.start_soon(self._send_heartbeats)
             nursery.start_soon(self._flush_relay_queues)
@@ -138,6 +148,7 @@
 
     async def deregister(self) -> None:
         """Remove this instance's row from the store."""
+        self._is_leaving = True
         outcome = await self._store.remove_row(INSTANCE_TABLE, INSTANCE_ROW_PREFIX + self._name)
         if not isinstance(outcome, Written):
             log(LogEvent.PLATFORM_DOWN, service="store", error="cannot remove the instance's row")
@@ -188,6 +199,8 @@
         return row.value if isinstance(row, StoreRow) else None
 
     def _apply_update(self, update: TableUpdate) -> None:
+        if update.is_after_return and self._nursery is not None:
+            self._nursery.start_soon(self._restore_rows, update.rows)
         instances = {} if update.is_snapshot else dict(self._instances)
         for row in update.rows:
             name = row.key.removeprefix(INSTANCE_ROW_PREFIX)
@@ -201,6 +214,34 @@
         if instances != self._instances:
             self._apply_instances(instances)
 
+    async def _restore_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Write again what the store lost of this instance's rows when it returned."""
+        await trio.sleep(self._restore_delay_s())
+        stored = {row.key: row.value for row in rows}
+        value = msgspec.json.encode(self._entry)
+        own_key = INSTANCE_ROW_PREFIX + self._name
+        if stored.get(own_key) != value and not self._is_leaving:
+            await self._restore_row(own_key, value, None)
+        if stored.get(SECRET_ROW_KEY) is None:
+            await self._restore_row(SECRET_ROW_KEY, self._secret, 0)
+
+    async def _restore_row(self, key: str, value: bytes, expected_version: int | None) -> None:
+        while True:
+            outcome = await self._store.write_row(INSTANCE_TABLE, key, value, expected_version)
+            if isinstance(outcome, Written):
+                self._metrics.rows_rewritten.inc()
+                log(LogEvent.ROW_REWRITTEN, table=INSTANCE_TABLE, row=key)
+                return
+            if isinstance(outcome, StoreConflict):
+                return
+            await trio.sleep(RETRY_DELAY_S)
+
+    def _restore_delay_s(self) -> float:
+        """Return this instance's place in the time over which all write their rows again."""
+        if not self._plan.is_large:
+            return 0.0
+        return RESTORE_SPREAD_S * crc32(self._name.encode()) / CRC_RANGE
+
     def _apply_instances(self, instances: dict[str, InstanceEntry]) -> None:
         now = trio.current_time()
         self._instances = instances
--- a/rattangate/front/store_watchers.py
+++ b/rattangate/front/store_watchers.py
@@ -42,6 +42,9 @@
 # that is leaving must be known.
 LIST_INTERVAL_SHARE = 0.4
 LIST_PEER_TIMEOUT_SHARE = 0.65
+# After the store has returned from an older copy, endpoints that it lacks write their entries again
+# within this time.
+ENTRIES_BACK_S = 3.0
 
 
 class OperatorConfigWatcher:
@@ -118,15 +121,25 @@
         self._listed: dict[str, ListedEndpoint] = {}
         self._changed: set[str] = set()
         self._malformed: set[str] = set()
+        # Listed before the store returned from an older copy and not written there again yet.
+        self._unconfirmed: set[str] = set()
+        self._unconfirmed_until = 0.0
 
     async def run(self) -> None:
         """Watch the table until cancelled."""
         await self._watcher.run()
 
     def _apply_update(self, update: TableUpdate) -> None:
-        if update.is_snapshot:
+        now = boottime_now()
+        if update.is_after_return:
+            self._unconfirmed = set(self._listed)
+            self._unconfirmed_until = now + ENTRIES_BACK_S
+        elif update.is_snapshot:
             self._listed.clear()
         self._changed.clear()
+        self._unconfirmed.difference_update(row.key for row in update.rows)
+        if now >= self._unconfirmed_until:
+            self._drop_unconfirmed()
         for row in update.rows:
             before = self._listed.get(row.key)
             self._apply_row(row)
@@ -134,6 +147,13 @@
                 self._changed.add(row.key)
         self._state.apply_endpoint_list(self._listed.values(), update.asked_at)
 
+    def _drop_unconfirmed(self) -> None:
+        """Drop the endpoints that have not written their entries again."""
+        for name in self._unconfirmed:
+            self._listed.pop(name, None)
+            self._changed.add(name)
+        self._unconfirmed.clear()
+
     def _publish(self, rows_update: TableDelta) -> None:
         """Send peers the rows that changed in more than their heartbeat."""
         rows = tuple(row for row in rows_update.rows if row.key in self._changed)
--- a/rattangate/front/table_watcher.py
+++ b/rattangate/front/table_watcher.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from rattangate.core.store_version import era_of
 from rattangate.front.state import boottime_now
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import TableDelta
@@ -49,13 +50,15 @@
     """Hold all rows after a full read (`is_snapshot`), otherwise the changed rows.
 
     `asked_at` is when the read was sent, in seconds of CLOCK_BOOTTIME; `is_after_outage` tells that
-    the store did not respond for at least `MIN_OUTAGE_S` before this read.
+    the store did not respond for at least `MIN_OUTAGE_S` before this read. `is_after_return` says
+    that the store has returned from an older copy since the last read.
     """
 
     rows: tuple[StoreRow, ...]
     is_snapshot: bool
     asked_at: float
     is_after_outage: bool = False
+    is_after_return: bool = False
 
 
 class TableWatcher:
@@ -80,6 +83,7 @@
         self._is_delegated = is_delegated
         self._publish = publish
         self._version: int | None = None
+        self._last_era: int | None = None
         self._is_failing = False
         self._failing_since: float | None = None
         self._is_after_outage = False
@@ -138,8 +142,13 @@
         # An update from a peer that came during the read may be newer.
         if self._version is not None and outcome.version < self._version:
             return
+        era = era_of(outcome.version)
+        has_returned = self._last_era is not None and era > self._last_era
         self._version = outcome.version
-        self._on_update(TableUpdate(outcome.rows, after is None, asked_at, self._is_after_outage))
+        self._last_era = era
+        self._on_update(
+            TableUpdate(outcome.rows, after is None, asked_at, self._is_after_outage, has_returned)
+        )
         if self._publish is not None and after is not None:
             table = self._cfg.table
             asked_at_store = outcome.answered_at - (boottime_now() - asked_at)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -159,6 +159,12 @@
     )
     PLATFORM_DOWN = (510, "A service of the platform does not answer.", ("service", "error"))
     PLATFORM_UP = (511, "A service of the platform answers again.", ("service",))
+    STORE_RETURNED = (
+        512,
+        "The store came back from an older copy; what was written since is gone.",
+        ("era_before", "era"),
+    )
+    ROW_REWRITTEN = (513, "A row that the store had lost was written again.", ("table", "row"))
     WEIGHTS_NAMED = (
         502,
         "The operator set the desired weights version of a model.",
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -128,6 +128,13 @@
         "Suspects that were quarantined (`guilty`) or cleared (`free`).",
         "Look at `verdict_changed`; see the operators' page on quarantine.",
     )
+    ROWS_REWRITTEN = (
+        "rattangate_rows_rewritten",
+        MetricKind.COUNTER,
+        (),
+        "Rows written again after the store returned from an older copy.",
+        "Look at `store_returned`; see the operators' page on failures.",
+    )
     LOG_LINES_DROPPED = (
         "rattangate_log_lines_dropped",
         MetricKind.COUNTER,
@@ -245,6 +252,7 @@
         self.log_lines_dropped = Series()
         self.crashes = Series()
         self.verdicts = Series()
+        self.rows_rewritten = Series()
         self.streams = Series()
         self.peers = Series()
         self.endpoints = Series()
@@ -263,6 +271,7 @@
             Metric.COMPLETION_TOKENS: self.completion_tokens,
             Metric.ENDPOINT_CRASHES: self.crashes,
             Metric.QUARANTINE_VERDICTS: self.verdicts,
+            Metric.ROWS_REWRITTEN: self.rows_rewritten,
             Metric.LOG_LINES_DROPPED: self.log_lines_dropped,
             Metric.STREAMS: self.streams,
             Metric.PEERS: self.peers,
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -8,9 +8,12 @@
 
 import httpx
 import msgspec
+import trio
 
+from rattangate.core.store_version import era_of, make_version, number_of
 from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST_STORE
+from rattangate.platform import wire
 from rattangate.platform.outcomes import (
     BlobRead,
     BlobStored,
@@ -43,11 +46,19 @@
     """Read, watch and conditionally write rows and blobs of the platform's store.
 
     The store splits a table into parts; this client uses only the part named "".
+
+    The store may return from an older copy, after which it gives versions out again; each return
+    begins a new era, which all its answers name. The versions of this client have the era as their
+    leading part. A position or an expected version of an earlier era is never sent, and an answer
+    of an earlier era is not used.
     """
 
     def __init__(self, address: str, call_timeout_s: float = CALL_TIMEOUT_S) -> None:
         self._call_timeout_s = call_timeout_s
         self._is_down = False
+        self._era = 0
+        self._has_era = False
+        self._era_scopes: set[trio.CancelScope] = set()
         limits = httpx.Limits(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_IDLE_CONNECTIONS
         )
@@ -77,20 +88,23 @@
             answer = await self._call_rows("GET", "/rows-get", params=params)
             if isinstance(answer, Unavailable):
                 return answer
-            rows.extend(_decode_row(raw) for raw in answer.body["rows"])
+            if rows and answer.era != era_of(rows[0].version):
+                return Unavailable("the store returned during the read", may_have_applied=False)
+            rows.extend(_decode_row(raw, answer.era) for raw in answer.body["rows"])
             if not answer.body.get("has_more") or not rows:
-                return StoreRows(tuple(rows), answer.body["ver"], _answered_at(answer))
+                version = make_version(answer.era, answer.body["ver"])
+                return StoreRows(tuple(rows), version, _answered_at(answer))
             start = rows[-1].key + "\x00"
 
     async def read_row(self, table: str, key: str) -> StoreRow | Unavailable:
-        """Read one row; a missing one has version 0."""
+        """Read one row; a missing one has the number 0."""
         params = {"table": table, "part": "", "from": key, "to": key + "\x00", "limit": "1"}
         answer = await self._call_rows("GET", "/rows-get", params=params)
         if isinstance(answer, Unavailable):
             return answer
         for raw in answer.body["rows"]:
-            return _decode_row(raw)
-        return StoreRow(key, 0, None)
+            return _decode_row(raw, answer.era)
+        return StoreRow(key, make_version(answer.era, 0), None)
 
     async def read_rows(
         self, table: str, keys: Iterable[str]
@@ -107,16 +121,27 @@
     async def watch_table(
         self, table: str, after: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
-        """Wait up to `wait_s` seconds for changes of a table after a version (long poll)."""
+        """Wait up to `wait_s` seconds for changes of a table after a version (long poll).
+
+        The history since a version is lost when the store returns from an older copy.
+        """
+        if era_of(after) != self._era:
+            return HistoryLost()
         wait_ms = int(wait_s * MS_PER_S)
-        params = {"table": table, "after": str(after), "wait_ms": str(wait_ms)}
-        answer = await self._call_rows("GET", "/rows-feed", params=params, wait_s=wait_s)
+        params = {"table": table, "after": str(number_of(after)), "wait_ms": str(wait_ms)}
+        answer: _Answer | Unavailable | None = None
+        with trio.CancelScope() as scope:
+            self._era_scopes.add(scope)
+            try:
+                answer = await self._call_rows("GET", "/rows-feed", params=params, wait_s=wait_s)
+            finally:
+                self._era_scopes.discard(scope)
         if isinstance(answer, Unavailable):
             return answer
-        if answer.status == httpx.codes.GONE:
+        if answer is None or answer.status == httpx.codes.GONE or answer.era != era_of(after):
             return HistoryLost()
-        rows = tuple(_decode_row(raw) for raw in answer.body["rows"])
-        return StoreRows(rows, answer.body["ver"], _answered_at(answer))
+        rows = tuple(_decode_row(raw, answer.era) for raw in answer.body["rows"])
+        return StoreRows(rows, make_version(answer.era, answer.body["ver"]), _answered_at(answer))
 
     async def write_row(
         self, table: str, key: str, value: bytes, expected_version: int | None = None
@@ -129,20 +154,25 @@
         self, table: str, expected: Iterable[ExpectedVersion], rows: Iterable[RowUpdate]
     ) -> Written | StoreConflict | Unavailable:
         """Write all rows atomically if all expected versions match."""
+        expected = tuple(expected)
+        if any(_is_of_earlier_era(item.version, self._era) for item in expected):
+            return await self._read_conflict(table, expected)
         body = {
-            "expected": [{**_row_id(table, item.key), "ver": item.version} for item in expected],
+            "expected": [
+                {**_row_id(table, item.key), "ver": number_of(item.version)} for item in expected
+            ],
             "set_keys": [
                 {**_row_id(table, row.key), "value": base64.b64encode(row.value).decode()}
                 for row in rows
             ],
             "remove": [],
         }
-        return await self._transact(body)
+        return await self._transact(body, expected)
 
     async def remove_row(self, table: str, key: str) -> Written | StoreConflict | Unavailable:
         """Remove one row, whatever its version."""
         body = {"expected": [], "set_keys": [], "remove": [_row_id(table, key)]}
-        return await self._transact(body)
+        return await self._transact(body, ())
 
     async def put_blob(
         self, name: str, body: bytes, replaces: bool = False
@@ -178,7 +208,9 @@
                 params["after"] = names[-1]
             resp = await self._call("GET", "/blob-list", params=params)
             answer = (
-                resp if isinstance(resp, Unavailable) else _decode(resp, may_have_applied=False)
+                resp
+                if isinstance(resp, Unavailable)
+                else _decode(resp, may_have_applied=False, era=self._era)
             )
             if isinstance(answer, Unavailable):
                 return answer
@@ -186,13 +218,28 @@
             if not answer.body.get("has_more") or not names:
                 return tuple(names)
 
-    async def _transact(self, body: object) -> Written | StoreConflict | Unavailable:
+    async def _transact(
+        self, body: object, expected: tuple[ExpectedVersion, ...]
+    ) -> Written | StoreConflict | Unavailable:
         answer = await self._call_rows("POST", "/rows-tx", body=body)
         if isinstance(answer, Unavailable):
             return answer
+        if any(_is_of_earlier_era(item.version, answer.era) for item in expected):
+            # The store returned while the write was on its way; its numbers may match by chance.
+            return Unavailable("answer of a later era", may_have_applied=True)
         if answer.status == httpx.codes.PRECONDITION_FAILED:
-            return StoreConflict(tuple(_decode_row(raw) for raw in answer.body.get("rows", ())))
-        return Written(answer.body["ver"])
+            rows = [_decode_row(raw, answer.era) for raw in answer.body.get("rows", ())]
+            return StoreConflict(_with_missing_rows(rows, expected, answer.era))
+        return Written(make_version(answer.era, answer.body["ver"]))
+
+    async def _read_conflict(
+        self, table: str, expected: tuple[ExpectedVersion, ...]
+    ) -> StoreConflict | Unavailable:
+        """Return the current rows for a write that expects versions of an earlier era."""
+        rows = await self.read_rows(table, [item.key for item in expected])
+        if isinstance(rows, Unavailable):
+            return Unavailable(rows.detail, may_have_applied=False)
+        return StoreConflict(rows)
 
     async def _call_rows(
         self,
@@ -207,7 +254,7 @@
         resp = await self._call(method, path, params, content, headers, wait_s)
         if isinstance(resp, Unavailable):
             return resp
-        return _decode(resp, may_have_applied=method != "GET")
+        return _decode(resp, may_have_applied=method != "GET", era=self._era)
 
     async def _call(
         self,
@@ -223,6 +270,8 @@
             method, path, params=params, content=content, headers=headers, timeout=timeout
         )
         resp = await self._send(request)
+        if isinstance(resp, httpx.Response) and not self._record_era(resp):
+            resp = Unavailable("answer of an earlier era", may_have_applied=method != "GET")
         self._log_availability(resp.detail if isinstance(resp, Unavailable) else "")
         return resp
 
@@ -240,6 +289,19 @@
             return Unavailable(f"status {resp.status_code}", may_have_applied=may_have_applied)
         return resp
 
+    def _record_era(self, resp: httpx.Response) -> bool:
+        """Note the era of an answer; tell whether it is the current one."""
+        value = resp.headers.get(wire.STORE_ERA, "")
+        era = int(value) if value.isascii() and value.isdigit() else self._era
+        if era > self._era:
+            if self._has_era:
+                log(LogEvent.STORE_RETURNED, era_before=self._era, era=era)
+            self._era = era
+            for scope in self._era_scopes:
+                scope.cancel()
+        self._has_era = True
+        return era == self._era
+
     def _log_availability(self, detail: str) -> None:
         """Log when the store becomes unavailable and when it is available again."""
         if detail and not self._is_down:
@@ -253,16 +315,17 @@
 class _Answer:
     status: int
     body: dict[str, Any]
+    era: int
 
 
-def _decode(resp: httpx.Response, may_have_applied: bool) -> _Answer | Unavailable:
+def _decode(resp: httpx.Response, may_have_applied: bool, era: int) -> _Answer | Unavailable:
     expected_statuses = (httpx.codes.OK, httpx.codes.GONE, httpx.codes.PRECONDITION_FAILED)
     if resp.status_code not in expected_statuses:
         return Unavailable(f"status {resp.status_code}", may_have_applied=may_have_applied)
     if resp.status_code == httpx.codes.GONE:
-        return _Answer(resp.status_code, EMPTY_BODY)
+        return _Answer(resp.status_code, EMPTY_BODY, era)
     try:
-        return _Answer(resp.status_code, msgspec.json.decode(resp.content))
+        return _Answer(resp.status_code, msgspec.json.decode(resp.content), era)
     except msgspec.DecodeError as exc:
         return Unavailable(f"answer is not valid JSON: {exc}", may_have_applied=may_have_applied)
 
@@ -275,7 +338,22 @@
     return {"table": table, "part": "", "key": key}
 
 
-def _decode_row(raw: dict[str, Any]) -> StoreRow:
+def _decode_row(raw: dict[str, Any], era: int) -> StoreRow:
+    version = make_version(era, raw["ver"])
     if raw.get("tombstone") or raw.get("value") is None:
-        return StoreRow(raw["key"], raw["ver"], None)
-    return StoreRow(raw["key"], raw["ver"], base64.b64decode(raw["value"]))
+        return StoreRow(raw["key"], version, None)
+    return StoreRow(raw["key"], version, base64.b64decode(raw["value"]))
+
+
+def _is_of_earlier_era(version: int, era: int) -> bool:
+    """Tell whether an expected version is of an earlier era; 0, a missing row, is of any."""
+    return version != 0 and era_of(version) != era
+
+
+def _with_missing_rows(
+    rows: list[StoreRow], expected: tuple[ExpectedVersion, ...], era: int
+) -> tuple[StoreRow, ...]:
+    """Add the expected rows that do not exist."""
+    found = {row.key for row in rows}
+    missing = (item.key for item in expected if item.key not in found)
+    return (*rows, *(StoreRow(key, make_version(era, 0), None) for key in missing))
--- a/rattangate/platform/wire.py
+++ b/rattangate/platform/wire.py
@@ -10,6 +10,7 @@
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = "store-era"
 
 WORKSPACE = b"x-tenant"
 TARGET_ENDPOINT = b"x-target-instance"
--- a/rattangate/standins/platform.py
+++ b/rattangate/standins/platform.py
@@ -87,6 +87,12 @@
 def make_platform_app(platform: Platform) -> QuartTrio:
     """Create the web application of the platform."""
     app = make_app("platform")
+
+    @app.after_request
+    async def add_era(resp: Response) -> Response:
+        resp.headers["Store-Era"] = str(platform.store.era)
+        return resp
+
     _add_rows(app, platform)
     _add_blobs(app, platform)
     _add_kv(app, platform)
--- a/rattangate/standins/rows_store.py
+++ b/rattangate/standins/rows_store.py
@@ -27,10 +27,21 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold the contents of a store at one version."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, bytes]]
+    blobs: dict[str, bytes]
+    changes: tuple[_Change, ...]
+
+
 class RowsStore:
     """Store rows with the history of their changes, and blobs."""
 
     def __init__(self) -> None:
+        self.era = 0
         self.version = FIRST_VERSION
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.blobs: dict[str, bytes] = {}
@@ -52,6 +63,22 @@
         self._changes.clear()
         self._history_start = self.version
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy from which the store can return later."""
+        return StoreCopy(self.version, dict(self.rows), dict(self.blobs), tuple(self._changes))
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Return from an older copy: later writes are lost, and a new era begins.
+
+        Versions are given out again.
+        """
+        self.era += 1
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.blobs.clear()
+        self.blobs.update(copy.blobs)
+        self._changes = list(copy.changes)
+
     def transact(self, body: dict[str, Any]) -> list[dict[str, Any]] | None:
         """Apply all changes and return None, or return the rows of all conditions if one fails.
 
@@ -79,8 +106,10 @@
     async def feed(self, table: str, after: int, wait_s: float) -> dict[str, Any] | None:
         """Return the changes after a version, waiting for the first up to `wait_s`.
 
-        Return None if the history no longer reaches back to that version.
+        Return None if the history no longer reaches back to that version, or not yet up to it.
         """
+        if after > self.version:
+            return None
         with trio.move_on_after(wait_s):
             while after >= self._history_start and not self._changes_after(table, after):
                 await self._changed.wait()
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -8,6 +8,7 @@
 
 from rattangate.core.compare_and_swap import CompareAndSwapResult
 from rattangate.core.leases import (
+    TAKEOVER_MARGIN_S,
     Holder,
     Lease,
     LeaseRead,
@@ -17,6 +18,7 @@
     ReadLease,
     SwapLease,
 )
+from rattangate.core.store_version import era_of, lowest_fence, make_version, number_of
 
 TERM_S = 10.0
 HOLDER_A = Holder("a", 1)
@@ -99,6 +101,118 @@
     assert terms > 1
 
 
+class _ReturningStore:
+    """Hold the record in a store that may return from a copy some seconds old.
+
+    `seen_eras` holds the latest era in an answer to each client.
+    """
+
+    def __init__(self, rng: random.Random, clients: int) -> None:
+        self.era = 0
+        self.number = 1
+        self.record: LeaseRecord | None = None
+        self.record_number = 0
+        self.seen_eras = [0] * clients
+        self._rng = rng
+        self._copies: list[tuple[float, int, LeaseRecord | None, int]] = []
+
+    def tick(self, now: float) -> None:
+        """Make a copy, and now and then return from one, also twice in a row."""
+        self._copies = [copy for copy in self._copies if copy[0] > now - 8.0]
+        self._copies.append((now, self.number, self.record, self.record_number))
+        if self._rng.random() < 0.008:
+            _, self.number, self.record, self.record_number = self._rng.choice(self._copies)
+            self._copies.clear()
+            self.era += 1
+
+    def answer(self, client: int, effect: object) -> object:
+        """Answer as the client of the store does, which knows the eras of earlier answers."""
+        known_era = self.seen_eras[client]
+        self.seen_eras[client] = self.era
+        version = make_version(self.era, self.record_number)
+        if isinstance(effect, ReadLease):
+            return LeaseRead(self._rng.random() > 0.1, version, self.record)
+        assert isinstance(effect, SwapLease)
+        expected = effect.expected_version
+        if expected and era_of(expected) != known_era:
+            return LeaseSwapped(CompareAndSwapResult.CONFLICT, version, self.record)
+        if self._rng.random() < 0.1:
+            return LeaseSwapped(CompareAndSwapResult.UNKNOWN)
+        is_met = number_of(expected) == self.record_number
+        if is_met:
+            self.number += 1
+            self.record, self.record_number = effect.record, self.number
+        if (expected and era_of(expected) != self.era) or self._rng.random() < 0.1:
+            return LeaseSwapped(CompareAndSwapResult.UNKNOWN)
+        version = make_version(self.era, self.record_number)
+        if is_met:
+            return LeaseSwapped(CompareAndSwapResult.APPLIED, version)
+        return LeaseSwapped(CompareAndSwapResult.CONFLICT, version, self.record)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_at_most_one_holder_while_the_store_returns_from_older_copies(seed: int) -> None:
+    rng = random.Random(seed)
+    leases = [Lease(Holder(name, 1), TERM_S) for name in "abc"]
+    paused_until = [0.0] * 3
+    inbox: list[list[tuple[float, object]]] = [[], [], []]
+    store = _ReturningStore(rng, 3)
+    highest, terms, now = 0, 0, 0.0
+    while now < 900.0:
+        now += 0.25
+        store.tick(now)
+        for index, lease in enumerate(leases):
+            if now < paused_until[index]:
+                continue
+            if rng.random() < 0.005:
+                paused_until[index] = now + rng.uniform(1.0, 40.0)
+            due = [msg for at, msg in inbox[index] if at <= now]
+            inbox[index] = [entry for entry in inbox[index] if entry[0] > now]
+            for effect in [e for msg in (*due, LeaseWakeUp()) for e in lease.handle(msg, now)]:
+                reply = store.answer(index, effect)
+                inbox[index].append((now + rng.uniform(0.0, 2.0), reply))
+        fences = [fence for lease in leases if (fence := lease.fence_at(now)) is not None]
+        assert len(fences) <= 1
+        for fence in fences:
+            assert fence >= highest
+            terms += fence > highest
+            highest = fence
+    assert store.era > 1
+    assert terms > 1
+
+
+def test_holder_goes_on_at_once_under_a_higher_number_after_a_return():
+    lease = Lease(HOLDER_A, TERM_S)
+    request_lease(lease)
+    lease.handle(LeaseSwapped(CompareAndSwapResult.APPLIED, 1), 0.0)
+    lease.claim(frozenset({"e1"}), 0.5)
+    lease.handle(LeaseWakeUp(), 0.5)
+    missing = make_version(1, 0)
+    lease.handle(LeaseSwapped(CompareAndSwapResult.CONFLICT, missing, None), 0.6)
+    assert lease.fence_at(0.6) is None
+    assert lease.handle(LeaseWakeUp(), 0.6) == [ReadLease()]
+    (swap,) = lease.handle(LeaseRead(True, missing, None), 0.7)
+    assert (swap.expected_version, swap.record.named) == (missing, ("e1",))
+    lease.handle(LeaseSwapped(CompareAndSwapResult.APPLIED, make_version(1, 9)), 0.8)
+    fence = lease.fence_at(0.8)
+    assert fence is not None
+    assert fence > lowest_fence(1)
+
+
+def test_candidate_waits_for_an_unknown_holder_after_a_return():
+    lease = Lease(HOLDER_A, TERM_S)
+    lease.handle(LeaseWakeUp(), 0.0)
+    older = LeaseRecord(HOLDER_A, 3, 9, TERM_S)
+    version = make_version(1, 7)
+    assert lease.handle(LeaseRead(True, version, older), 0.0) == []
+    waits_s = 2 * TERM_S + TAKEOVER_MARGIN_S
+    lease.handle(LeaseWakeUp(), waits_s - 0.1)
+    assert lease.handle(LeaseRead(True, version, older), waits_s - 0.1) == []
+    lease.handle(LeaseWakeUp(), waits_s + lease.poll_s)
+    (swap,) = lease.handle(LeaseRead(True, version, older), waits_s + lease.poll_s)
+    assert swap.record.fence > lowest_fence(1)
+
+
 def test_restarted_instance_reacquires_its_own_lease_at_once():
     lease = Lease(Holder("a", 2), 2.0)
     assert lease.handle(LeaseWakeUp(), 0.0) == [ReadLease()]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rattangate.core.store_version import make_version, number_of
 from rattangate.platform.outcomes import (
     BlobRead,
     BlobStored,
@@ -138,3 +139,105 @@
             assert not outcome.may_have_applied
 
     trio.run(main)
+
+
+async def _read_number(store: Store, table: str = "t") -> int:
+    read = await store.read_table(table)
+    assert isinstance(read, StoreRows)
+    return read.version
+
+
+def test_a_reused_version_is_above_all_versions_of_the_earlier_era():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            copy = platform.store.make_copy()
+            lost = await store.write_row("t", "k", b"lost")
+            platform.store.return_from(copy)
+            again = await store.write_row("t", "k", b"again")
+            assert isinstance(lost, Written)
+            assert isinstance(again, Written)
+            assert again.version > lost.version
+            assert number_of(again.version) == number_of(lost.version)
+
+    trio.run(main)
+
+
+def test_a_swap_that_expects_a_reused_version_of_the_earlier_era_changes_nothing():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            copy = platform.store.make_copy()
+            lost = await store.write_row("t", "k", b"lost")
+            platform.store.return_from(copy)
+            other = await store.write_row("t", "k", b"other")
+            assert isinstance(lost, Written)
+            assert isinstance(other, Written)
+            outcome = await store.write_row("t", "k", b"mine", lost.version)
+            assert outcome == StoreConflict((StoreRow("k", other.version, b"other"),))
+
+    trio.run(main)
+
+
+def test_a_swap_that_met_the_return_on_its_way_may_have_applied():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            copy = platform.store.make_copy()
+            lost = await store.write_row("t", "k", b"lost")
+            platform.store.return_from(copy)
+            platform.store.put("t", "k", b"other")
+            assert isinstance(lost, Written)
+            outcome = await store.write_row("t", "k", b"mine", lost.version)
+            assert isinstance(outcome, Unavailable)
+            assert outcome.may_have_applied
+
+    trio.run(main)
+
+
+def test_a_watch_that_waits_past_the_copy_hears_of_the_return_from_any_answer():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            copy = platform.store.make_copy()
+            platform.store.put("t", "k", b"lost")
+            position = await _read_number(store)
+            outcomes: list[object] = []
+
+            async def watch() -> None:
+                outcomes.append(await store.watch_table("t", position, 10.0))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await trio.sleep(0.1)
+                platform.store.return_from(copy)
+                await store.read_row("t", "other")
+            assert outcomes == [HistoryLost()]
+            assert await store.watch_table("t", position, 1.0) == HistoryLost()
+            assert await store.read_row("t", "k") == StoreRow("k", make_version(1, 0), None)
+
+    trio.run(main)
+
+
+def test_a_watch_after_a_reused_version_is_not_answered_from_the_new_era():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            copy = platform.store.make_copy()
+            platform.store.put("t", "k", b"lost")
+            position = await _read_number(store)
+            platform.store.return_from(copy)
+            platform.store.put("t", "a", b"1")
+            platform.store.put("t", "b", b"2")
+            assert await store.watch_table("t", position, 1.0) == HistoryLost()
+
+    trio.run(main)
+
+
+def test_an_answer_of_an_earlier_era_is_not_used():
+    async def main() -> None:
+        async with connected_store() as (platform, store):
+            platform.store.era = 3
+            assert isinstance(await store.read_table("t"), StoreRows)
+            platform.store.era = 2
+            assert isinstance(await store.read_table("t"), Unavailable)
+            outcome = await store.write_row("t", "k", b"x")
+            assert isinstance(outcome, Unavailable)
+            assert outcome.may_have_applied
+
+    trio.run(main)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -20,6 +20,7 @@
     "count_retry",
     "count_verdict",
     "crashes",
+    "rows_rewritten",
     "prompt_tokens",
     "cache_hit_tokens",
     "completion_tokens",
