--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -167,7 +167,7 @@
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
         """Record the first token of a request and use the capacity that its prefill occupied."""
         request.first_token_at = now
-        self.suspects.record_first_token(request, now)
+        self.suspects.parts.record_first_token(request, now)
         return self._schedule(now)
 
     def end_attempt(self, request: ActiveRequest, msg: AttemptEnded, now: float) -> list[Effect]:
@@ -200,7 +200,7 @@
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[Effect]:
         """Apply a peer's update on its usage of limits, its queue and its suspects."""
         if instance not in self._peer_queued_tokens:
-            self.suspects.resend_all()
+            self.suspects.schedule_resend()
         self.limits.set_peer_usage(instance, update.usages)
         self._peer_queued_tokens[instance] = update.queued_tokens
         effects: list[Effect] = []
@@ -233,7 +233,7 @@
             self.queue.queued_tokens,
             self.suspects.quarantine.suspicions(now),
             self.suspects.claims(),
-            self.suspects.good_runs(now),
+            self.suspects.parts.good_runs(now),
         )
 
     def tick(self, now: float) -> list[Effect]:
@@ -242,7 +242,7 @@
         self.suspects.quarantine.expire(now)
         self.in_flight.expire(now)
         self._ejections.expire(now)
-        self.suspects.record_survivors(now)
+        self.suspects.parts.record_survivors(now)
         return [
             *self._refuse_poisoned(now),
             *self._advance_suspects(now),
@@ -460,7 +460,7 @@
     def _refuse_poisoned(self, now: float) -> list[Effect]:
         """Refuse the active requests with newly quarantined parts before they crash an endpoint."""
         effects: list[Effect] = []
-        for entry in self.suspects.judge_parts(now):
+        for entry in self.suspects.parts.judge(now):
             for request in list(self.active_requests.values()):
                 if not entry.parts.issubset(request.req.parts):
                     continue
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -2,25 +2,17 @@
 
 from __future__ import annotations
 
-import math
-from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import GoodRun, Verdict, VerdictChanged
-from rattangate.core.poison_parts import PartQuarantine
-from rattangate.core.quarantine import (
-    PROPAGATION_S,
-    QUARANTINE_S,
-    RESEND_S,
-    Quarantine,
-    QuarantineEntry,
-)
+from rattangate.core.messages import Verdict
+from rattangate.core.part_evidence import PartEvidence
+from rattangate.core.quarantine import Quarantine, QuarantineEntry
 from rattangate.core.trials import TrialScheduler
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
     from rattangate.core.active_requests import ActiveRequest
     from rattangate.core.messages import (
@@ -29,18 +21,11 @@
         QuarantineChange,
         TrialClaim,
     )
-    from rattangate.core.poison_parts import PoisonParts
     from rattangate.core.quarantine import IncarnationKey
 
 # Other trials may join one at its endpoint once it has run for this much longer than each failed
 # attempt of its digest, and for this long after its first token.
 EXCLUSIVITY_MARGIN_S = 1.0
-# An endpoint that produces tokens of an answer for this long does not crash under its prompt.
-SURVIVAL_S = 1.0
-# Number of parts of prompts whose last good run an instance remembers.
-MAX_GOOD_RUNS = 4096
-# Interval of judging the parts of prompts while there is new evidence.
-JUDGE_INTERVAL_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,20 +65,13 @@
 class Suspects:
     """Hold the suspects that wait or run at this instance.
 
-    `quarantine` decides which digests are suspect, and `part_quarantine` which parts of prompts
-    crash endpoints; the trial scheduler decides where and when a suspect runs.
+    `quarantine` decides which digests are suspect, and `parts` which parts of prompts crash
+    endpoints; the trial scheduler decides where and when a suspect runs.
     """
 
     def __init__(self, instance: str, propagation_s: float) -> None:
         self.quarantine = Quarantine(propagation_s)
-        self.part_quarantine = PartQuarantine()
-        self._unsent_good_runs: set[str] = set()
-        self._judge_until = -math.inf
-        self._next_judge_at = -math.inf
-        self._resend_at = 0.0
-        self._good_runs: OrderedDict[str, float] = OrderedDict()
-        self._answers_begun: deque[tuple[float, ActiveRequest]] = deque()
-        self._changes: list[QuarantineChange] = []
+        self.parts = PartEvidence(self.quarantine)
         self._trials = TrialScheduler(instance, self.quarantine)
         self._waiting: dict[int, ActiveRequest] = {}
         self._in_trial: dict[int, ActiveRequest] = {}
@@ -102,7 +80,7 @@
         """Return for how many seconds a request or its parts stay quarantined, None if not."""
         if self.quarantine.verdict_on(request.digest, now) is Verdict.GUILTY:
             return self.quarantine.remaining_s(request.digest, now)
-        entry = self.part_quarantine.find(request.req.parts, now)
+        entry = self.parts.part_quarantine.find(request.req.parts, now)
         return None if entry is None else entry.deadline - now
 
     def listing(self, now: float) -> tuple[QuarantineEntry, ...]:
@@ -115,116 +93,42 @@
                 entry.deadline,
                 tuple(sorted(entry.parts)),
             )
-            for entry in self.part_quarantine.entries()
+            for entry in self.parts.part_quarantine.entries()
             if now < entry.deadline
         )
         return (*self.quarantine.listing(now), *parts)
 
     def release(self, digest: bytes, now: float) -> None:
-        """Release a request or parts of prompts as if they had run well now."""
+        """Release a request or parts of prompts on an operator's request."""
         self.quarantine.release(digest)
-        for entry in self.part_quarantine.entries():
-            if entry.digest != digest:
-                continue
-            for part in entry.parts:
-                self.part_quarantine.merge_good_run(part, now)
-                self._unsent_good_runs.add(part)
-            self._judge_soon(now)
+        self.parts.release(digest, now)
 
     def record_lost(self, request: ActiveRequest, key: IncarnationKey, now: float) -> None:
         """Record a lost attempt, which makes its request suspect and the parts of its prompt."""
-        began_at = request.first_token_at
-        parts = request.req.parts
-        if began_at is not None and now > began_at + SURVIVAL_S:
-            parts = ()
+        parts = self.parts.suspect_parts(request, now)
         ran_s = now - request.placed_at
         self.quarantine.record_failure(request.digest, key, ran_s, now, parts)
-        self._recall_good_runs(parts)
+        self.parts.recall_good_runs(parts)
 
     def record_completed(self, request: ActiveRequest, now: float) -> None:
         """Clear a request that completed, and the parts of its prompt."""
         self.quarantine.clear(request.digest, now)
         began_at = now if request.first_token_at is None else request.first_token_at
-        self._record_good_run(request, began_at, now)
-
-    def record_first_token(self, request: ActiveRequest, now: float) -> None:
-        """Clear the parts of a request once its answer has run well for long enough."""
-        self._answers_begun.append((now, request))
-
-    def record_survivors(self, now: float) -> None:
-        """Clear the parts of the requests whose answers have run well for long enough."""
-        while self._answers_begun and now > self._answers_begun[0][0] + SURVIVAL_S:
-            began_at, request = self._answers_begun.popleft()
-            if request.placed_on is not None and request.first_token_at == began_at:
-                self._record_good_run(request, began_at, now)
-
-    def _recall_good_runs(self, parts: Iterable[str]) -> None:
-        """Tell peers of the last good runs of parts that became suspect, unless one did already."""
-        for part in parts:
-            began_at = self._good_runs.get(part)
-            if began_at is not None and not self.part_quarantine.has_good_run(part):
-                self.part_quarantine.merge_good_run(part, began_at)
-                self._unsent_good_runs.add(part)
-
-    def _record_good_run(self, request: ActiveRequest, began_at: float, now: float) -> None:
-        for part in request.req.parts:
-            self._good_runs[part] = began_at
-            self._good_runs.move_to_end(part)
-            if len(self._good_runs) > MAX_GOOD_RUNS:
-                self._good_runs.popitem(last=False)
-            if self.part_quarantine.record_good_run(part, began_at):
-                self._unsent_good_runs.add(part)
-                self._judge_soon(now)
-
-    def judge_parts(self, now: float) -> list[PoisonParts]:
-        """Apply new evidence to the parts of prompts; return those quarantined since last time."""
-        if self.quarantine.take_new_evidence():
-            self._judge_until = now + PROPAGATION_S + 2 * JUDGE_INTERVAL_S
-        if now > self._judge_until or now < self._next_judge_at:
-            return []
-        self._next_judge_at = now + JUDGE_INTERVAL_S
-        self.part_quarantine.expire(now - QUARANTINE_S)
-        runs = self.quarantine.crashed_runs()
-        # Several instances report the runs of one crash.
-        settled = [run for run in runs if run.ended_at <= now - PROPAGATION_S]
-        before = {entry.parts for entry in self.part_quarantine.entries()}
-        added = self.part_quarantine.update(settled, self.quarantine.crashes_needed)
-        after = {entry.parts for entry in self.part_quarantine.entries()}
-        for entry in added:
-            self._report_verdict(entry.parts, Verdict.GUILTY, entry.crashes)
-        for parts in before - after:
-            self._report_verdict(parts, Verdict.FREE, 0)
-        crashed = (entry.endpoints for entry in self.part_quarantine.entries())
-        self.quarantine.attribute(frozenset().union(*crashed))
-        return added
+        self.parts.record_good_run(request, began_at, now)
 
     def take_changes(self) -> list[QuarantineChange]:
         """Return the changes of suspects and verdicts since the last call."""
-        taken, self._changes = self._changes, []
-        return [*self.quarantine.take_changes(), *taken]
-
-    def good_runs(self, now: float) -> tuple[GoodRun, ...]:
-        """Return the good runs that peers were not told of, and all every `RESEND_S` seconds."""
-        if now >= self._resend_at:
-            self._resend_at = now + RESEND_S
-            self._unsent_good_runs.update(part for part, _ in self.part_quarantine.good_runs())
-        sent = tuple(
-            GoodRun(part, now - began_at)
-            for part, began_at in self.part_quarantine.good_runs()
-            if part in self._unsent_good_runs
-        )
-        self._unsent_good_runs.clear()
-        return sent
+        return [*self.quarantine.take_changes(), *self.parts.take_changes()]
 
     @property
     def has_unsent(self) -> bool:
         """Tell whether peers were not told of all evidence."""
-        return self.quarantine.has_unsent or bool(self._unsent_good_runs)
+        return self.quarantine.has_unsent or self.parts.has_unsent
 
-    def resend_all(self) -> None:
+    def schedule_resend(self) -> None:
         """Send all evidence with the next update, for a new peer."""
         self.quarantine.schedule_resend()
-        self._resend_at = 0.0
+        self.parts.schedule_resend()
 
     def record_endpoint(self, seen: EndpointStatus, now: float) -> None:
         """Record the state of an endpoint, which confirms a crash or rules it out."""
@@ -273,11 +177,9 @@
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[bytes]:
         """Merge a peer's failure histories and claims; return the digests that became suspect."""
         self._trials.set_peer_claims(instance, update.claims)
-        for good_run in update.good_runs:
-            self.part_quarantine.merge_good_run(good_run.part, now - good_run.age_s)
-            self._judge_soon(now)
+        self.parts.merge(update.good_runs, now)
         for suspicion in update.suspicions:
-            self._recall_good_runs(suspicion.parts)
+            self.parts.recall_good_runs(suspicion.parts)
         return self.quarantine.merge(update.suspicions, now)
 
     def claims(self) -> tuple[TrialClaim, ...]:
@@ -288,12 +190,6 @@
         """Forget the trial claims of a lost peer."""
         self._trials.drop_peer(instance)
 
-    def _report_verdict(self, parts: frozenset[str], verdict: Verdict, crashes: int) -> None:
-        self._changes.append(VerdictChanged("+".join(sorted(parts)), verdict, crashes))
-
-    def _judge_soon(self, now: float) -> None:
-        self._judge_until = max(self._judge_until, now + 2 * JUDGE_INTERVAL_S)
-
     def _step(
         self, request: ActiveRequest, live_endpoints: LiveEndpoints, now: float
     ) -> Step | None:
--- a/tests/operators/test_admin.py
+++ b/tests/operators/test_admin.py
@@ -248,7 +248,7 @@
             digest = str(number).encode()
             suspects.quarantine.record_failure(digest, (name, 1), 0.1, at, ("m/deadly",))
             suspects.quarantine.record_endpoint(name, 2, EndpointState.LIVE, at)
-        suspects.judge_parts(now + 3.0)
+        suspects.parts.judge(now + 3.0)
         driver = SimpleNamespace(gateway=gateway, feed=lambda msg: gateway.handle(msg, now + 4.0))
         deps = SimpleNamespace(driver=driver)
         listed = await list_quarantine(AdminCall(deps, {}, {}, {}))
@@ -256,8 +256,8 @@
         assert entry["parts"] == ["m/deadly"]
         release = AdminCall(deps, {"digest": entry["digest"]}, {}, {}, "ann")
         assert await release_quarantine(release) == {"released": True}
-        suspects.judge_parts(now + 4.1)
-        assert suspects.part_quarantine.entries() == ()
+        suspects.parts.judge(now + 4.1)
+        assert suspects.parts.part_quarantine.entries() == ()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
