Explain a quarantined request by what was in quarantine at its instance

explain said only that a request was refused as quarantined. It now names the requests and parts in quarantine at that instance, with their crashes and age.

--- a/rattangate/explain/causes.py
+++ b/rattangate/explain/causes.py
@@ -113,6 +113,18 @@
     return text
 
 
+def _explain_quarantine(explanation: Explanation, last: LogLine) -> str:
+    verdicts = [
+        f"{line.text('subject')} ({line.text('crashes')} crashes, {last.at - line.at:.1f} s before)"
+        for line in explanation.lines
+        if line.event is LogEvent.VERDICT_CHANGED and line.instance == last.instance
+    ]
+    text = "It was quarantined: it, or a part of its prompt, crashed endpoints in earlier requests."
+    if verdicts:
+        text += f" In quarantine at this instance: {', '.join(verdicts)}."
+    return text
+
+
 def _explain_shutdown(explanation: Explanation, last: LogLine) -> str:
     return f"{last.instance} was shutting down and accepted no new requests."
 
@@ -153,4 +165,5 @@
     ErrorKind.UNAUTHENTICATED: _explain_unknown_name,
     ErrorKind.NOT_FOUND: _explain_unknown_name,
     ErrorKind.SHUTTING_DOWN: _explain_shutdown,
+    ErrorKind.QUARANTINED: _explain_quarantine,
 }
--- a/rattangate/explain/explanation.py
+++ b/rattangate/explain/explanation.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from rattangate.core.messages import Verdict
 from rattangate.explain.causes import find_cause
 from rattangate.log_events import LogEvent
 
@@ -101,8 +102,10 @@
         if line.event in ENDPOINT_EVENTS and line.text("endpoint") in endpoints
     ]
     state_lines = _find_state_lines(log.lines, instances, own_lines[-1].at)
+    verdict_lines = _find_verdict_lines(log.lines, instances, own_lines[-1].at)
     selected = {
-        id(line): line for line in (*own_lines, *instance_lines, *endpoint_lines, *state_lines)
+        id(line): line
+        for line in (*own_lines, *instance_lines, *endpoint_lines, *state_lines, *verdict_lines)
     }
     lines = tuple(sorted(selected.values(), key=lambda line: line.at))
     failed_attempts = [line for line in in_window if line.event is LogEvent.ATTEMPT_FAILED]
@@ -124,6 +127,26 @@
     return list(latest_by_event.values())
 
 
+def _find_verdict_lines(
+    lines: tuple[LogLine, ...], instances: set[str], end: float
+) -> list[LogLine]:
+    """Return the lines of what the given instances held in quarantine at `end`."""
+    guilty: dict[tuple[str, str], LogLine] = {}
+    for line in lines:
+        if (
+            line.at > end
+            or line.instance not in instances
+            or line.event is not LogEvent.VERDICT_CHANGED
+        ):
+            continue
+        key = (line.instance, line.text("subject"))
+        if line.text("verdict") == Verdict.GUILTY.value:
+            guilty[key] = line
+        else:
+            guilty.pop(key, None)
+    return list(guilty.values())
+
+
 def _find_endpoints_down(in_window: list[LogLine], instances: set[str], end: float) -> set[str]:
     """Return the endpoints that the given instances took for down or leaving at `end`."""
     endpoints_down: set[str] = set()
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -68,6 +68,23 @@
     assert not [each for each in explanation.lines if each.text("endpoint") == "desk-9"]
 
 
+def test_quarantine_names_the_parts_in_force_at_the_instance():
+    def verdict(at, instance, subject, value):
+        fields = {"subject": subject, "verdict": value, "crashes": 3}
+        return make_line(at, instance, "verdict_changed", **fields)
+
+    explanation = explain_lines(
+        verdict(50.0, "e1", "lm/deadly", "guilty"),
+        verdict(51.0, "e1", "lm/mended", "guilty"),
+        verdict(52.0, "e1", "lm/mended", "free"),
+        verdict(53.0, "e2", "lm/elsewhere", "guilty"),
+        make_refusal(100.0, "quarantined"),
+    )
+    assert "lm/deadly (3 crashes, 50.0 s before)" in explanation.cause
+    assert "mended" not in explanation.cause
+    assert "elsewhere" not in explanation.cause
+
+
 def test_stale_keys_are_explained_by_a_store_outage():
     explanation = explain_lines(
         make_line(50.0, "e1", "platform_down", service="store", error="status 503"),
