Report a cleared suspect once

A digest that completed again within a minute was reported as cleared each time. Requests without shared parts are no longer remembered for good runs.

--- a/rattangate/core/part_evidence.py
+++ b/rattangate/core/part_evidence.py
@@ -66,7 +66,8 @@
 
     def record_first_token(self, request: ActiveRequest, now: float) -> None:
         """Note when an answer began, which is a good run once it has gone on for long enough."""
-        self._answers_begun.append((now, request))
+        if request.req.parts:
+            self._answers_begun.append((now, request))
 
     def record_survivors(self, now: float) -> None:
         """Record the answers that have gone on for long enough as good runs."""
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -331,7 +331,7 @@
 
     def _clear(self, digest: bytes, deadline: float) -> None:
         history = self._histories.get(digest)
-        if history is None:
+        if history is None or all(failure.cleared for failure in history.failures.values()):
             return
         self._changes.append(VerdictChanged(digest.hex(), Verdict.FREE, 0))
         self._has_new_evidence = True
