--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from rattangate.core.endpoint_limits import EndpointLimits
 from rattangate.core.endpoint_state import Endpoint
 from rattangate.core.intake import RequestScheduler, RequestSchedulerCfg
 from rattangate.core.messages import (
@@ -20,6 +21,7 @@
     CacheSnapshotReceived,
     Dispatch,
     Effect,
+    EndpointLimitReported,
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
@@ -85,12 +87,14 @@
 class Gateway:
     """Decide where each request runs: take messages and return effects, without I/O.
 
-    `endpoints` are the known endpoints by name; `scheduler` admits, queues and retries requests.
+    `endpoints` are the known endpoints by name, and `endpoint_limits` the request rates that they
+    named; `scheduler` admits, queues and retries requests.
     """
 
     def __init__(self, cfg: GatewayCfg, seed: int) -> None:
         self.cfg = cfg
         self.endpoints: dict[str, Endpoint] = {}
+        self.endpoint_limits = EndpointLimits()
         self.scheduler = RequestScheduler(cfg.scheduler, seed, self)
         # Recorded since the last peer update, each with the time of its record.
         self._placements: list[tuple[float, Placement]] = []
@@ -190,6 +194,13 @@
             self._update(known, msg, now)
         return []
 
+    @_handle.register
+    def _on_endpoint_limit(self, msg: EndpointLimitReported, now: float) -> list[Effect]:
+        if self._current(msg.endpoint, msg.incarnation) is None:
+            return []
+        change = self.endpoint_limits.apply_report(msg, now)
+        return [] if change is None else [change]
+
     @_handle.register
     def _on_load_reported(self, msg: LoadReported, now: float) -> list[Effect]:
         endpoint = self._current(msg.endpoint, msg.incarnation)
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -151,6 +151,20 @@
     available_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLimitReported:
+    """Report the request rate that an answer names, None if it names none.
+
+    The endpoint accepts `per_s` requests a second from all instances together. `sent_at` is when
+    the answered request was sent.
+    """
+
+    endpoint: str
+    incarnation: int
+    per_s: float | None
+    sent_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """Report the load of an endpoint at the time `measured_at`."""
@@ -328,6 +342,7 @@
     | AttemptEnded
     | RequestAbandoned
     | EndpointStatus
+    | EndpointLimitReported
     | LoadReported
     | CacheChanged
     | PeerUpdateReceived
@@ -423,5 +438,20 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLimitChanged:
+    """Report the request rate that an endpoint accepts now, None for no limit any more.
+
+    `source` tells whether an answer or a peer said so.
+    """
+
+    endpoint: str
+    incarnation: int
+    per_s: float | None
+    source: str
+
+
 QuarantineChange = SuspicionRecorded | CrashRecorded | VerdictChanged
-Effect = Dispatch | CancelAttempt | Refuse | SendPeerUpdate | QuarantineChange
+Effect = (
+    Dispatch | CancelAttempt | Refuse | SendPeerUpdate | QuarantineChange | EndpointLimitChanged
+)
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -16,6 +16,7 @@
     CancelAttempt,
     CrashRecorded,
     Dispatch,
+    EndpointLimitChanged,
     FirstTokenSeen,
     Refuse,
     RequestAbandoned,
@@ -136,6 +137,17 @@
             crashes=effect.crashes,
         )
 
+    @_carry_out.register
+    def _log_limit(self, effect: EndpointLimitChanged) -> None:
+        self._metrics.endpoint_limit_changes.inc()
+        log(
+            LogEvent.ENDPOINT_LIMIT_CHANGED,
+            endpoint=effect.endpoint,
+            incarnation=effect.incarnation,
+            per_s=effect.per_s,
+            source=effect.source,
+        )
+
     def _deliver(self, req_id: int, effect: Dispatch | Refuse) -> None:
         exchange = self._exchanges.get(req_id)
         if exchange is not None:
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -9,7 +9,7 @@
 
 from rattangate.core.events import EventStreamError
 from rattangate.core.fleet import WeightsUpdate
-from rattangate.core.messages import AttemptResult, Refuse
+from rattangate.core.messages import AttemptResult, EndpointLimitReported, Refuse
 from rattangate.core.routes import RouteKind
 from rattangate.errors import ErrorKind, Failure
 from rattangate.front.admission import BufferedResponse, admit, is_still_authorized
@@ -167,6 +167,7 @@
         assert pool is not None
         may_have_run_before = admitted.may_have_run
         admitted.may_have_run = True
+        sent_at = trio.current_time()
         try:
             exchange = await open_exchange(pool, outbound, stack)
         except ConnectFailed:
@@ -175,6 +176,7 @@
         response = exchange.response_head
         admitted.reports_error = response.status >= MIN_SERVER_ERROR
         self._record_leaving(dispatch, response)
+        self._record_limit(dispatch, response, sent_at)
         if response.was_not_run and response.status in NOT_RUN_STATUSES:
             admitted.may_have_run = may_have_run_before
             await _discard(exchange)
@@ -287,6 +289,16 @@
         self._state.apply_leaving(dispatch.endpoint, dispatch.incarnation, "answer")
         self._announce_leaving(dispatch.endpoint, dispatch.incarnation)
 
+    def _record_limit(self, dispatch: Dispatch, response: AnswerHead, sent_at: float) -> None:
+        """Report the request rate that a response names; only a signed one can name none."""
+        if response.limit_per_s is None and not response.is_signed:
+            return
+        self._state.driver.feed(
+            EndpointLimitReported(
+                dispatch.endpoint, dispatch.incarnation, response.limit_per_s, sent_at
+            )
+        )
+
     def _record_refusal(self, dispatch: Dispatch, response: AnswerHead) -> None:
         """Back off for the time of a Retry-After.
 
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -146,6 +146,11 @@
         "An endpoint is known to have crashed while it ran so many suspect requests.",
         ("endpoint", "incarnation", "suspects"),
     )
+    ENDPOINT_LIMIT_CHANGED = (
+        309,
+        "An endpoint accepts so many requests a second from all instances, null for any number.",
+        ("endpoint", "incarnation", "per_s", "source"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -121,6 +121,13 @@
         "Endpoints that are known to have crashed.",
         "Many without a verdict: look at `request_suspected` for what they ran.",
     )
+    ENDPOINT_LIMIT_CHANGES = (
+        "rattangate_endpoint_limit_changes",
+        MetricKind.COUNTER,
+        (),
+        "Changes of the request rates that endpoints name in their answers.",
+        "Rising: endpoints are short of capacity; `endpoint_limit_changed` names them.",
+    )
     QUARANTINE_VERDICTS = (
         "rattangate_quarantine_verdicts",
         MetricKind.COUNTER,
@@ -251,6 +258,7 @@
         self.completion_tokens = Series()
         self.log_lines_dropped = Series()
         self.crashes = Series()
+        self.endpoint_limit_changes = Series()
         self.verdicts = Series()
         self.rows_rewritten = Series()
         self.streams = Series()
@@ -270,6 +278,7 @@
             Metric.CACHE_HIT_TOKENS: self.cache_hit_tokens,
             Metric.COMPLETION_TOKENS: self.completion_tokens,
             Metric.ENDPOINT_CRASHES: self.crashes,
+            Metric.ENDPOINT_LIMIT_CHANGES: self.endpoint_limit_changes,
             Metric.QUARANTINE_VERDICTS: self.verdicts,
             Metric.ROWS_REWRITTEN: self.rows_rewritten,
             Metric.LOG_LINES_DROPPED: self.log_lines_dropped,
--- a/rattangate/platform/wire.py
+++ b/rattangate/platform/wire.py
@@ -25,6 +25,7 @@
 ENDPOINT_LOAD = b"x-server-load"
 ENDPOINT_ID = b"x-instance-id"
 ENDPOINT_LEAVING = b"server-leaving"
+ENDPOINT_LIMIT = b"server-limit"
 
 # Dropped from requests of callers: only the router may set these directives for replicas.
 RESERVED_HEADERS = frozenset(
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from rattangate.platform.requests import (
     PromptPart,
     RoutingDirectives,
@@ -87,3 +89,11 @@
         (b"X-Server-Load", b"1,0,6"),
     ]
     assert returned_headers(headers) == [(b"X-Server-Seal", b"s")]
+
+
+@pytest.mark.parametrize(
+    ("value", "per_s"),
+    [(b"1.9", 1.9), (b"0", 0.0), (b"0.02", 0.02), (b"-1", None), (b"nan", None), (b"x", None)],
+)
+def test_the_request_rate_that_an_answer_names_is_decoded(value, per_s):
+    assert decode_answer(200, [(b"server-limit", value)]).limit_per_s == per_s
