Divide the request rate that an endpoint names among all instances

Cause: the name of the limit was not known to the code. Class: an endpoint's statement about its capacity that is relayed and not heeded.

Fix: each instance believes the newest word of an endpoint, its own or a peer's. A limit of n a second issues a permit every 1/n s of the store's clock, which all instances read; hashing gives each permit to one registered instance. No message is needed to send, so the rate holds at hundreds of instances and below one request a second for all of them. A permit can be used for 1 s and the time of two more. An answer without a limit to a request sent after the last naming ends it.

Ruled out: an equal share for each instance (fills up while idle: 350 instances then send 350 at once); counting the placements of peers (0.1 to 0.4 s old, so each instance overshoots by itself).

--- a/rattangate/core/admission.py
+++ b/rattangate/core/admission.py
@@ -20,6 +20,8 @@
 MAX_RETRY_AFTER_S = 60.0
 # Largest random addition to a retry advice, as a fraction of it.
 JITTER = 0.25
+# Requests that wait for a permit wait for the first one of any endpoint, in one line.
+PERMIT_LINE = ""
 
 
 class WaitingRequests(Protocol):
@@ -121,6 +123,11 @@
             if overrun_s > 0:
                 return Reject(req_id, self.retry_after_s(overrun_s))
             chosen = fastest
+        if chosen.permit_wait_s:
+            pending_s = pending_prefill_s.get(PERMIT_LINE, 0.0)
+            self.longest_wait_s = max(self.longest_wait_s, pending_s + chosen.permit_wait_s)
+            pending_prefill_s[PERMIT_LINE] = pending_s + chosen.permit_wait_s
+            return None
         endpoint = chosen.endpoint
         pending_s = pending_prefill_s.get(endpoint.name, 0.0)
         wait_s = endpoint.wait_s(requests.priority(req_id), now) + pending_s
@@ -133,7 +140,8 @@
 
 
 def _with_pending_wait(candidate: Candidate, pending_prefill_s: dict[str, float]) -> Candidate:
-    pending_s = pending_prefill_s.get(candidate.endpoint.name, 0.0)
+    line = PERMIT_LINE if candidate.permit_wait_s else candidate.endpoint.name
+    pending_s = pending_prefill_s.get(line, 0.0)
     if pending_s == 0.0:
         return candidate
     return replace(
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -197,9 +197,13 @@
         self._forget(request, now)
         return self._schedule(now)
 
+    def has_heard_from(self, instance: str) -> bool:
+        """Tell whether a peer's update was applied since the peer was last lost."""
+        return instance in self._peer_queued_tokens
+
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[Effect]:
         """Apply a peer's update on its usage of limits, its queue and its suspects."""
-        if instance not in self._peer_queued_tokens:
+        if not self.has_heard_from(instance):
             self.suspects.schedule_resend()
         self.limits.set_peer_usage(instance, update.usages)
         self._peer_queued_tokens[instance] = update.queued_tokens
@@ -442,7 +446,11 @@
         return self._refuse(request, request.deadline_reason(now), now)
 
     def _start_trial(self, request: ActiveRequest, endpoint: str, now: float) -> list[Effect]:
-        chosen = [c for c in self._pool.candidates(request, now) if c.endpoint.name == endpoint]
+        chosen = [
+            candidate
+            for candidate in self._pool.candidates(request, now)
+            if candidate.endpoint.name == endpoint and not candidate.permit_wait_s
+        ]
         if not chosen:
             return []
         if request.retry_reason is not None and not self._budget_of(request.req).take():
@@ -522,7 +530,7 @@
 
     def _live_endpoints(self, request: ActiveRequest, now: float) -> list[str]:
         available = self._ejections.filter(self._pool.candidates(request, now), now)
-        return [candidate.endpoint.name for candidate in available]
+        return [candidate.endpoint.name for candidate in available if not candidate.permit_wait_s]
 
 
 def _queue_item(request: ActiveRequest) -> QueueItem:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -279,15 +279,29 @@
     exclusive: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLimit:
+    """Tell peers the request rate that an endpoint named `age_s` ago, None for none any more."""
+
+    endpoint: str
+    incarnation: int
+    per_s: float | None
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitsUpdate:
-    """Hold an instance's use of limits, length of queue and suspect requests, for its peers."""
+    """Hold an instance's use of limits, length of queue and suspect requests, for its peers.
+
+    `endpoint_limits` holds what the instance has read in answers since its last update.
+    """
 
     usages: tuple[WorkspaceUsage, ...] = ()
     queued_tokens: int = 0
     suspicions: tuple[Suspicion, ...] = ()
     claims: tuple[TrialClaim, ...] = ()
     good_runs: tuple[GoodRun, ...] = ()
+    endpoint_limits: tuple[EndpointLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/placement.py
+++ b/rattangate/core/placement.py
@@ -16,7 +16,7 @@
 from rattangate.core.prefill_speed import DEFAULT_S_PER_TOKEN
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from rattangate.core.endpoint_state import Endpoint
     from rattangate.core.messages import RequestArrived
@@ -37,7 +37,8 @@
 
     `blocks` are the block hashes of the prompt under the endpoint's weights version.
     `missing_tokens` is the number of tokens that remain to be prefilled after `fetched_tokens`
-    tokens of cache entries were fetched from `source`.
+    tokens of cache entries were fetched from `source`. `permit_wait_s` is the mean time until a
+    request may be sent there, part of the other times; 0 if that is now.
     """
 
     endpoint: Endpoint
@@ -47,6 +48,7 @@
     cost_s: float
     source: Endpoint | None = None
     fetched_tokens: int = 0
+    permit_wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,31 @@
     return _add_failure_costs(candidates, cfg, now) if cfg.failure_cost_s else candidates
 
 
+def add_permit_waits(candidates: list[Candidate], waits_s: Mapping[str, float]) -> list[Candidate]:
+    """Add the time until a permit for any of the endpoints that need one.
+
+    `waits_s` holds the mean wait for a permit by endpoint, 0 where none is needed or one is at
+    hand.
+    """
+    permits_per_s = sum(1.0 / wait_s for wait_s in waits_s.values() if wait_s)
+    if not permits_per_s:
+        return candidates
+    wait_s = 1.0 / permits_per_s
+    return [
+        (
+            replace(
+                candidate,
+                first_token_s=candidate.first_token_s + wait_s,
+                cost_s=candidate.cost_s + wait_s,
+                permit_wait_s=wait_s,
+            )
+            if waits_s[candidate.endpoint.name]
+            else candidate
+        )
+        for candidate in candidates
+    ]
+
+
 def _add_failure_costs(
     candidates: list[Candidate], cfg: PlacementCfg, now: float
 ) -> list[Candidate]:
--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rattangate.clock import boottime_now
 from rattangate.core.events import EventSplicer
 from rattangate.errors import ErrorKind, Failure
-from rattangate.front.state import boottime_now
 
 if TYPE_CHECKING:
     from rattangate.core.routes import Route, ServingConfig, Workspace
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -11,6 +11,7 @@
 import trio
 
 import rattangate
+from rattangate.clock import boottime_now
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.intake import RequestSchedulerCfg
 from rattangate.core.leases import Holder, Lease
@@ -27,7 +28,7 @@
     MAX_RETRY_S,
     ReplicaOrders,
 )
-from rattangate.front.state import PIECE_TOKENS, FrontState, boottime_now
+from rattangate.front.state import PIECE_TOKENS, FrontState
 from rattangate.front.store_watchers import EndpointListWatcher, OperatorConfigWatcher
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import METRICS_PATH, METRICS_PORT, Metrics
@@ -94,7 +95,7 @@
             client = await stack.enter_async_context(OrderClient())
             nursery = await stack.enter_async_context(trio.open_nursery())
             driver = Driver(self._make_gateway(), self.metrics, self._send_news)
-            self.state = FrontState(self.boot, driver, nursery)
+            self.state = FrontState(self.boot, driver, nursery, store.clock)
             self.forwarder = Forwarder(
                 self.state, self.metrics, lambda: self.is_closing, self._announce_leaving
             )
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from rattangate.front.state import boottime_now
+from rattangate.clock import boottime_now
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -82,6 +82,7 @@
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
         self._instances: dict[str, InstanceEntry] = {}
+        self._has_read_instances = False
         self._first_seen_at: dict[str, float] = {}
         self._plan = RelayPlan(boot.instance, boot.data_centre, boot.cores)
         self._live: frozenset[str] = frozenset()
@@ -211,7 +212,7 @@
                 instances[name] = entry
             else:
                 instances.pop(name, None)
-        if instances != self._instances:
+        if instances != self._instances or not self._has_read_instances:
             self._apply_instances(instances)
 
     async def _restore_rows(self, rows: tuple[StoreRow, ...]) -> None:
@@ -244,11 +245,14 @@
 
     def _apply_instances(self, instances: dict[str, InstanceEntry]) -> None:
         now = trio.current_time()
+        self._has_read_instances = True
         self._instances = instances
         self._first_seen_at = {name: self._first_seen_at.get(name, now) for name in instances}
         self._peer_registry.configure(instances, LOST_AFTER_S)
         shares = max(MIN_RETRY_SHARES, len(instances) + 1)
-        self._state.driver.gateway.scheduler.share_retries(shares)
+        gateway = self._state.driver.gateway
+        gateway.scheduler.share_retries(shares)
+        gateway.permits.configure((self._name, *instances))
         data_centres = {name: entry.data_centre for name, entry in instances.items()}
         self._plan.configure(data_centres, {name: entry.cores for name, entry in instances.items()})
         self._connect()
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
 
+from rattangate.clock import boottime_now
 from rattangate.core.fleet import FleetView, FleetViewCfg
 from rattangate.core.key_lease import KeyLease
 from rattangate.core.messages import EndpointState
@@ -22,6 +22,7 @@
     from rattangate.core.fleet import ListedEndpoint, ModelVersion, WeightsUpdate
     from rattangate.core.messages import EndpointStatus
     from rattangate.core.routes import ServingConfig
+    from rattangate.core.shared_clock import SharedClock
     from rattangate.driver import Driver
     from rattangate.platform.boot import BootSettings, Bounds
 
@@ -37,15 +38,12 @@
 MAX_BACK_OFF_S = 60.0
 
 
-def boottime_now() -> float:
-    """Return the seconds of CLOCK_BOOTTIME, which also advances while the instance is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class FrontState:
     """Hold what this instance knows of its deployment, and feed changes to the gateway."""
 
-    def __init__(self, boot: BootSettings, driver: Driver, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, boot: BootSettings, driver: Driver, nursery: trio.Nursery, shared_clock: SharedClock
+    ) -> None:
         self.boot = boot
         self.config: ServingConfig | None = None
         self.keys = KeyLease(boot.bounds.revoke_s)
@@ -55,6 +53,7 @@
         )
         self.list_read_at: float | None = None
         self.driver = driver
+        self._shared_clock = shared_clock
         self._nursery = nursery
         self._probing: set[tuple[str, int]] = set()
         self._pools: dict[tuple[str, int], EndpointPool] = {}
@@ -140,6 +139,8 @@
     def tick(self) -> None:
         """Apply the changes that are due by time, and close unusable connections."""
         now = trio.current_time()
+        offset_s = boottime_now() - now + self._shared_clock.offset_s
+        self.driver.gateway.permits.set_clock(offset_s)
         # A response from outdated weights is of no use to a caller once the bound for running a
         # named version has passed.
         limit = boottime_now() - self.boot.bounds.version_s + VERSION_MARGIN_S
--- a/rattangate/front/store_watchers.py
+++ b/rattangate/front/store_watchers.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from rattangate.clock import boottime_now
 from rattangate.core.fleet import ModelVersion
 from rattangate.core.routes import ServingConfig
-from rattangate.front.state import boottime_now
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.operator import (
--- a/rattangate/front/table_watcher.py
+++ b/rattangate/front/table_watcher.py
@@ -8,8 +8,8 @@
 
 import trio
 
+from rattangate.clock import boottime_now
 from rattangate.core.store_version import era_of
-from rattangate.front.state import boottime_now
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import TableDelta
 from rattangate.platform.outcomes import HistoryLost, StoreRows, Unavailable
--- a/rattangate/peers/limits_codec.py
+++ b/rattangate/peers/limits_codec.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from rattangate.core.messages import (
+    EndpointLimit,
     GoodRun,
     LimitsUpdate,
     Suspicion,
@@ -25,6 +26,8 @@
         suspected=[_suspicion_to_thrift(suspicion) for suspicion in update.suspicions],
         trials=[_claim_to_thrift(claim) for claim in update.claims],
         good_runs=[_good_run_to_thrift(run) for run in update.good_runs] or None,
+        endpoint_limits=[_endpoint_limit_to_thrift(limit) for limit in update.endpoint_limits]
+        or None,
     )
 
 
@@ -41,6 +44,7 @@
             TrialClaim(trial.digest, trial.endpoint, bool(trial.exclusive)) for trial in raw.trials
         ),
         tuple(GoodRun(run.part, run.age_ms / MS_PER_S) for run in raw.good_runs or ()),
+        tuple(_endpoint_limit_from_thrift(limit) for limit in raw.endpoint_limits or ()),
     )
 
 
@@ -82,6 +86,19 @@
     return idl.GoodRun(part=run.part, age_ms=_clamp_to_ms(run.age_s))
 
 
+def _endpoint_limit_to_thrift(limit: EndpointLimit) -> Any:
+    return idl.EndpointLimit(
+        endpoint=limit.endpoint,
+        incarnation=limit.incarnation,
+        per_s=limit.per_s,
+        age_ms=_clamp_to_ms(limit.age_s),
+    )
+
+
+def _endpoint_limit_from_thrift(raw: Any) -> EndpointLimit:
+    return EndpointLimit(raw.endpoint, raw.incarnation, raw.per_s, raw.age_ms / MS_PER_S)
+
+
 def _claim_to_thrift(claim: TrialClaim) -> Any:
     return idl.Trial(digest=claim.digest, endpoint=claim.endpoint, exclusive=claim.exclusive)
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -75,6 +75,14 @@
   3: bool exclusive
 }
 
+/** The request rate that an endpoint named age_ms ago; per_s is unset if it names none any more. */
+struct EndpointLimit {
+  1: string endpoint
+  2: i64 incarnation
+  3: optional double per_s
+  4: i32 age_ms
+}
+
 /** An instance's use of limits, length of queue and suspect requests. */
 struct Limits {
   1: list<Usage> usages
@@ -82,6 +90,7 @@
   3: list<Suspected> suspected
   4: list<Trial> trials
   5: optional list<GoodRun> good_runs
+  6: optional list<EndpointLimit> endpoint_limits
 }
 
 /** What an instance believes to be in an engine's cache, least recently used piece first. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -159,6 +159,23 @@
     ]
 
 
+class EndpointLimit(TPayload):
+    """Carry the struct EndpointLimit."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.DOUBLE, "per_s", False),
+        4: (TType.I32, "age_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("incarnation", None),
+        ("per_s", None),
+        ("age_ms", None),
+    ]
+
+
 class Limits(TPayload):
     """Carry the struct Limits."""
 
@@ -168,6 +185,7 @@
         3: (TType.LIST, "suspected", (TType.STRUCT, Suspected), False),
         4: (TType.LIST, "trials", (TType.STRUCT, Trial), False),
         5: (TType.LIST, "good_runs", (TType.STRUCT, GoodRun), False),
+        6: (TType.LIST, "endpoint_limits", (TType.STRUCT, EndpointLimit), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("usages", None),
@@ -175,6 +193,7 @@
         ("suspected", None),
         ("trials", None),
         ("good_runs", None),
+        ("endpoint_limits", None),
     ]
 
 
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -10,6 +10,8 @@
 import msgspec
 import trio
 
+from rattangate.clock import boottime_now
+from rattangate.core.shared_clock import SharedClock
 from rattangate.core.store_version import era_of, make_version, number_of
 from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST_STORE
@@ -51,9 +53,12 @@
     begins a new era, which all its answers name. The versions of this client have the era as their
     leading part. A position or an expected version of an earlier era is never sent, and an answer
     of an earlier era is not used.
+
+    `clock` follows the store's clock, which all instances read.
     """
 
     def __init__(self, address: str, call_timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self.clock = SharedClock()
         self._call_timeout_s = call_timeout_s
         self._is_down = False
         self._era = 0
@@ -254,7 +259,10 @@
         resp = await self._call(method, path, params, content, headers, wait_s)
         if isinstance(resp, Unavailable):
             return resp
-        return _decode(resp, may_have_applied=method != "GET", era=self._era)
+        answer = _decode(resp, may_have_applied=method != "GET", era=self._era)
+        if isinstance(answer, _Answer) and "now_ms" in answer.body:
+            self.clock.observe(_answered_at(answer), boottime_now())
+        return answer
 
     async def _call(
         self,
--- /dev/null
+++ b/tests/front/test_endpoint_limit.py
@@ -0,0 +1,48 @@
+"""Replicas whose answers name the request rate that they accept from all instances together."""
+
+from __future__ import annotations
+
+import trio
+
+from tests.front.deployment import (
+    IDEMPOTENT_PATH,
+    Call,
+    respond_done,
+    running_deployment,
+    wait_until,
+)
+
+KEY = ("desk-0", 1000)
+
+
+def test_a_named_rate_is_kept_and_its_end_is_noticed():
+    async def name_limit(call: Call) -> None:
+        await call.respond(200, b"done", Server_Limit="2.0")
+
+    async def main() -> None:
+        async with running_deployment(
+            plain_handler=name_limit, replicas_per_service=1
+        ) as deployment:
+            gateway = deployment.app.state.driver.gateway
+            await deployment.request(IDEMPOTENT_PATH)
+            assert 1.9 < gateway.endpoint_limits.limit_of(KEY) <= 2.0
+            gateway.permits.configure(())
+            refused = await deployment.request(IDEMPOTENT_PATH, X_Deadline_Ms="300")
+            assert refused.status_code == 503
+            assert float(refused.headers["retry-after"]) > 0
+            assert len(deployment.calls()) == 1
+            deployment.replicas["desk-0"].handler = respond_done
+            gateway.permits.configure((deployment.boot.instance,))
+            assert (await deployment.request(IDEMPOTENT_PATH)).status_code == 200
+            assert gateway.endpoint_limits.limit_of(KEY) is None
+
+    trio.run(main)
+
+
+def test_the_permits_of_a_lone_instance_follow_the_clock_of_the_store():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            permits = deployment.app.state.driver.gateway.permits
+            await wait_until(lambda: permits.is_available(KEY, 50.0, trio.current_time()))
+
+    trio.run(main)
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -401,6 +401,6 @@
 
 
 def _keys_are_valid(deployment) -> bool:
-    from rattangate.front.state import boottime_now
+    from rattangate.clock import boottime_now
 
     return deployment.app.state.keys.holds(boottime_now())
--- a/tests/front/test_logging.py
+++ b/tests/front/test_logging.py
@@ -8,9 +8,9 @@
 import eliot
 import trio
 
+from rattangate.clock import boottime_now
 from rattangate.explain.explanation import explain_request
 from rattangate.explain.lines import read_log
-from rattangate.front.state import boottime_now
 from rattangate.log_events import LineWriter, LogEvent
 from tests.front.deployment import NON_IDEMPOTENT_PATH, Call, running_deployment, wait_until
 
--- a/tests/front/test_reload.py
+++ b/tests/front/test_reload.py
@@ -5,6 +5,7 @@
 import json
 from types import SimpleNamespace
 
+from rattangate.core.shared_clock import SharedClock
 from rattangate.front.reload import SettingsReloader
 from rattangate.front.state import FrontState
 from rattangate.platform.boot import decode_boot
@@ -16,7 +17,7 @@
     path.write_text(json.dumps(BOOT))
     monkeypatch.setenv("RATTANGATE_BOOT", str(path))
     boot = decode_boot(path.read_bytes(), str(path))
-    state = FrontState(boot, SimpleNamespace(), SimpleNamespace())
+    state = FrontState(boot, SimpleNamespace(), SimpleNamespace(), SharedClock())
     reloader = SettingsReloader(state)
     path.write_text(json.dumps({**BOOT, "bounds": {"revoke_ms": 2000}}))
     reloader.reload()
--- a/tests/peers/test_limits_codec.py
+++ b/tests/peers/test_limits_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rattangate.core.messages import GoodRun, LimitsUpdate, Suspicion
+from rattangate.core.messages import EndpointLimit, GoodRun, LimitsUpdate, Suspicion
 from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
 
 
@@ -15,3 +15,10 @@
         good_runs=(GoodRun("m/a", 1.5),),
     )
     assert limits_from_thrift(limits_to_thrift(update)) == update
+
+
+def test_request_rates_of_endpoints_reach_peers():
+    update = LimitsUpdate(
+        endpoint_limits=(EndpointLimit("e1", 7, 1.9, 0.25), EndpointLimit("e2", 8, None, 0.0))
+    )
+    assert limits_from_thrift(limits_to_thrift(update)) == update
--- a/tools/build_thrift.py
+++ b/tools/build_thrift.py
@@ -16,6 +16,7 @@
     TType.BYTE: "BYTE",
     TType.I32: "I32",
     TType.I64: "I64",
+    TType.DOUBLE: "DOUBLE",
     TType.STRING: "STRING",
     TType.BINARY: "BINARY",
     TType.STRUCT: "STRUCT",
