--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -30,7 +30,7 @@
     """Hold one endpoint's entry in the platform's list.
 
     `incarnation` is the Unix time of the endpoint's start in milliseconds; `slots` is the number of
-    requests that it runs at a time.
+    requests that it runs at a time. `software_version` is that of the endpoint's own software.
     """
 
     endpoint: str
@@ -41,6 +41,7 @@
     slots: int
     is_leaving: bool
     models: tuple[ModelVersion, ...]
+    software_version: str = ""
 
     def version_of(self, model: str) -> int | None:
         """Return the weights version of a model that the endpoint runs, None if it runs none."""
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -20,6 +20,7 @@
     """Log the choice of an endpoint and the values that it was based on."""
     config = state.config
     now = trio.current_time()
+    listed = state.view.endpoints.get(dispatch.endpoint)
     log(
         LogEvent.REQUEST_PLACED,
         request_id=admitted.head.attempt_id,
@@ -34,6 +35,9 @@
         queued_ms=int((now - admitted.req.arrived_at) * 1000),
         missing=dispatch.missing_tokens,
         expected_ms=int(dispatch.first_token_s * 1000),
+        software="" if listed is None else listed.software_version,
+        resumes=admitted.head.resumes,
+        after_event=admitted.splicer.last_id,
     )
 
 
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -109,6 +109,9 @@
             "queued_ms",
             "missing",
             "expected_ms",
+            "software",
+            "resumes",
+            "after_event",
         ),
     )
     ATTEMPT_FAILED = (
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -99,6 +99,7 @@
     state: str
     slots: int
     born: int
+    version: str = ""
     models: list[_RunningModel] = []
 
 
@@ -144,6 +145,7 @@
         raw.slots,
         raw.state == "draining",
         tuple(ModelVersion(item.name, item.version) for item in raw.models),
+        raw.version,
     )
 
 
--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -44,7 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """Hold the decoded headers of a caller's request; `timeout_s` is its timeout in seconds."""
+    """Hold the decoded headers of a caller's request; `timeout_s` is its timeout in seconds.
+
+    A request that takes a stream up again names in `resumes` the attempt that brought its first
+    event.
+    """
 
     attempt_id: str
     timeout_s: float
@@ -55,6 +59,7 @@
     max_tokens: int
     parts: tuple[PromptPart, ...]
     last_event_id: int
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +123,7 @@
         max_tokens,
         parts,
         last_event_id,
+        values.get(wire.RESUMES, b"").decode("latin-1"),
     )
 
 
