--- a/tests/front/deployment.py
+++ b/tests/front/deployment.py
@@ -135,7 +135,8 @@
         if key is not None:
             sent["Authorization"] = f"Bearer {key}"
         if path in (STREAM_PATH, RESUMABLE_PATH):
-            sent |= {"X-Model": MODEL, "X-Token-Counts": "900,20", "X-Prefix-Hash": "aa:600,bb:300"}
+            prompt = {"X-Model": MODEL, "X-Token-Counts": "900,20"}
+            sent = {**prompt, "X-Prefix-Hash": "aa:600,bb:300"} | sent
         return await self.client.post(path, content=b"hello", headers=sent)
 
     def configure(self, version: int, **changes: Any) -> None:
--- /dev/null
+++ b/tests/front/test_stream_versions.py
@@ -0,0 +1,129 @@
+"""Replicas of two software versions serve side by side; a stream keeps to the one that began it."""
+
+from __future__ import annotations
+
+import httpx
+import pytest
+import trio
+
+from tests.front.deployment import (
+    RESUMABLE_PATH,
+    Call,
+    event,
+    running_deployment,
+    stream_events,
+    wait_until,
+)
+
+VERSIONS = {"llm-0": "v1", "llm-1": "v1.1", "llm-2": "v1", "llm-3": "v1.1"}
+STREAMS = 8
+
+
+async def break_off(call: Call) -> None:
+    """Break a new stream off after two events; continue one that is taken up."""
+    if "last-event-id" in call.headers:
+        await stream_events(call)
+        return
+    await call.start_stream()
+    await call.send_chunk(event(1))
+    await call.send_chunk(event(2))
+    await call.stream.aclose()
+
+
+async def start_versions(deployment, names) -> None:
+    for name, version in VERSIONS.items():
+        if name in names:
+            deployment.write_replica_entry(name, "llm", version=version)
+        elif name in deployment.replicas:
+            deployment.platform.store.remove_row("servers", name)
+    view = deployment.app.state.view
+    await wait_until(
+        lambda: {
+            name: view.endpoints[name].software_version
+            for name in VERSIONS
+            if name in view.endpoints
+        }
+        == {name: VERSIONS[name] for name in names}
+    )
+
+
+def versions_by_stream(deployment) -> dict[str, list[str]]:
+    """Return the versions that got the requests of each stream, in order."""
+    found: dict[str, list[str]] = {}
+    for replica in deployment.replicas.values():
+        for call in replica.calls:
+            stream = call.headers.get("resumes", call.headers["x-attempt-id"])
+            found.setdefault(stream, []).append(VERSIONS[replica.name])
+    return found
+
+
+def test_a_broken_stream_goes_on_at_the_version_that_began_it():
+    async def main() -> None:
+        async with running_deployment(
+            engine_handler=break_off, replicas_per_service=4
+        ) as deployment:
+            await start_versions(deployment, VERSIONS)
+            for number in range(STREAMS):
+                resp = await deployment.request(RESUMABLE_PATH, X_Attempt_Id=f"a{number}")
+                assert resp.content == event(1) + event(2) + event(3)
+            for versions in versions_by_stream(deployment).values():
+                assert len(versions) == 2
+                assert len(set(versions)) == 1
+
+    trio.run(main)
+
+
+def test_a_broken_stream_ends_where_no_replica_of_its_version_serves():
+    async def main() -> None:
+        async with running_deployment(engine_handler=break_off) as deployment:
+            await start_versions(deployment, ("llm-0", "llm-1"))
+            with pytest.raises(httpx.RemoteProtocolError):
+                await deployment.request(RESUMABLE_PATH)
+            assert [len(found) for found in versions_by_stream(deployment).values()] == [1]
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("prefix", ["aa:600,bb:300", "ac:600,bb:300", "ad:600,bb:300"])
+def test_a_stream_that_a_caller_takes_up_goes_on_at_the_version_that_began_it(prefix):
+    async def main() -> None:
+        async with running_deployment(replicas_per_service=4) as deployment:
+            await start_versions(deployment, VERSIONS)
+            await deployment.request(RESUMABLE_PATH, X_Prefix_Hash=prefix)
+            (began_at,) = (
+                replica.name for replica in deployment.replicas.values() if replica.calls
+            )
+            deployment.write_replica_entry(
+                began_at, "llm", version=VERSIONS[began_at], state="draining"
+            )
+            view = deployment.app.state.view
+            await wait_until(lambda: view.endpoints[began_at].is_leaving)
+            resumed = {"X_Attempt_Id": "b1", "Resumes": "a1", "Last_Event_Id": "2"}
+            resp = await deployment.request(RESUMABLE_PATH, X_Prefix_Hash=prefix, **resumed)
+            assert resp.content == event(3)
+            ((first, second),) = versions_by_stream(deployment).values()
+            assert first == second
+
+    trio.run(main)
+
+
+def test_a_stream_of_an_unknown_version_is_not_taken_up_while_two_versions_serve():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            await start_versions(deployment, ("llm-0", "llm-1"))
+            headers = {"Resumes": "from-elsewhere", "Last_Event_Id": "2"}
+            resp = await deployment.request(RESUMABLE_PATH, **headers)
+            assert resp.status_code == 503
+            assert not deployment.calls()
+
+    trio.run(main)
+
+
+def test_a_stream_of_an_unknown_version_is_taken_up_where_there_is_one_version():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            headers = {"Resumes": "from-elsewhere", "Last_Event_Id": "2"}
+            resp = await deployment.request(RESUMABLE_PATH, **headers)
+            assert resp.content == event(3)
+
+    trio.run(main)
