Keep a stream to the software version that began it

Cause: an answer that has begun was pinned to its weights only, and a stream that a caller takes up was placed like a new one. Class: what was begun is continued without the identity of who began it.

Fix: the first token pins the software version beside the weights. If the news are on their way they are waited for 0.4 s; if nobody knows, the stream goes on only if one version alone has served for the last minute, and is refused as not run otherwise. A stream ends at once if no endpoint of its version is left, where it waited for its deadline before.

--- a/rattangate/core/active_requests.py
+++ b/rattangate/core/active_requests.py
@@ -24,8 +24,9 @@
     failed after they were sent, and `run_count` those that may have run at an endpoint. `is_late`
     says that the latency target can no longer be met. `placement_number` identifies the current placement
     among those of this instance, on the endpoint `placed_on`. Once tokens were delivered,
-    `pinned_version` is the weights version that has to continue the answer. `tried` holds the
-    endpoint incarnations to which the request was sent.
+    `pinned_version` is the weights version that has to continue the answer, and `pinned_software`
+    the version of the endpoint's software. `tried` holds the endpoint incarnations to which the
+    request was sent.
     """
 
     req: RequestArrived
@@ -43,6 +44,7 @@
     retry_reason: RetryReason | None = None
     may_have_run: bool = False
     pinned_version: str | None = None
+    pinned_software: str | None = None
     tried: set[tuple[str, int]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -59,8 +61,17 @@
         return self.req.digest[:DIGEST_BYTES]
 
     def may_continue_at(self, endpoint: Endpoint) -> bool:
-        """Tell whether an answer that has begun would continue with the same weights version."""
-        return self.pinned_version in (None, endpoint.status.weights_version)
+        """Tell whether an answer that has begun would continue with the same versions."""
+        status = endpoint.status
+        return self.pinned_version in (None, status.weights_version) and (
+            self.pinned_software in (None, status.software_version)
+        )
+
+    def pin(self) -> None:
+        """Keep the answer, which has begun, to the versions of the endpoint that it is placed on."""
+        assert self.placed_on is not None
+        self.pinned_version = self.placed_on.status.weights_version
+        self.pinned_software = self.placed_on.status.software_version
 
     def extend_deadline(self, now: float) -> None:
         """Give a request whose attempt was lost as much time as it had on arrival."""
--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -212,6 +212,7 @@
             available_at=self._suspended_until.get((item.endpoint, item.incarnation)),
             slots=1 if is_engine else item.slots,
             network_cost_s=self._network_cost_s(item.data_centre, is_engine),
+            software_version=item.software_version,
         )
 
     def _describe_cache_server(self, service: Service) -> EndpointStatus:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -40,6 +40,7 @@
 )
 from rattangate.core.placement import PlacementCfg, add_permit_waits, find_candidates
 from rattangate.core.request_permits import RequestPermits
+from rattangate.core.stream_versions import StreamVersions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,8 +91,8 @@
     """Decide where each request runs: take messages and return effects, without I/O.
 
     `endpoints` are the known endpoints by name, `endpoint_limits` the request rates that they
-    named and `permits` this instance's part of them; `scheduler` admits, queues and retries
-    requests.
+    named and `permits` this instance's part of them; `stream_versions` are the software versions of
+    recent streams; `scheduler` admits, queues and retries requests.
     """
 
     def __init__(self, cfg: GatewayCfg, seed: int) -> None:
@@ -99,6 +100,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.endpoint_limits = EndpointLimits()
         self.permits = RequestPermits(cfg.scheduler.instance)
+        self.stream_versions = StreamVersions()
         self.scheduler = RequestScheduler(cfg.scheduler, seed, self)
         # Recorded since the last peer update, each with the time of its record.
         self._placements: list[tuple[float, Placement]] = []
@@ -156,7 +158,7 @@
         request = self._find_request(msg.req_id, msg.attempt)
         if request is None or request.placed_on is None or request.first_token_at is not None:
             return []
-        request.pinned_version = request.placed_on.status.weights_version
+        request.pin()
         cached = msg.cached_tokens
         if cached is None:
             cached = request.placed_on.predicted_cached_tokens(
@@ -175,7 +177,7 @@
             return []
         _record_outcome(request.placed_on, msg, now)
         if msg.completion_tokens:
-            request.pinned_version = request.placed_on.status.weights_version
+            request.pin()
         return self.scheduler.end_attempt(request, msg, now)
 
     @_handle.register
@@ -191,6 +193,7 @@
     @_handle.register
     def _on_endpoint(self, msg: EndpointStatus, now: float) -> list[Effect]:
         self.scheduler.suspects.record_endpoint(msg, now)
+        self.stream_versions.record_endpoint(msg, now)
         known = self.endpoints.get(msg.endpoint)
         if known is None or msg.incarnation > known.status.incarnation:
             self.endpoints[msg.endpoint] = self._new_endpoint(msg, now)
@@ -284,6 +287,23 @@
         }
         return add_permit_waits(candidates, waits)
 
+    def stream_version(self, request: ActiveRequest, now: float) -> str | None:
+        """Return the software version at which a request's stream began, None if unknown."""
+        req = request.req
+        return self.stream_versions.version_of(req.stream, req.scope.model, now)
+
+    def may_continue(self, request: ActiveRequest) -> bool:
+        """Tell whether an answer that has begun may go on at an endpoint, now or after a pause."""
+        states = (EndpointState.LIVE, EndpointState.SUSPENDED)
+        model = request.req.scope.model
+        return any(
+            endpoint.status.state in states
+            and endpoint.status.serves in ("", model)
+            and request.may_continue_at(endpoint)
+            and incarnation_key(endpoint) not in request.tried
+            for endpoint in self.endpoints.values()
+        )
+
     def backoff_s(self, request: ActiveRequest, now: float) -> float | None:
         """Return the seconds until a paused endpoint takes requests again, None for none."""
         statuses = (endpoint.status for endpoint in self.endpoints.values())
@@ -325,7 +345,9 @@
             digest=request.digest,
             fetched_tokens=chosen.fetched_tokens,
             cache_target=target,
+            stream=req.stream,
         )
+        self.stream_versions.record_placement(req.stream, endpoint.status.software_version, now)
         self._placements.append((now, placement))
         return Dispatch(
             req.req_id,
@@ -444,6 +466,8 @@
         endpoint = self._current(placement.endpoint, placement.incarnation)
         if endpoint is None:
             return
+        version = endpoint.status.software_version
+        self.stream_versions.record_placement(placement.stream, version, now)
         endpoint.place(
             (peer, placement.number),
             placement.blocks,
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -54,6 +54,8 @@
 LATE_LEVEL_OFFSET = 1_000
 # A waiting request is not demoted as late before this fraction of the time to its target.
 MIN_ON_TIME_FRACTION = 0.25
+# A peer's update tells of a stream's placement within this time.
+STREAM_NEWS_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,12 @@
     def backoff_s(self, request: ActiveRequest, now: float) -> float | None:
         """Return the seconds until the first endpoint ends its back-off, None if none backs off."""
 
+    def stream_version(self, request: ActiveRequest, now: float) -> str | None:
+        """Return the software version at which a request's stream began, None if unknown."""
+
+    def may_continue(self, request: ActiveRequest) -> bool:
+        """Tell whether an answer that has begun may go on at an endpoint, now or after a pause."""
+
     def dispatch(self, request: ActiveRequest, chosen: Candidate, now: float) -> Dispatch:
         """Assign a request to an endpoint and return its dispatch."""
 
@@ -119,6 +127,8 @@
         self._ejections = Ejections()
         self._latest_starts: list[tuple[float, int]] = []
         self._next_plan_at = 0.0
+        # When to refuse the requests that take up a stream of an unknown software version.
+        self._unknown_streams: dict[int, float] = {}
 
     def configure(
         self, instances: int, workspaces: Iterable[WorkspaceLimit], first_token_s: float
@@ -152,17 +162,12 @@
         self.active_requests[req.req_id] = request
         if req.soft_deadline < math.inf:
             heapq.heappush(self._latest_starts, (self._latest_start(req, now), req.req_id))
-        if self.suspects.quarantine.verdict_on(request.digest, now) is Verdict.SUSPECT:
-            self.suspects.hold(request, now)
-            return self._advance_suspects(now)
-        evicted = self.queue.push(_queue_item(request), now)
-        effects = self._schedule(now, req.req_id)
-        if evicted is not None:
-            wait_s = self._admission.retry_after_s(self._admission.longest_wait_s / 2)
-            effects.extend(
-                self._refuse(self.active_requests[evicted], RefusalReason.QUEUE_FULL, now, wait_s)
-            )
-        return effects
+        if req.takes_up_stream:
+            request.pinned_software = self._pool.stream_version(request, now)
+            if request.pinned_software is None:
+                self._unknown_streams[req.req_id] = now + STREAM_NEWS_S
+                return []
+        return self._enqueue(request, now)
 
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
         """Record the first token of a request and use the capacity that its prefill occupied."""
@@ -249,6 +254,7 @@
         self.suspects.parts.record_survivors(now)
         return [
             *self._refuse_poisoned(now),
+            *self._resolve_streams(now),
             *self._advance_suspects(now),
             *self._schedule(now),
         ]
@@ -326,6 +332,33 @@
                 self.queue.remove(req_id)
                 self.queue.push(_queue_item(request), now)
 
+    def _enqueue(self, request: ActiveRequest, now: float) -> list[Effect]:
+        """Queue an admitted request, or hold it back as a suspect."""
+        if self.suspects.quarantine.verdict_on(request.digest, now) is Verdict.SUSPECT:
+            self.suspects.hold(request, now)
+            return self._advance_suspects(now)
+        evicted = self.queue.push(_queue_item(request), now)
+        effects = self._schedule(now, request.req.req_id)
+        if evicted is not None:
+            wait_s = self._admission.retry_after_s(self._admission.longest_wait_s / 2)
+            effects.extend(
+                self._refuse(self.active_requests[evicted], RefusalReason.QUEUE_FULL, now, wait_s)
+            )
+        return effects
+
+    def _resolve_streams(self, now: float) -> list[Effect]:
+        """Queue the requests whose stream a peer has told of; refuse those that waited for long."""
+        effects: list[Effect] = []
+        for req_id, deadline in list(self._unknown_streams.items()):
+            request = self.active_requests[req_id]
+            request.pinned_software = self._pool.stream_version(request, now)
+            if request.pinned_software is not None:
+                del self._unknown_streams[req_id]
+                effects.extend(self._enqueue(request, now))
+            elif now >= deadline:
+                effects.extend(self._refuse(request, RefusalReason.STREAM_UNKNOWN, now))
+        return effects
+
     def _schedule(self, now: float, arrived: int | None = None) -> list[Effect]:
         """Schedule the queue; a long one at intervals, and between them only a new request."""
         if len(self.queue) <= SHORT_QUEUE_LENGTH or now >= self._next_plan_at:
@@ -392,6 +425,8 @@
             return self._refuse(request, RefusalReason.NOT_REPEATABLE, now)
         if not request.has_runs_left:
             return self._refuse(request, RefusalReason.ATTEMPTS_USED, now)
+        if request.pinned_software is not None and not self._pool.may_continue(request):
+            return self._refuse_unschedulable(request, now)
         request.retry_reason = RetryReason.SUSPECT_PROBED
         self.suspects.hold(request, now)
         return [*self._hold_copies(request.digest, now), *self._advance_suspects(now)]
@@ -503,6 +538,7 @@
         del self.active_requests[request.req.req_id]
         self._pool.release(request, now)
         self.queue.remove(request.req.req_id)
+        self._unknown_streams.pop(request.req.req_id, None)
         self.suspects.discard(request, now)
         self.limits.release(request.req.scope.workspace, now)
 
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -81,6 +81,9 @@
     which the request may have run, None for no bound of its own. A request that is not `repeatable`
     is not retried once it may have run. `parts` identify the parts of the prompt that other
     requests may share, within the model.
+
+    `stream` identifies a stream that can be taken up again, empty for any other request;
+    `takes_up_stream` says that the caller has events of it already.
     """
 
     req_id: int
@@ -97,6 +100,8 @@
     unshared_blocks: int = 0
     soft_deadline: float = math.inf
     parts: tuple[str, ...] = ()
+    stream: bytes = b""
+    takes_up_stream: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +142,8 @@
     `serves` is the name of the model, empty for any; `cache_blocks` is the declared cache size in
     blocks, 0 if unknown; `slots` is the number of requests that it processes in parallel;
     `network_cost_s` is the cost in seconds that placement adds for its distance; `available_at` is
-    when an endpoint that asked for a pause accepts requests again, None if it asked for none.
+    when an endpoint that asked for a pause accepts requests again, None if it asked for none;
+    `software_version` is that of the endpoint's software, empty if it states none.
     """
 
     endpoint: str
@@ -149,6 +155,7 @@
     slots: int = 1
     network_cost_s: float = 0.0
     available_at: float | None = None
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +203,7 @@
     `number` is unique within the sending instance; `age_s` is the age of the placement when the
     update was sent; `fetched_tokens` is the number of tokens whose cache entries the engine fetches
     instead of prefilling; `cache_target` names the cache store that holds the prompt's
-    entries.
+    entries; `stream` identifies a stream that can be taken up again.
     """
 
     endpoint: str
@@ -211,6 +218,7 @@
     digest: bytes = b""
     fetched_tokens: int = 0
     cache_target: str = ""
+    stream: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/refusals.py
+++ b/rattangate/core/refusals.py
@@ -21,6 +21,7 @@
     RETRY_BUDGET_EMPTY = "retry_budget_empty"
     NOT_REPEATABLE = "not_repeatable"
     DEADLINE_IN_RETRY = "deadline_in_retry"
+    STREAM_UNKNOWN = "stream_unknown"
 
 
 KINDS: dict[RefusalReason, ErrorKind] = {
@@ -35,6 +36,7 @@
     RefusalReason.RETRY_BUDGET_EMPTY: ErrorKind.RETRIES_EXHAUSTED,
     RefusalReason.NOT_REPEATABLE: ErrorKind.OUTCOME_UNKNOWN,
     RefusalReason.DEADLINE_IN_RETRY: ErrorKind.RETRIES_EXHAUSTED,
+    RefusalReason.STREAM_UNKNOWN: ErrorKind.NO_ENDPOINT,
 }
 
 
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -203,6 +203,7 @@
         digest=placement.digest,
         fetched_tokens=placement.fetched_tokens or None,
         cache_target=placement.cache_target or None,
+        stream=placement.stream or None,
     )
 
 
@@ -221,6 +222,7 @@
         placed.digest or b"",
         placed.fetched_tokens or 0,
         placed.cache_target or "",
+        placed.stream or b"",
     )
 
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -29,6 +29,8 @@
   11: optional i32 fetched_tokens
   /** The keeper (a store of cache entries) to which the engine writes those of the prompt. */
   12: optional string cache_target
+  /** Identifies a stream that can be taken up again. */
+  13: optional binary stream
 }
 
 /** The first token or the loss of a placed request; cached_tokens is unset if no token came. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -51,6 +51,7 @@
         10: (TType.BINARY, "digest", False),
         11: (TType.I32, "fetched_tokens", False),
         12: (TType.STRING, "cache_target", False),
+        13: (TType.BINARY, "stream", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -65,6 +66,7 @@
         ("digest", None),
         ("fetched_tokens", None),
         ("cache_target", None),
+        ("stream", None),
     ]
 
 
--- /dev/null
+++ b/tests/core/test_stream_versions.py
@@ -0,0 +1,143 @@
+"""A stream goes on at the software version that began it, whichever instance takes it up."""
+
+from __future__ import annotations
+
+from rattangate.core import stream_versions
+from rattangate.core.gateway import Gateway, GatewayCfg
+from rattangate.core.intake import STREAM_NEWS_S
+from rattangate.core.messages import (
+    AttemptEnded,
+    AttemptResult,
+    Dispatch,
+    EndpointState,
+    EndpointStatus,
+    FirstTokenSeen,
+    PeerUpdateReceived,
+    Refuse,
+    RequestArrived,
+    SendPeerUpdate,
+    Tick,
+)
+from rattangate.core.prefix import CacheScope
+from rattangate.core.refusals import RefusalReason
+from rattangate.core.stream_versions import STREAM_RETENTION_S, StreamVersions
+
+STREAM = b"stream-1"
+SERVICE = "llm"
+VERSIONS = {"a": "v1", "b": "v1.1", "c": "v1", "d": "v1.1"}
+
+
+def status(name, version, state=EndpointState.LIVE):
+    return EndpointStatus(name, 1, "1", state, SERVICE, 64, software_version=version)
+
+
+def request(req_id, takes_up, stream=STREAM):
+    scope = CacheScope("", SERVICE, "m", "1")
+    return RequestArrived(
+        req_id,
+        scope,
+        (1,),
+        900,
+        20,
+        req_id.to_bytes(16, "big"),
+        0,
+        1e9,
+        max_runs=2,
+        stream=stream,
+        takes_up_stream=takes_up,
+    )
+
+
+def make_gateway(versions=VERSIONS):
+    gateway = Gateway(GatewayCfg(128, 1.0), seed=1)
+    for name, version in versions.items():
+        gateway.handle(status(name, version), 0.0)
+    return gateway
+
+
+def updates_of(gateway, now):
+    effects = gateway.handle(Tick(), now)
+    return [effect for effect in effects if isinstance(effect, SendPeerUpdate)]
+
+
+def deliver(gateway, update, now):
+    message = PeerUpdateReceived("g1", 1, update.seq, update.placements, update.releases)
+    return gateway.handle(message, now)
+
+
+def test_an_instance_that_a_peer_told_goes_on_at_the_version_that_began_the_stream():
+    first, second = make_gateway(), make_gateway()
+    (begun,) = first.handle(request(1, False), 1.0)
+    (update,) = updates_of(first, 1.1)
+    deliver(second, update, 1.2)
+    second.handle(status(begun.endpoint, VERSIONS[begun.endpoint], EndpointState.DOWN), 1.3)
+    (taken_up,) = second.handle(request(1, True), 1.4)
+    assert isinstance(taken_up, Dispatch)
+    assert taken_up.endpoint != begun.endpoint
+    assert VERSIONS[taken_up.endpoint] == VERSIONS[begun.endpoint]
+
+
+def test_a_stream_whose_news_are_on_their_way_is_waited_for():
+    first, second = make_gateway(), make_gateway()
+    (begun,) = first.handle(request(1, False), 1.0)
+    (update,) = updates_of(first, 1.1)
+    assert second.handle(request(1, True), 1.15) == []
+    deliver(second, update, 1.2)
+    (taken_up,) = (e for e in second.handle(Tick(), 1.25) if isinstance(e, Dispatch))
+    assert VERSIONS[taken_up.endpoint] == VERSIONS[begun.endpoint]
+
+
+def test_a_stream_that_no_instance_tells_of_is_refused_soon():
+    gateway = make_gateway()
+    assert gateway.handle(request(1, True), 1.0) == []
+    (refusal,) = (e for e in gateway.handle(Tick(), 1.0 + STREAM_NEWS_S) if isinstance(e, Refuse))
+    assert refusal.reason is RefusalReason.STREAM_UNKNOWN
+    assert not gateway.scheduler.active_requests
+
+
+def test_a_lost_answer_goes_on_at_the_same_version_after_its_first_token():
+    gateway = make_gateway()
+    (begun,) = gateway.handle(request(1, False), 1.0)
+    gateway.handle(FirstTokenSeen(1, 1, None), 1.1)
+    effects = gateway.handle(AttemptEnded(1, 1, AttemptResult.LOST, 2), 1.2)
+    effects += gateway.handle(Tick(), 1.3)
+    (again,) = (effect for effect in effects if isinstance(effect, Dispatch))
+    assert VERSIONS[again.endpoint] == VERSIONS[begun.endpoint]
+
+
+def test_a_lost_answer_goes_on_anywhere_before_its_first_token():
+    gateway = make_gateway({"a": "v1", "b": "v1.1"})
+    gateway.handle(request(1, False), 1.0)
+    effects = gateway.handle(AttemptEnded(1, 1, AttemptResult.LOST), 1.2)
+    effects += gateway.handle(Tick(), 1.3)
+    assert [isinstance(effect, Dispatch) for effect in effects].count(True) == 1
+
+
+def test_a_lost_answer_ends_at_once_if_no_endpoint_of_its_version_is_left():
+    gateway = make_gateway({"a": "v1", "b": "v1.1"})
+    gateway.handle(request(1, False), 1.0)
+    gateway.handle(FirstTokenSeen(1, 1, None), 1.1)
+    effects = gateway.handle(AttemptEnded(1, 1, AttemptResult.LOST, 2), 1.2)
+    assert [isinstance(effect, Refuse) for effect in effects].count(True) == 1
+
+
+def test_a_version_that_served_recently_counts_after_its_last_endpoint_has_left():
+    versions = StreamVersions()
+    versions.record_endpoint(status("a", "v1"), 0.0)
+    versions.record_endpoint(status("b", "v1.1"), 1.0)
+    versions.record_endpoint(status("a", "v1", EndpointState.DOWN), 5.0)
+    assert versions.version_of(STREAM, SERVICE, 5.0 + STREAM_RETENTION_S) is None
+    assert versions.version_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S) == "v1.1"
+
+
+def test_old_streams_are_forgotten(monkeypatch):
+    monkeypatch.setattr(stream_versions, "MAX_STREAMS", 2)
+    versions = StreamVersions()
+    for name, version in VERSIONS.items():
+        versions.record_endpoint(status(name, version), 0.0)
+    for number in range(3):
+        versions.record_placement(bytes([number]), "v1", float(number))
+    found = [versions.version_of(bytes([number]), SERVICE, 3.0) for number in range(3)]
+    assert found == [None, "v1", "v1"]
+    versions.record_placement(b"new", "v1.1", 3.0 + STREAM_RETENTION_S)
+    assert versions.version_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
