--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING
 
 from rattangate.core.active_requests import incarnation_key
-from rattangate.core.endpoint_limits import EndpointLimits
 from rattangate.core.endpoint_state import Endpoint
 from rattangate.core.intake import RequestScheduler, RequestSchedulerCfg
+from rattangate.core.limited_endpoints import LimitedEndpoints
 from rattangate.core.messages import (
     AttemptEnded,
     AttemptResult,
@@ -39,14 +39,13 @@
     Tick,
 )
 from rattangate.core.placement import PlacementCfg, add_permit_waits, find_candidates
-from rattangate.core.request_permits import RequestPermits
 from rattangate.core.stream_versions import StreamVersions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rattangate.core.active_requests import ActiveRequest
-    from rattangate.core.messages import EndpointLimitChanged, Message
+    from rattangate.core.messages import Message
     from rattangate.core.placement import Candidate
 
 # Owner of the placements of this instance; those of a peer are owned by its name.
@@ -90,16 +89,15 @@
 class Gateway:
     """Decide where each request runs: take messages and return effects, without I/O.
 
-    `endpoints` are the known endpoints by name, `endpoint_limits` the request rates that they
-    named and `permits` this instance's part of them; `stream_versions` are the software versions of
-    recent streams; `scheduler` admits, queues and retries requests.
+    `endpoints` are the known endpoints by name, and `limited` those of them that named a request
+    rate; `stream_versions` are the software versions of recent streams; `scheduler` admits, queues
+    and retries requests.
     """
 
     def __init__(self, cfg: GatewayCfg, seed: int) -> None:
         self.cfg = cfg
         self.endpoints: dict[str, Endpoint] = {}
-        self.endpoint_limits = EndpointLimits()
-        self.permits = RequestPermits(cfg.scheduler.instance)
+        self.limited = LimitedEndpoints(cfg.scheduler.instance)
         self.stream_versions = StreamVersions()
         self.scheduler = RequestScheduler(cfg.scheduler, seed, self)
         # Recorded since the last peer update, each with the time of its record.
@@ -205,7 +203,7 @@
     def _on_endpoint_limit(self, msg: EndpointLimitReported, now: float) -> list[Effect]:
         if self._current(msg.endpoint, msg.incarnation) is None:
             return []
-        return self._apply_limit_change(self.endpoint_limits.apply_report(msg, now))
+        return [*self.limited.apply_report(msg, now)]
 
     @_handle.register
     def _on_load_reported(self, msg: LoadReported, now: float) -> list[Effect]:
@@ -237,12 +235,9 @@
         if msg.limits is None:
             return []
         if not self.scheduler.has_heard_from(msg.instance):
-            self.endpoint_limits.schedule_resend()
+            self.limited.limits.schedule_resend()
         effects = self.scheduler.apply_peer_update(msg.instance, msg.limits, now)
-        for limit in msg.limits.endpoint_limits:
-            change = self.endpoint_limits.apply_peer(limit, now)
-            effects.extend(self._apply_limit_change(change))
-        return effects
+        return [*effects, *self.limited.apply_peer(msg.limits.endpoint_limits, now)]
 
     @_handle.register
     def _on_peer_lost(self, msg: PeerLost, now: float) -> list[Effect]:
@@ -262,7 +257,10 @@
             self._next_stale_check_at = now + STALE_CHECK_INTERVAL_S
             for endpoint in self.endpoints.values():
                 endpoint.drop_stale(LOCAL_OWNER, now - self.cfg.peer_request_timeout_s, now)
-            self._drop_stale_limits(now)
+            incarnations = {
+                endpoint.name: endpoint.status.incarnation for endpoint in self.endpoints.values()
+            }
+            self.limited.drop_stale(incarnations, now)
         return [*self.scheduler.tick(now), *self._send_peer_update(now)]
 
     # Interface to the endpoints for the request scheduler
@@ -282,7 +280,7 @@
             if request.may_continue_at(candidate.endpoint)
         ]
         waits = {
-            candidate.endpoint.name: self._permit_wait_s(candidate.endpoint, now)
+            candidate.endpoint.name: self.limited.wait_s(incarnation_key(candidate.endpoint), now)
             for candidate in candidates
         }
         return add_permit_waits(candidates, waits)
@@ -319,7 +317,7 @@
         """Place a request on an endpoint and record the placement for the next peer update."""
         req = request.req
         endpoint = chosen.endpoint
-        self._take_permit(endpoint, now)
+        self.limited.record_sent(incarnation_key(endpoint), now)
         self._last_number += 1
         request.attempt += 1
         request.placement_number = self._last_number
@@ -384,34 +382,6 @@
             self._record_release(request, None, now)
         request.placed_on = None
 
-    def _permit_wait_s(self, endpoint: Endpoint, now: float) -> float:
-        """Return the mean time until a request may be sent to an endpoint, 0 if now."""
-        key = incarnation_key(endpoint)
-        per_s = self.endpoint_limits.limit_of(key)
-        if per_s is None or self.permits.is_available(key, per_s, now):
-            return 0.0
-        return self.permits.wait_s(per_s)
-
-    def _take_permit(self, endpoint: Endpoint, now: float) -> None:
-        key = incarnation_key(endpoint)
-        per_s = self.endpoint_limits.limit_of(key)
-        if per_s is not None:
-            self.permits.take(key, per_s, now)
-
-    def _apply_limit_change(self, change: EndpointLimitChanged | None) -> list[Effect]:
-        if change is None:
-            return []
-        if change.per_s is None:
-            self.permits.forget((change.endpoint, change.incarnation))
-        return [change]
-
-    def _drop_stale_limits(self, now: float) -> None:
-        incarnations = {
-            endpoint.name: endpoint.status.incarnation for endpoint in self.endpoints.values()
-        }
-        for key in self.endpoint_limits.drop_stale(incarnations, now):
-            self.permits.forget(key)
-
     def _find_request(self, req_id: int, attempt: int) -> ActiveRequest | None:
         request = self.scheduler.active_requests.get(req_id)
         return request if request is not None and request.attempt == attempt else None
@@ -433,7 +403,7 @@
     def _limits_update(self, now: float) -> LimitsUpdate | None:
         """Return the limits if due: at intervals for usage and queue, at once for all else."""
         age_s = now - self._limits_sent_at
-        has_unsent = self.endpoint_limits.has_unsent
+        has_unsent = self.limited.limits.has_unsent
         is_urgent = has_unsent or self.scheduler.has_urgent_update(self._sent_limits)
         if age_s < self.cfg.usage_interval_s and not is_urgent:
             return None
@@ -442,7 +412,7 @@
             return None
         self._sent_limits = limits
         self._limits_sent_at = now
-        return replace(limits, endpoint_limits=self.endpoint_limits.take_unsent(now))
+        return replace(limits, endpoint_limits=self.limited.limits.take_unsent(now))
 
     def _record_release(
         self, request: ActiveRequest, cached_tokens: int | None, now: float
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -140,7 +140,7 @@
         """Apply the changes that are due by time, and close unusable connections."""
         now = trio.current_time()
         offset_s = boottime_now() - now + self._shared_clock.offset_s
-        self.driver.gateway.permits.set_clock(offset_s)
+        self.driver.gateway.limited.permits.set_clock(offset_s)
         # A response from outdated weights is of no use to a caller once the bound for running a
         # named version has passed.
         limit = boottime_now() - self.boot.bounds.version_s + VERSION_MARGIN_S
--- a/tests/faults/test_endpoint_limit.py
+++ b/tests/faults/test_endpoint_limit.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from rattangate.core.refusals import RefusalReason
@@ -80,3 +82,19 @@
         simulation.at(SINCE_S - 1.0, simulation.partition, name)
     simulation.run(UNTIL_S)
     assert simulation.excess(LIMITED, SINCE_S + CONTACT_S, UNTIL_S) <= 0
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_limits_hold_through_crashes_and_a_partition_and_at_many_endpoints(seed):
+    rng = random.Random(seed)
+    limits = {
+        f"e{number}": NamedLimit(rng.choice([0.05, 0.5, 1.9, 3.3]), SINCE_S + rng.random(), UNTIL_S)
+        for number in range(rng.randint(1, 6))
+    }
+    simulation = LimitedDeployment(limits, instances=rng.choice([4, 6, 9]), seed=seed)
+    simulation.offer(list(simulation.gateways), 40.0, UNTIL_S, max_tokens=5)
+    simulation.at(rng.uniform(0.0, UNTIL_S), simulation.partition, "g1")
+    simulation.at(rng.uniform(SINCE_S, UNTIL_S), simulation.crash, "e0")
+    simulation.run(UNTIL_S)
+    for endpoint in limits:
+        assert simulation.excess(endpoint, SINCE_S + CONTACT_S, UNTIL_S) <= 0
--- a/tests/front/test_endpoint_limit.py
+++ b/tests/front/test_endpoint_limit.py
@@ -25,16 +25,16 @@
         ) as deployment:
             gateway = deployment.app.state.driver.gateway
             await deployment.request(IDEMPOTENT_PATH)
-            assert 1.9 < gateway.endpoint_limits.limit_of(KEY) <= 2.0
-            gateway.permits.configure(())
+            assert 1.9 < gateway.limited.limits.limit_of(KEY) <= 2.0
+            gateway.limited.permits.configure(())
             refused = await deployment.request(IDEMPOTENT_PATH, X_Deadline_Ms="300")
             assert refused.status_code == 503
             assert float(refused.headers["retry-after"]) > 0
             assert len(deployment.calls()) == 1
             deployment.replicas["desk-0"].handler = respond_done
-            gateway.permits.configure((deployment.boot.instance,))
+            gateway.limited.permits.configure((deployment.boot.instance,))
             assert (await deployment.request(IDEMPOTENT_PATH)).status_code == 200
-            assert gateway.endpoint_limits.limit_of(KEY) is None
+            assert gateway.limited.limits.limit_of(KEY) is None
 
     trio.run(main)
 
@@ -42,7 +42,7 @@
 def test_the_permits_of_a_lone_instance_follow_the_clock_of_the_store():
     async def main() -> None:
         async with running_deployment() as deployment:
-            permits = deployment.app.state.driver.gateway.permits
+            permits = deployment.app.state.driver.gateway.limited.permits
             await wait_until(lambda: permits.is_available(KEY, 50.0, trio.current_time()))
 
     trio.run(main)
--- a/tests/limited_deployment.py
+++ b/tests/limited_deployment.py
@@ -65,6 +65,12 @@
         """Return the number of requests that an engine got in an interval."""
         return sum(begin <= at < end for at, _ in self.arrivals[endpoint])
 
+    def crash(self, endpoint):
+        """Crash an engine; its restarted incarnation has told no instance of a limit."""
+        super().crash(endpoint)
+        self.told_at[endpoint].clear()
+        self.arrivals[endpoint].clear()
+
     def _offer_one(self, instances, number, blocks, options):
         digest = blake2b(number.to_bytes(8, "big"), digest_size=16).digest()
         shared = (number % blocks,)
--- a/tests/simulated_deployment.py
+++ b/tests/simulated_deployment.py
@@ -88,7 +88,7 @@
             self.gateways[name] = Gateway(GatewayCfg(4000, 1.0, scheduler=cfg), seed + index)
             self.at(self.rng.random() * TICK_S, self._tick, name)
         for gateway in self.gateways.values():
-            gateway.permits.configure(self.gateways)
+            gateway.limited.permits.configure(self.gateways)
         for endpoint in self.engines:
             self._report_state(endpoint, EndpointState.LIVE, 0.0)
 
