Hold a suspect back from going on before its stream's version is known

Cause: the news of the stream were lost when connections were reset, so the request that took it up waited for them; meanwhile a peer's suspicion of the same digest arrived, and all copies of a suspect are held for a trial, which ran without a known version. Requests that wait for the version of their stream are now left out; they are held as suspects once it is known.

Ruled out: a wrong version in the list (all lines agree); the only version of the service (four endpoints of v1 were listed).

Evidence: the new test in tests/core/test_stream_versions.py failed before.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -451,6 +451,8 @@
         for req_id, request in self.active_requests.items():
             if request.digest != digest or self.suspects.holds(request):
                 continue
+            if req_id in self._unknown_streams:
+                continue
             if request.placed_on is not None and not self._cfg.can_cancel:
                 continue
             if request.placed_on is not None:
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -12,10 +12,12 @@
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
+    LimitsUpdate,
     PeerUpdateReceived,
     Refuse,
     RequestArrived,
     SendPeerUpdate,
+    Suspicion,
     Tick,
 )
 from rattangate.core.prefix import CacheScope
@@ -141,3 +143,13 @@
     assert found == [None, "v1", "v1"]
     versions.record_placement(b"new", "v1.1", 3.0 + STREAM_RETENTION_S)
     assert versions.version_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
+
+
+def test_a_suspect_request_does_not_go_on_before_its_version_is_known():
+    gateway = make_gateway()
+    assert gateway.handle(request(1, True), 1.0) == []
+    suspicion = Suspicion(request(1, True).digest, "a", 1, 0.1, 600.0)
+    update = PeerUpdateReceived("g1", 1, 1, (), (), LimitsUpdate(suspicions=(suspicion,)))
+    effects = gateway.handle(update, 1.1)
+    effects += gateway.handle(Tick(), 1.2)
+    assert not [effect for effect in effects if isinstance(effect, Dispatch)]
