Refuse what was quarantined while its stream's version was unknown

Found by reading the diff: a request that waits for the version of its stream is left out of the copies that a verdict holds back; had it become guilty meanwhile, it would have been queued and sent. Whatever is not free of suspicion is held now. The new test failed before.

--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -333,8 +333,8 @@
                 self.queue.push(_queue_item(request), now)
 
     def _enqueue(self, request: ActiveRequest, now: float) -> list[Effect]:
-        """Queue an admitted request, or hold it back as a suspect."""
-        if self.suspects.quarantine.verdict_on(request.digest, now) is Verdict.SUSPECT:
+        """Queue an admitted request, or hold it back if it is not free of suspicion."""
+        if self.suspects.quarantine.verdict_on(request.digest, now) is not Verdict.FREE:
             self.suspects.hold(request, now)
             return self._advance_suspects(now)
         evicted = self.queue.push(_queue_item(request), now)
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -19,6 +19,7 @@
     SendPeerUpdate,
     Suspicion,
     Tick,
+    Verdict,
 )
 from rattangate.core.prefix import CacheScope
 from rattangate.core.refusals import RefusalReason
@@ -153,3 +154,22 @@
     effects = gateway.handle(update, 1.1)
     effects += gateway.handle(Tick(), 1.2)
     assert not [effect for effect in effects if isinstance(effect, Dispatch)]
+
+
+def test_a_request_quarantined_while_its_version_is_unknown_is_not_sent():
+    gateway = make_gateway()
+    assert gateway.handle(request(1, True), 1.0) == []
+    digest = request(1, True).digest
+    crashes = tuple(Suspicion(digest, name, 1, 0.1, 600.0, confirmed=True) for name in "abcd")
+    update = PeerUpdateReceived("g1", 1, 1, (), (), LimitsUpdate(suspicions=crashes))
+    effects = gateway.handle(update, 1.1)
+    assert gateway.scheduler.suspects.quarantine.verdict_on(digest, 1.1) is Verdict.GUILTY
+    begun = make_gateway()
+    begun.handle(request(2, False), 1.0)
+    (news,) = updates_of(begun, 1.1)
+    message = PeerUpdateReceived("g2", 1, news.seq, news.placements, news.releases)
+    effects += gateway.handle(message, 1.15)
+    effects += gateway.handle(Tick(), 1.2)
+    assert not [effect for effect in effects if isinstance(effect, Dispatch)]
+    refusals = [effect.reason for effect in effects if isinstance(effect, Refuse)]
+    assert refusals == [RefusalReason.QUARANTINED]
