--- a/tests/limited_deployment.py
+++ b/tests/limited_deployment.py
@@ -46,30 +46,40 @@
             self.at(at, self._offer_one, instances, self._number, blocks, options)
 
     def excess(self, endpoint, begin, until):
-        """Return by how many requests the worst window exceeds what the limit allows."""
+        """Return by how many requests the worst window exceeds what the limit allows.
+
+        Each incarnation of the engine is judged by what it told itself.
+        """
         limit = self._limits[endpoint]
         allowed = EXCESS_FACTOR * limit.per_s * WINDOW_S + EXCESS_REQUESTS
-        told_at = self.told_at[endpoint]
+        incarnations = range(1, self.incarnations[endpoint] + 1)
+        worst = max(
+            self._worst_window((endpoint, incarnation), begin, until)
+            for incarnation in incarnations
+        )
+        return worst - allowed
+
+    def _worst_window(self, key, begin, until):
+        told_at = self.told_at[key]
         counted = [
             at
-            for at, instance in self.arrivals[endpoint]
+            for at, instance in self.arrivals[key]
             if at <= until and told_at.get(instance, until) + TOLD_S <= at
         ]
         worst = 0
         for index, at in enumerate(counted):
             if at >= begin:
                 worst = max(worst, sum(at - WINDOW_S < other for other in counted[: index + 1]))
-        return worst - allowed
+        return worst
 
     def arrived(self, endpoint, begin, end):
         """Return the number of requests that an engine got in an interval."""
-        return sum(begin <= at < end for at, _ in self.arrivals[endpoint])
-
-    def crash(self, endpoint):
-        """Crash an engine; its restarted incarnation has told no instance of a limit."""
-        super().crash(endpoint)
-        self.told_at[endpoint].clear()
-        self.arrivals[endpoint].clear()
+        return sum(
+            begin <= at < end
+            for (name, _), arrivals in self.arrivals.items()
+            if name == endpoint
+            for at, _ in arrivals
+        )
 
     def _offer_one(self, instances, number, blocks, options):
         digest = blake2b(number.to_bytes(8, "big"), digest_size=16).digest()
@@ -77,7 +87,8 @@
         self.send(self.rng.choice(instances), digest, shared, **options)
 
     def _submit(self, instance, sent):
-        self.arrivals[sent.endpoint].append((self.now, instance))
+        key = (sent.endpoint, self.incarnations[sent.endpoint])
+        self.arrivals[key].append((self.now, instance))
         self._sent_at[sent.req_id, sent.attempt] = self.now
         super()._submit(instance, sent)
 
@@ -94,7 +105,8 @@
         limit = self._limits.get(endpoint)
         named = limit is not None and limit.since <= self.now < limit.until
         if named:
-            self.told_at[endpoint].setdefault(instance, self.now)
+            key = (endpoint, self.incarnations[endpoint])
+            self.told_at[key].setdefault(instance, self.now)
         per_s = limit.per_s if named else None
         report = EndpointLimitReported(endpoint, self.incarnations[endpoint], per_s, sent_at)
         self.deliver(instance, report)
