--- a/rattangate/core/request_permits.py
+++ b/rattangate/core/request_permits.py
@@ -67,6 +67,10 @@
         """Set what has to be added to `now` for the time of the shared clock, in seconds."""
         self._clock_offset_s = offset_s
 
+    def shared_time(self, now: float) -> float:
+        """Return the time of the shared clock, in seconds."""
+        return now + self._clock_offset_s
+
     def is_available(self, key: EndpointKey, per_s: float, now: float) -> bool:
         """Tell whether a request may be sent to an endpoint that accepts `per_s` a second."""
         return bool(self._update(key, per_s, now).deadlines)
@@ -88,7 +92,7 @@
     def _update(self, key: EndpointKey, per_s: float, now: float) -> _Ledger:
         """Add the permits that were issued to this instance, and drop those that expired."""
         per_s = max(MIN_PER_S, per_s)
-        shared_now = now + self._clock_offset_s
+        shared_now = self.shared_time(now)
         number = math.floor(shared_now * per_s)
         ledger = self._ledgers.get(key)
         if ledger is None:
--- a/tests/front/test_endpoint_limit.py
+++ b/tests/front/test_endpoint_limit.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from rattangate.standins.rows_store import monotonic_ms
+from rattangate.units import MS_PER_S
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     Call,
@@ -13,6 +15,7 @@
 )
 
 KEY = ("desk-0", 1000)
+STORE_AHEAD_MS = 1_000_000
 
 
 def test_a_named_rate_is_kept_and_its_end_is_noticed():
@@ -39,10 +42,16 @@
     trio.run(main)
 
 
-def test_the_permits_of_a_lone_instance_follow_the_clock_of_the_store():
+def test_the_permits_of_a_lone_instance_follow_the_clock_of_the_store(monkeypatch):
+    def store_ms() -> int:
+        return monotonic_ms() + STORE_AHEAD_MS
+
     async def main() -> None:
         async with running_deployment() as deployment:
             permits = deployment.app.state.driver.gateway.limited.permits
             await wait_until(lambda: permits.is_available(KEY, 50.0, trio.current_time()))
+            shared_ms = permits.shared_time(trio.current_time()) * MS_PER_S
+            assert abs(shared_ms - store_ms()) < STORE_AHEAD_MS / 2
 
+    monkeypatch.setattr("rattangate.standins.rows_store.monotonic_ms", store_ms)
     trio.run(main)
