Log which endpoints an instance cannot reach, and set the gauges of the platform path

Between the hypotheses of the open incident the lines of endpoint_down did not decide: they are the same for an endpoint that crashed and for one that only this instance cannot reach. New lines endpoint_unreachable and endpoint_reachable say how many endpoints of the service are reached, the gauge rattangate_unreachable_endpoints counts the others. The gauges of endpoints, peers and the configuration were never set on this path and are now. No decision changes.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -170,6 +170,10 @@
         """Tell whether connections to an endpoint can be opened; true until one failed."""
         return (item.endpoint, item.incarnation) not in self._unreachable
 
+    def count_unreachable(self) -> int:
+        """Count the listed endpoints to which connections cannot be opened."""
+        return sum(not self.is_reachable(item) for item in self.endpoints.values())
+
     def tick(self, now: float) -> list[EndpointStatus]:
         """End the loads and the requested pauses whose deadline has passed."""
         expired = 0
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -5,6 +5,7 @@
 import math
 import signal
 import time
+from collections import Counter
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
@@ -226,9 +227,19 @@
         if req.target != METRICS_PATH.encode():
             await responder.respond(404, [], b"")
             return
+        self._set_gauges()
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await responder.respond(200, headers, self.metrics.render())
 
+    def _set_gauges(self) -> None:
+        endpoints = self.state.driver.gateway.endpoints.values()
+        self.metrics.set_endpoints(Counter(item.status.state for item in endpoints))
+        unreachable = self.state.view.count_unreachable()
+        self.metrics.unreachable_endpoints.set(unreachable)
+        self.metrics.peers.set(0 if self._peers is None else self._peers.count)
+        config = self.state.config
+        self.metrics.config_version.set(0 if config is None else config.version)
+
     async def _tick(self) -> None:
         while True:
             await trio.sleep(self._tick_s())
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -145,11 +145,11 @@
                         admitted, decisions, dispatch, responder, stack, outbound
                     )
         except ConnectFailed as exc:
-            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation)
+            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation, str(exc))
             return self._log_failed(admitted, AttemptResult.NOT_SENT, str(exc))
         except (ExchangeLost, EventStreamError) as exc:
             admitted.may_have_run = True
-            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation)
+            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation, str(exc))
             return self._log_failed(admitted, AttemptResult.LOST, str(exc))
         result = AttemptResult.LOST if admitted.may_have_run else AttemptResult.NOT_SENT
         return self._log_failed(admitted, result, "withdrawn by the gateway or out of time")
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -24,6 +24,7 @@
     from rattangate.core.routes import ServingConfig
     from rattangate.core.shared_clock import SharedClock
     from rattangate.driver import Driver
+    from rattangate.log_events import FieldValue
     from rattangate.platform.boot import BootSettings, Bounds
 
 PIECE_TOKENS = 128
@@ -112,7 +113,7 @@
         log(LogEvent.ENDPOINT_RESTING, endpoint=endpoint, incarnation=incarnation, wait_ms=wait_ms)
         self._feed_changes(self.view.suspend_until(endpoint, incarnation, now + wait_s, now))
 
-    def mark_unreachable(self, endpoint: str, incarnation: int) -> None:
+    def mark_unreachable(self, endpoint: str, incarnation: int, error: str) -> None:
         """Send an endpoint no requests until a connection to it can be opened again."""
         key = (endpoint, incarnation)
         pool = self.pool_of(endpoint, incarnation)
@@ -121,10 +122,12 @@
         self._probing.add(key)
         now = trio.current_time()
         self._feed_changes(self.view.set_reachable(endpoint, incarnation, False, now))
+        self._log_reachability(LogEvent.ENDPOINT_UNREACHABLE, endpoint, incarnation, error=error)
         self._nursery.start_soon(self._probe, endpoint, incarnation)
 
     async def _probe(self, endpoint: str, incarnation: int) -> None:
         """Try to connect to an endpoint until that succeeds or the endpoint is no longer listed."""
+        since = trio.current_time()
         while True:
             pool = self.pool_of(endpoint, incarnation)
             if pool is None or await pool.probe():
@@ -135,6 +138,27 @@
         self._probing.discard((endpoint, incarnation))
         now = trio.current_time()
         self._feed_changes(self.view.set_reachable(endpoint, incarnation, True, now))
+        unreachable_ms = round((now - since) * MS_PER_S)
+        self._log_reachability(
+            LogEvent.ENDPOINT_REACHABLE, endpoint, incarnation, unreachable_ms=unreachable_ms
+        )
+
+    def _log_reachability(
+        self, event: LogEvent, endpoint: str, incarnation: int, **fields: FieldValue
+    ) -> None:
+        """Log a change, with how many endpoints of the same service this instance reaches."""
+        found = self.view.endpoints.get(endpoint)
+        service = "" if found is None else found.service
+        listed = self.view.of_service(service)
+        log(
+            event,
+            endpoint=endpoint,
+            incarnation=incarnation,
+            service=service,
+            reachable=sum(map(self.view.is_reachable, listed)),
+            listed=len(listed),
+            **fields,
+        )
 
     def tick(self) -> None:
         """Apply the changes that are due by time, and close unusable connections."""
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -154,6 +154,16 @@
         "An endpoint accepts so many requests a second from all instances, null for any number.",
         ("endpoint", "incarnation", "per_s", "source"),
     )
+    ENDPOINT_UNREACHABLE = (
+        310,
+        "This instance lost its connection to an endpoint; it can reach so many of the listed ones.",
+        ("endpoint", "incarnation", "service", "error", "reachable", "listed"),
+    )
+    ENDPOINT_REACHABLE = (
+        311,
+        "This instance can open connections to an endpoint again.",
+        ("endpoint", "incarnation", "service", "unreachable_ms", "reachable", "listed"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -107,6 +107,13 @@
         "Endpoints by state, as this instance sees them.",
         "Compare instances; they should agree within seconds.",
     )
+    UNREACHABLE_ENDPOINTS = (
+        "rattangate_unreachable_endpoints",
+        MetricKind.GAUGE,
+        (),
+        "Listed endpoints to which this instance can open no connection.",
+        "Much higher than at other instances: this instance's links to the endpoints are broken.",
+    )
     CONFIG_VERSION = (
         "rattangate_config_version",
         MetricKind.GAUGE,
@@ -264,6 +271,7 @@
         self.streams = Series()
         self.peers = Series()
         self.endpoints = Series()
+        self.unreachable_endpoints = Series()
         self.config_version = Series()
         self.first_token = TimeRecorder()
         self.between_tokens = TimeRecorder()
@@ -285,6 +293,7 @@
             Metric.STREAMS: self.streams,
             Metric.PEERS: self.peers,
             Metric.ENDPOINTS: self.endpoints,
+            Metric.UNREACHABLE_ENDPOINTS: self.unreachable_endpoints,
             Metric.CONFIG_VERSION: self.config_version,
         }
         self.times: Mapping[Metric, TimeRecorder] = {
