--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -41,7 +41,8 @@
 from rattangate.metrics import Metrics
 from rattangate.orders import OrderController
 from rattangate.peers.codec import EncodedConfig, PeerUpdate, make_update
-from rattangate.peers.link import PeerIdentity, PeerLinks
+from rattangate.peers.handshake import PeerIdentity
+from rattangate.peers.link import PeerLinks
 from rattangate.platform.store import Store
 from rattangate.reconfigure import gateway_cfg, reconfigure
 from rattangate.records.audit import AuditTrail
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -16,7 +16,8 @@
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import encode_update, make_update
-from rattangate.peers.link import PeerIdentity, PeerLinks
+from rattangate.peers.handshake import PeerIdentity
+from rattangate.peers.link import PeerLinks
 from rattangate.platform.outcomes import StoreConflict, StoreRow, Written
 
 if TYPE_CHECKING:
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -1,30 +1,30 @@
-"""The connections between entry instances: framing, authentication and sending of updates.
+"""The connections between entry instances on which they send updates to each other.
 
-A frame is a length of 4 bytes, big-endian, and a thrift struct. An instance sends updates on the
-connections that it opens and receives them on those that it accepts. In a handshake, both sides
-prove that they know the peer secret; its frames carry a message authentication code (MAC) before
-the struct.
+An instance sends updates on the connections that it opens and receives them on those that it
+accepts.
 """
 
 from __future__ import annotations
 
-import hmac
-import secrets
-import struct
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import trio
 
 from rattangate.log_events import LogEvent, log
-from rattangate.peers import peers_thrift as idl
-from rattangate.peers.codec import (
-    decode_hello,
-    decode_proof,
-    decode_update,
-    encode_message,
-    encode_update,
+from rattangate.peers.codec import decode_update, encode_update
+from rattangate.peers.framing import (
+    CONNECTION_ERRORS,
+    FrameReader,
+    PeerProtocolError,
+    decode_frame,
+    pack_frame,
+)
+from rattangate.peers.handshake import (
+    HANDSHAKE_TIMEOUT_S,
+    authenticate_client,
+    authenticate_to_server,
 )
 from rattangate.sockets import set_socket_options
 
@@ -32,12 +32,8 @@
     from collections.abc import Callable, Collection, Iterable
 
     from rattangate.peers.codec import PeerUpdate
+    from rattangate.peers.handshake import PeerIdentity
 
-FRAME_HEADER = struct.Struct(">I")
-MAX_FRAME_BYTES = 1_000_000
-NONCE_BYTES = 16
-MAC_BYTES = 32
-HANDSHAKE_TIMEOUT_S = 2.0
 SEND_TIMEOUT_S = 2.0
 RECONNECT_DELAY_S = 0.25
 # Updates that waited longer are outdated, and a relay holds one queue for each peer that lags
@@ -45,15 +41,6 @@
 MAX_QUEUED_WRITES = 32
 
 
-@dataclass(frozen=True, slots=True)
-class PeerIdentity:
-    """Hold the name and incarnation of this instance, and the secret shared with its peers."""
-
-    instance: str
-    incarnation: int
-    secret: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class ReceivedUpdate:
     """Hold an update, the name of the peer that sent it, and its frame, to forward as it is."""
@@ -63,19 +50,6 @@
     frame: bytes
 
 
-class PeerProtocolError(Exception):
-    """Report a frame or proof that violates the peer protocol."""
-
-
-_CONNECTION_ERRORS = (
-    OSError,
-    EOFError,
-    trio.BrokenResourceError,
-    trio.TooSlowError,
-    PeerProtocolError,
-)
-
-
 class PeerLinks:
     """Send updates to peers and receive theirs.
 
@@ -116,7 +90,7 @@
 
         They are dropped for a peer that is unknown or whose queue is full.
         """
-        data = b"".join(FRAME_HEADER.pack(len(frame)) + frame for frame in frames)
+        data = b"".join(map(pack_frame, frames))
         for name in names:
             queue = self._queues.get(name)
             if queue is not None:
@@ -178,7 +152,7 @@
                 async with await trio.open_tcp_stream(host, int(port)) as stream:
                     set_socket_options(stream.socket)
                     await self._run_connection(stream, frames)
-            except _CONNECTION_ERRORS:
+            except CONNECTION_ERRORS:
                 _discard_queued(frames)
                 self._reconnect_events[name] = trio.Event()
                 with trio.move_on_after(RECONNECT_DELAY_S):
@@ -188,25 +162,15 @@
         self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
     ) -> None:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-            await self._authenticate_to_server(_FrameReader(stream), stream)
-            await _send_frame(stream, encode_update(self._make_initial_update()))
+            await authenticate_to_server(self._identity, FrameReader(stream), stream)
+            await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
         async for data in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
                 await stream.send_all(data)
 
-    async def _authenticate_to_server(
-        self, reader: _FrameReader, stream: trio.SocketStream
-    ) -> None:
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        await self._send_authenticated(stream, self._hello(nonce, b""))
-        answer = _decode(decode_hello, self._verify_and_strip_mac(await reader.read()))
-        self._verify_proof(b"server", answer.instance, nonce + answer.nonce, answer.proof)
-        proof = self._proof_of(b"client", self._identity.instance, answer.nonce + nonce)
-        await self._send_authenticated(stream, idl.Proof(proof=proof))
-
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         set_socket_options(stream.socket)
-        reader = _FrameReader(stream)
+        reader = FrameReader(stream)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
                 name = await self._authenticate_client(reader, stream)
@@ -220,20 +184,14 @@
         except (OSError, trio.BrokenResourceError, EOFError):
             return
 
-    async def _authenticate_client(self, reader: _FrameReader, stream: trio.SocketStream) -> str:
-        hello = _decode(decode_hello, self._verify_and_strip_mac(await reader.read()))
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        proof = self._proof_of(b"server", self._identity.instance, hello.nonce + nonce)
-        await self._send_authenticated(stream, self._hello(nonce, proof))
-        client_proof = _decode(decode_proof, self._verify_and_strip_mac(await reader.read())).proof
-        self._verify_proof(b"client", hello.instance, nonce + hello.nonce, client_proof)
-        if hello.instance not in self._peers:
-            raise PeerProtocolError(f"instance {hello.instance!r} is not a configured peer")
-        name: str = hello.instance
+    async def _authenticate_client(self, reader: FrameReader, stream: trio.SocketStream) -> str:
+        name = await authenticate_client(self._identity, reader, stream)
+        if name not in self._peers:
+            raise PeerProtocolError(f"instance {name!r} is not a configured peer")
         return name
 
     def _receive_frame(self, name: str, frame: bytes) -> None:
-        update = _decode(decode_update, frame)
+        update = decode_frame(decode_update, frame)
         if name not in self._peers:
             raise PeerProtocolError(f"instance {name!r} is no longer a configured peer")
         if update.instance != name and not self._accepts_relayed:
@@ -242,75 +200,6 @@
             )
         self._on_update(ReceivedUpdate(name, update, frame))
 
-    async def _send_authenticated(self, stream: trio.SocketStream, message: object) -> None:
-        frame = encode_message(message)
-        await _send_frame(stream, self._mac_of(frame) + frame)
-
-    def _verify_and_strip_mac(self, data: bytes) -> bytes:
-        # Checked before decoding: an unauthenticated frame may declare a list of any length, which
-        # can take seconds to decode.
-        mac, frame = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not hmac.compare_digest(self._mac_of(frame), mac):
-            raise PeerProtocolError("invalid message authentication code of a handshake frame")
-        return frame
-
-    def _mac_of(self, frame: bytes) -> bytes:
-        return hmac.digest(self._identity.secret, b"handshake\x00" + frame, "sha256")
-
-    def _hello(self, nonce: bytes, proof: bytes) -> object:
-        return idl.Hello(
-            instance=self._identity.instance,
-            incarnation=self._identity.incarnation,
-            nonce=nonce,
-            proof=proof,
-        )
-
-    def _proof_of(self, role: bytes, instance: str, nonces: bytes) -> bytes:
-        text = role + b"\x00" + instance.encode() + b"\x00" + nonces
-        return hmac.digest(self._identity.secret, text, "sha256")
-
-    def _verify_proof(self, role: bytes, instance: str, nonces: bytes, proof: bytes) -> None:
-        if not hmac.compare_digest(self._proof_of(role, instance, nonces), proof or b""):
-            raise PeerProtocolError(f"invalid proof of the peer secret by instance {instance!r}")
-
-
-def _decode(decode: Callable[[bytes], Any], frame: bytes) -> Any:
-    try:
-        message = decode(frame)
-    except Exception as exc:  # noqa: BLE001 - the codec raises many types on bad input
-        raise PeerProtocolError(f"frame cannot be decoded: {type(exc).__name__}") from exc
-    return message
-
-
-class _FrameReader:
-    """Read length-prefixed frames from a stream; raise EOFError at its end."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self._buffer = bytearray()
-
-    async def read(self) -> bytes:
-        await self._fill(FRAME_HEADER.size)
-        (size,) = FRAME_HEADER.unpack_from(self._buffer)
-        if size > MAX_FRAME_BYTES:
-            raise PeerProtocolError(f"frame of {size} bytes, expected at most {MAX_FRAME_BYTES}")
-        end = FRAME_HEADER.size + size
-        await self._fill(end)
-        frame = bytes(self._buffer[FRAME_HEADER.size : end])
-        del self._buffer[:end]
-        return frame
-
-    async def _fill(self, size: int) -> None:
-        while len(self._buffer) < size:
-            data = await self._stream.receive_some()
-            if not data:
-                raise EOFError
-            self._buffer += data
-
-
-async def _send_frame(stream: trio.SocketStream, frame: bytes) -> None:
-    await stream.send_all(FRAME_HEADER.pack(len(frame)) + frame)
-
 
 def _discard_queued(frames: trio.MemoryReceiveChannel[bytes]) -> None:
     while True:
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -8,7 +8,9 @@
 import trio
 
 from rattangate.peers.codec import encode_message, idl, make_update
-from rattangate.peers.link import FRAME_HEADER, PeerIdentity, PeerLinks
+from rattangate.peers.framing import FRAME_HEADER
+from rattangate.peers.handshake import PeerIdentity
+from rattangate.peers.link import PeerLinks
 from tests.small_deployment import free_addresses
 
 SECRET = b"secret"
