Reach endpoints through a peer while an instance has no links of its own

Cause: an instance knew one way to an endpoint, its own connections, and took the loss of that way for the loss of the endpoint. Ruled out: sending callers away by readiness, as the balancer then uses all instances of a data centre again when fewer than half of them are left, and open connections stay where they are.

Now an instance that cannot connect to an endpoint asks its peers for a tunnel: the peer connects and passes the bytes on, so that placement, keys, retries, limits and answers stay with the instance that took the request. A peer that reaches the endpoint shows that the own links are broken; the other endpoints are then checked at once. Direct connections are tried all the while and used as soon as one opens. An instance that lost most endpoints takes none for crashed. Retry-After holds for the peer through which it came. At hundreds of instances each asks at most four peers, in an order of its own, those in the data centre of the endpoint first.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -94,6 +94,7 @@
         # Keys are the name and the incarnation of an endpoint.
         self._loading_until: dict[tuple[str, int], float] = {}
         self._unreachable: set[tuple[str, int]] = set()
+        self._via_peer: set[tuple[str, int]] = set()
         self._gone: set[tuple[str, int]] = set()
         self._suspended_until: dict[tuple[str, int], float] = {}
         self._last_reported: dict[str, EndpointStatus] = {}
@@ -152,26 +153,48 @@
     def set_reachable(
         self, endpoint: str, incarnation: int, is_reachable: bool, now: float
     ) -> list[EndpointStatus]:
-        """Record whether this instance can open connections to an endpoint."""
+        """Record whether this instance can open connections to an endpoint itself."""
         key = (endpoint, incarnation)
         if is_reachable:
             self._unreachable.discard(key)
+            self._via_peer.discard(key)
             self._gone.discard(key)
         else:
             self._unreachable.add(key)
         return self._collect_changes(now)
 
+    def set_via_peer(
+        self, endpoint: str, incarnation: int, is_via_peer: bool, now: float
+    ) -> list[EndpointStatus]:
+        """Record whether an endpoint that this instance cannot reach is reached through a peer."""
+        key = (endpoint, incarnation)
+        if is_via_peer:
+            self._via_peer.add(key)
+            self._gone.discard(key)
+        else:
+            self._via_peer.discard(key)
+        return self._collect_changes(now)
+
     def mark_gone(self, endpoint: str, incarnation: int, now: float) -> list[EndpointStatus]:
         """Report an unreachable endpoint as down, as no new connection to it could be opened."""
         self._gone.add((endpoint, incarnation))
         return self._collect_changes(now)
 
     def is_reachable(self, item: ListedEndpoint) -> bool:
-        """Tell whether connections to an endpoint can be opened; true until one failed."""
+        """Tell whether this instance can open connections to an endpoint; true until one failed."""
         return (item.endpoint, item.incarnation) not in self._unreachable
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether this instance reaches less than half of the listed endpoints itself."""
+        return 2 * self.count_unreachable() > len(self.endpoints)
+
+    def rest_s(self, endpoint: str, incarnation: int, now: float) -> float:
+        """Return how many seconds longer an endpoint has asked for no requests."""
+        return max(0.0, self._suspended_until.get((endpoint, incarnation), now) - now)
+
     def count_unreachable(self) -> int:
-        """Count the listed endpoints to which connections cannot be opened."""
+        """Count the listed endpoints to which this instance cannot open connections."""
         return sum(not self.is_reachable(item) for item in self.endpoints.values())
 
     def tick(self, now: float) -> list[EndpointStatus]:
@@ -245,7 +268,7 @@
         key = (item.endpoint, item.incarnation)
         if key in self._gone:
             return EndpointState.DOWN
-        if not self.is_reachable(item):
+        if key in self._unreachable and key not in self._via_peer:
             return EndpointState.SUSPENDED
         if key in self._suspended_until or now < self._loading_until.get(key, 0.0):
             return EndpointState.SUSPENDED
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -182,6 +182,9 @@
     async def _drain(self) -> None:
         deadline = trio.current_time() + self.boot.bounds.grace_s - EXIT_MARGIN_S
         self.is_leaving = True
+        tunnels = self.state.paths.tunnels
+        tunnels.is_leaving = True
+        tunnels.server.close_all()
         in_flight = self.forwarder.in_flight
         log(LogEvent.INSTANCE_DRAINING, instance=self.boot.instance, streams=in_flight)
         await trio.sleep(BALANCER_NOTICE_S)
@@ -190,7 +193,7 @@
         for conn in list(self._conns):
             conn.close_if_idle()
         with trio.move_on_at(deadline):
-            while self.forwarder.in_flight or self._conns:
+            while self.forwarder.in_flight or self._conns or tunnels.server.open_count:
                 await trio.sleep(DRAIN_POLL_S)
 
     async def _serve_callers(self, nursery: trio.Nursery) -> None:
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -6,19 +6,24 @@
 import socket
 from contextlib import AsyncExitStack, ExitStack, aclosing, suppress
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
+from rattangate.peers.tunnels import TunnelStream
 from rattangate.platform.requests import Header, decode_answer
 from rattangate.sockets import set_socket_options
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from rattangate.platform.requests import AnswerHead
 
+    EndpointStream = trio.SocketStream | TunnelStream
+    OpenStream = Callable[[], Awaitable[EndpointStream]]
+
 CONNECT_TIMEOUT_S = 0.4
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -53,19 +58,24 @@
 class EndpointConn:
     """Hold one connection to an endpoint."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: EndpointStream) -> None:
         self.usable_until = trio.current_time() + DEFAULT_IDLE_TIMEOUT_S
         self._stream = stream
         self._unread = b""
 
     def is_reusable(self) -> bool:
         """Tell whether the connection is open, has not timed out and has no unread bytes."""
-        if self._unread or trio.current_time() >= self.usable_until:
+        if self._unread or _is_used_up(self._stream) or trio.current_time() >= self.usable_until:
             return False
         poll = select.poll()
         poll.register(self._stream.socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def is_direct(self) -> bool:
+        """Tell whether the connection leads to the endpoint without a peer between."""
+        return not isinstance(self._stream, TunnelStream)
+
     async def send(self, data: bytes) -> None:
         """Send bytes; raise ExchangeLost if the connection breaks."""
         try:
@@ -87,6 +97,11 @@
         """Keep bytes that were received beyond a response for the next `receive`."""
         self._unread = data
 
+    async def report_rest(self, rest_s: float) -> None:
+        """Tell the peer through which the connection leads of the endpoint's Retry-After."""
+        if isinstance(self._stream, TunnelStream):
+            await self._stream.report_rest(rest_s)
+
     async def aclose(self) -> None:
         """Close the connection."""
         with trio.CancelScope(shield=True), trio.move_on_after(0):
@@ -94,7 +109,10 @@
 
 
 class EndpointPool:
-    """Open and keep the connections to one incarnation of an endpoint."""
+    """Open and keep the connections to one incarnation of an endpoint.
+
+    They are opened directly unless another path is set.
+    """
 
     def __init__(self, address: str, nursery: trio.Nursery) -> None:
         self.address = address
@@ -102,6 +120,20 @@
         self.opened = 0
         self._idle: list[EndpointConn] = []
         self._is_closed = False
+        self._open_path: OpenStream | None = None
+
+    def use_path(self, open_path: OpenStream | None) -> None:
+        """Open connections with `open_path` from now on, None for directly.
+
+        Idle connections of another path are closed.
+        """
+        self._open_path = open_path
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            if conn.is_direct is (open_path is None):
+                self._idle.append(conn)
+            else:
+                self.nursery.start_soon(conn.aclose)
 
     async def acquire(self) -> EndpointConn:
         """Return an idle connection or a new one; raise ConnectFailed if none can be opened."""
@@ -113,9 +145,9 @@
         return await self._open()
 
     async def probe(self) -> bool:
-        """Open one connection for later use; tell whether that succeeded."""
+        """Open one direct connection for later use; tell whether that succeeded."""
         try:
-            await self.release(await self._open())
+            await self.release(EndpointConn(await open_directly(self.address)))
         except ConnectFailed:
             return False
         return True
@@ -142,19 +174,37 @@
             await self._idle.pop().aclose()
 
     async def _open(self) -> EndpointConn:
-        host, port = self.address.rsplit(":", 1)
-        with ExitStack() as stack:
-            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            stack.callback(sock.close)
-            try:
-                with trio.fail_after(CONNECT_TIMEOUT_S):
-                    await sock.connect((host, int(port)))
-            except (OSError, trio.TooSlowError) as exc:
-                raise ConnectFailed(f"connecting to {self.address} failed: {exc!r}") from exc
-            stack.pop_all()
-        set_socket_options(sock)
         self.opened += 1
-        return EndpointConn(trio.SocketStream(sock))
+        if self._open_path is not None:
+            return EndpointConn(await self._open_path())
+        return EndpointConn(await open_directly(self.address))
+
+
+async def open_directly(address: str) -> trio.SocketStream:
+    """Connect to an endpoint; raise ConnectFailed if that fails or takes too long."""
+    host, port = address.rsplit(":", 1)
+    with ExitStack() as stack:
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stack.callback(sock.close)
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await sock.connect((host, int(port)))
+        except (OSError, trio.TooSlowError) as exc:
+            raise ConnectFailed(f"connecting to {address} failed: {exc!r}") from exc
+        stack.pop_all()
+    set_socket_options(sock)
+    return trio.SocketStream(sock)
+
+
+@singledispatch
+def _is_used_up(stream: EndpointStream) -> bool:
+    """Tell whether a connection holds bytes already or must not be used again."""
+    return False
+
+
+@_is_used_up.register
+def _is_tunnel_used_up(stream: TunnelStream) -> bool:
+    return stream.has_buffered or stream.is_closing
 
 
 class Exchange:
@@ -208,6 +258,10 @@
         else:
             self._pool.nursery.start_soon(self._send, data)
 
+    async def report_rest(self, rest_s: float) -> None:
+        """Tell the peer through which the request went of the endpoint's Retry-After."""
+        await self._conn.report_rest(rest_s)
+
     async def finish(self) -> None:
         """Release the connection if the exchange is complete and left no bytes, else close it."""
         if not self._is_conn_reusable():
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -132,7 +132,7 @@
         admitted.attempts += 1
         admitted.endpoint = dispatch.endpoint
         log_placed(self._state, admitted, dispatch)
-        pool = self._state.pool_of(dispatch.endpoint, dispatch.incarnation)
+        pool = self._state.paths.pool_of(dispatch.endpoint, dispatch.incarnation)
         if pool is None:
             return self._log_failed(
                 admitted, AttemptResult.NOT_SENT, "endpoint is no longer listed"
@@ -145,11 +145,11 @@
                         admitted, decisions, dispatch, responder, stack, outbound
                     )
         except ConnectFailed as exc:
-            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation, str(exc))
+            self._state.paths.mark_lost(dispatch.endpoint, dispatch.incarnation, str(exc))
             return self._log_failed(admitted, AttemptResult.NOT_SENT, str(exc))
         except (ExchangeLost, EventStreamError) as exc:
             admitted.may_have_run = True
-            self._state.mark_unreachable(dispatch.endpoint, dispatch.incarnation, str(exc))
+            self._state.paths.mark_lost(dispatch.endpoint, dispatch.incarnation, str(exc))
             return self._log_failed(admitted, AttemptResult.LOST, str(exc))
         result = AttemptResult.LOST if admitted.may_have_run else AttemptResult.NOT_SENT
         return self._log_failed(admitted, result, "withdrawn by the gateway or out of time")
@@ -163,7 +163,7 @@
         stack: AsyncExitStack,
         outbound: OutboundRequest,
     ) -> AttemptResult:
-        pool = self._state.pool_of(dispatch.endpoint, dispatch.incarnation)
+        pool = self._state.paths.pool_of(dispatch.endpoint, dispatch.incarnation)
         assert pool is not None
         may_have_run_before = admitted.may_have_run
         admitted.may_have_run = True
@@ -179,6 +179,8 @@
         self._record_limit(dispatch, response, sent_at)
         if response.was_not_run and response.status in NOT_RUN_STATUSES:
             admitted.may_have_run = may_have_run_before
+            if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
+                await exchange.report_rest(response.retry_after_s)
             await _discard(exchange)
             self._record_refusal(dispatch, response)
             detail = f"status {response.status}"
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -14,6 +14,7 @@
 from rattangate.core.peer_registry import PeerRegistry, PeerStatus
 from rattangate.core.relays import RelayPlan
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
+from rattangate.front.tunnels import TunnelPeer
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import encode_update, make_update
 from rattangate.peers.handshake import PeerIdentity
@@ -62,6 +63,7 @@
     data_centre: str
     incarnation: int
     cores: float = 0.0
+    serves_tunnels: bool = False
 
 
 class Peers:
@@ -77,7 +79,9 @@
         self._state = state
         self._name = boot.instance
         self._address = f"{boot.ip}:{boot.first_free_port}"
-        self._entry = InstanceEntry(self._address, boot.data_centre, incarnation, boot.cores)
+        self._entry = InstanceEntry(
+            self._address, boot.data_centre, incarnation, boot.cores, serves_tunnels=True
+        )
         self._incarnation = incarnation
         self._peer_registry = PeerRegistry((), LOST_AFTER_S)
         self._links: PeerLinks | None = None
@@ -129,8 +133,15 @@
         """Register this instance, then discover peers and exchange peer updates until cancelled."""
         self._secret = await self._register()
         identity = PeerIdentity(self._name, self._incarnation, self._secret)
+        tunnels = self._state.paths.tunnels
+        tunnels.start(identity)
         self._links = PeerLinks(
-            identity, {}, self._receive, lambda: self._make_update(None), accepts_relayed=True
+            identity,
+            {},
+            self._receive,
+            lambda: self._make_update(None),
+            accepts_relayed=True,
+            serve_tunnel=tunnels.server.serve,
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
@@ -267,6 +278,13 @@
         if self._links is not None:
             addresses = {name: entry.address for name, entry in self._instances.items()}
             self._links.set_peers(addresses, self._plan.connections(self._live))
+        self._state.paths.tunnels.set_peers(
+            {
+                name: TunnelPeer(entry.address, entry.data_centre)
+                for name, entry in self._instances.items()
+                if name in self._live and entry.serves_tunnels
+            }
+        )
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -12,7 +12,7 @@
 from rattangate.core.key_lease import KeyLease
 from rattangate.core.messages import EndpointState
 from rattangate.core.named_versions import DesiredVersions
-from rattangate.front.endpoint_conn import EndpointPool
+from rattangate.front.endpoint_paths import EndpointPaths
 from rattangate.log_events import LogEvent, log
 from rattangate.units import MS_PER_S
 
@@ -24,14 +24,12 @@
     from rattangate.core.routes import ServingConfig
     from rattangate.core.shared_clock import SharedClock
     from rattangate.driver import Driver
-    from rattangate.log_events import FieldValue
     from rattangate.platform.boot import BootSettings, Bounds
 
 PIECE_TOKENS = 128
 # Placement costs of an endpoint in another data centre: for a prompt, and for a plain service.
 REMOTE_PROMPT_COST_S = 0.03
 REMOTE_PLAIN_COST_S = 0.005
-PROBE_INTERVAL_S = 0.25
 SWEEP_INTERVAL_S = 1.0
 # Allows for the time between sending a request and its start at the endpoint.
 VERSION_MARGIN_S = 1.0
@@ -55,9 +53,7 @@
         self.list_read_at: float | None = None
         self.driver = driver
         self._shared_clock = shared_clock
-        self._nursery = nursery
-        self._probing: set[tuple[str, int]] = set()
-        self._pools: dict[tuple[str, int], EndpointPool] = {}
+        self.paths = EndpointPaths(self, nursery, self._feed_changes)
         self._next_sweep_at = 0.0
 
     @property
@@ -93,7 +89,7 @@
         """Apply the endpoint list, which was requested at `asked_at`."""
         self.list_read_at = asked_at
         self._feed_changes(self.view.update_list(listed, trio.current_time()))
-        self._drop_pools()
+        self.paths.drop_unlisted()
 
     def apply_weights(self, update: WeightsUpdate) -> None:
         """Apply what this instance or a peer has observed of an engine's weights."""
@@ -101,6 +97,7 @@
 
     def apply_leaving(self, endpoint: str, incarnation: int, source: str) -> None:
         """Apply an endpoint's announcement that it is leaving, from a response or from a peer."""
+        self.paths.tunnels.server.close_to(endpoint, incarnation)
         self._feed_changes(
             self.view.mark_leaving(endpoint, incarnation, trio.current_time()), source
         )
@@ -111,55 +108,9 @@
         wait_s = min(wait_s, MAX_BACK_OFF_S)
         wait_ms = round(wait_s * MS_PER_S)
         log(LogEvent.ENDPOINT_RESTING, endpoint=endpoint, incarnation=incarnation, wait_ms=wait_ms)
+        self.paths.tunnels.server.close_to(endpoint, incarnation)
         self._feed_changes(self.view.suspend_until(endpoint, incarnation, now + wait_s, now))
 
-    def mark_unreachable(self, endpoint: str, incarnation: int, error: str) -> None:
-        """Send an endpoint no requests until a connection to it can be opened again."""
-        key = (endpoint, incarnation)
-        pool = self.pool_of(endpoint, incarnation)
-        if pool is None or key in self._probing:
-            return
-        self._probing.add(key)
-        now = trio.current_time()
-        self._feed_changes(self.view.set_reachable(endpoint, incarnation, False, now))
-        self._log_reachability(LogEvent.ENDPOINT_UNREACHABLE, endpoint, incarnation, error=error)
-        self._nursery.start_soon(self._probe, endpoint, incarnation)
-
-    async def _probe(self, endpoint: str, incarnation: int) -> None:
-        """Try to connect to an endpoint until that succeeds or the endpoint is no longer listed."""
-        since = trio.current_time()
-        while True:
-            pool = self.pool_of(endpoint, incarnation)
-            if pool is None or await pool.probe():
-                break
-            now = trio.current_time()
-            self._feed_changes(self.view.mark_gone(endpoint, incarnation, now))
-            await trio.sleep(PROBE_INTERVAL_S)
-        self._probing.discard((endpoint, incarnation))
-        now = trio.current_time()
-        self._feed_changes(self.view.set_reachable(endpoint, incarnation, True, now))
-        unreachable_ms = round((now - since) * MS_PER_S)
-        self._log_reachability(
-            LogEvent.ENDPOINT_REACHABLE, endpoint, incarnation, unreachable_ms=unreachable_ms
-        )
-
-    def _log_reachability(
-        self, event: LogEvent, endpoint: str, incarnation: int, **fields: FieldValue
-    ) -> None:
-        """Log a change, with how many endpoints of the same service this instance reaches."""
-        found = self.view.endpoints.get(endpoint)
-        service = "" if found is None else found.service
-        listed = self.view.of_service(service)
-        log(
-            event,
-            endpoint=endpoint,
-            incarnation=incarnation,
-            service=service,
-            reachable=sum(map(self.view.is_reachable, listed)),
-            listed=len(listed),
-            **fields,
-        )
-
     def tick(self) -> None:
         """Apply the changes that are due by time, and close unusable connections."""
         now = trio.current_time()
@@ -174,19 +125,7 @@
         self._feed_changes(self.view.tick(now))
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_S
-            for pool in self._pools.values():
-                self._nursery.start_soon(pool.sweep)
-
-    def pool_of(self, endpoint: str, incarnation: int) -> EndpointPool | None:
-        """Return the connection pool of an endpoint's incarnation, None if it is not listed."""
-        listed = self.view.endpoints.get(endpoint)
-        if listed is None or listed.incarnation != incarnation:
-            return None
-        pool = self._pools.get((endpoint, incarnation))
-        if pool is None or pool.address != listed.address:
-            pool = EndpointPool(listed.address, self._nursery)
-            self._pools[(endpoint, incarnation)] = pool
-        return pool
+            self.paths.sweep()
 
     def count_live(self, service: str) -> int:
         """Count the endpoints of a service that take requests."""
@@ -201,11 +140,6 @@
         service = self.config.services.get(endpoint) if self.config is not None else None
         return "" if service is None else service.cache_store_address
 
-    def _drop_pools(self) -> None:
-        listed = {(item.endpoint, item.incarnation) for item in self.view.endpoints.values()}
-        for key in [key for key in self._pools if key not in listed]:
-            self._nursery.start_soon(self._pools.pop(key).aclose)
-
     def _feed_changes(self, changes: Iterable[EndpointStatus], source: str = "list") -> None:
         for seen in changes:
             _log_endpoint(seen, source)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -164,6 +164,16 @@
         "This instance can open connections to an endpoint again.",
         ("endpoint", "incarnation", "service", "unreachable_ms", "reachable", "listed"),
     )
+    ENDPOINT_VIA_PEER = (
+        312,
+        "A peer reaches an endpoint that this instance does not; requests go through it.",
+        ("endpoint", "incarnation", "service", "peer", "reachable", "listed"),
+    )
+    TUNNEL_REQUESTED = (
+        313,
+        "A peer asked this instance for a tunnel to an endpoint.",
+        ("instance", "endpoint", "incarnation", "outcome", "tunnels"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -26,7 +26,7 @@
 
 MAX_CONFIG_BYTES = 16_000_000
 
-_factory = TBinaryProtocolFactory()
+THRIFT_FACTORY = TBinaryProtocolFactory()
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,18 +89,18 @@
 
 def encode_message(message: object) -> bytes:
     """Encode a thrift struct."""
-    data: bytes = serialize(message, _factory)
+    data: bytes = serialize(message, THRIFT_FACTORY)
     return data
 
 
 def decode_hello(data: bytes) -> Any:
     """Decode a Hello; raise ValueError for a missing field."""
-    return _require_types(deserialize(idl.Hello(), data, _factory))
+    return _require_types(deserialize(idl.Hello(), data, THRIFT_FACTORY))
 
 
 def decode_proof(data: bytes) -> Any:
     """Decode a Proof; raise ValueError for a missing field."""
-    return _require_types(deserialize(idl.Proof(), data, _factory))
+    return _require_types(deserialize(idl.Proof(), data, THRIFT_FACTORY))
 
 
 def _require_types(message: Any) -> Any:
@@ -142,7 +142,7 @@
 
 def decode_update(data: bytes) -> PeerUpdate:
     """Decode an update."""
-    raw = deserialize(idl.News(), data, _factory)
+    raw = deserialize(idl.News(), data, THRIFT_FACTORY)
     return PeerUpdate(
         raw.instance,
         raw.incarnation,
--- a/rattangate/peers/handshake.py
+++ b/rattangate/peers/handshake.py
@@ -8,6 +8,7 @@
 import hmac
 import secrets
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import TYPE_CHECKING, Any
 
 from rattangate.peers import peers_thrift as idl
@@ -24,6 +25,13 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 
 
+class Purpose(IntEnum):
+    """Name what a connection between instances is for."""
+
+    UPDATES = 0
+    TUNNEL = 1
+
+
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
     """Hold the name and incarnation of this instance, and the secret shared with its peers."""
@@ -33,12 +41,23 @@
     secret: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Client:
+    """Hold the name of a peer that has connected, and what its connection is for."""
+
+    instance: str
+    purpose: int
+
+
 async def authenticate_to_server(
-    identity: PeerIdentity, reader: FrameReader, stream: trio.SocketStream
+    identity: PeerIdentity,
+    reader: FrameReader,
+    stream: trio.SocketStream,
+    purpose: Purpose = Purpose.UPDATES,
 ) -> None:
     """Prove this instance's identity on a connection that it opened, and check the server's."""
     nonce = secrets.token_bytes(NONCE_BYTES)
-    await _send_authenticated(identity, stream, _hello(identity, nonce, b""))
+    await _send_authenticated(identity, stream, _hello(identity, nonce, b"", purpose))
     answer = await _read_authenticated(identity, reader, decode_hello)
     _verify_proof(identity, b"server", answer.instance, nonce + answer.nonce, answer.proof)
     proof = _proof_of(identity, b"client", identity.instance, answer.nonce + nonce)
@@ -47,16 +66,15 @@
 
 async def authenticate_client(
     identity: PeerIdentity, reader: FrameReader, stream: trio.SocketStream
-) -> str:
-    """Prove this instance's identity on an accepted connection; return the client's name."""
+) -> Client:
+    """Prove this instance's identity on an accepted connection, and return the client's."""
     hello = await _read_authenticated(identity, reader, decode_hello)
     nonce = secrets.token_bytes(NONCE_BYTES)
     proof = _proof_of(identity, b"server", identity.instance, hello.nonce + nonce)
-    await _send_authenticated(identity, stream, _hello(identity, nonce, proof))
+    await _send_authenticated(identity, stream, _hello(identity, nonce, proof, hello.purpose))
     client_proof = (await _read_authenticated(identity, reader, decode_proof)).proof
     _verify_proof(identity, b"client", hello.instance, nonce + hello.nonce, client_proof)
-    name: str = hello.instance
-    return name
+    return Client(hello.instance, hello.purpose)
 
 
 async def _send_authenticated(
@@ -80,9 +98,13 @@
     return hmac.digest(identity.secret, b"handshake\x00" + frame, "sha256")
 
 
-def _hello(identity: PeerIdentity, nonce: bytes, proof: bytes) -> object:
+def _hello(identity: PeerIdentity, nonce: bytes, proof: bytes, purpose: int) -> object:
     return idl.Hello(
-        instance=identity.instance, incarnation=identity.incarnation, nonce=nonce, proof=proof
+        instance=identity.instance,
+        incarnation=identity.incarnation,
+        nonce=nonce,
+        proof=proof,
+        purpose=purpose,
     )
 
 
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -23,16 +23,19 @@
 )
 from rattangate.peers.handshake import (
     HANDSHAKE_TIMEOUT_S,
+    Purpose,
     authenticate_client,
     authenticate_to_server,
 )
 from rattangate.sockets import set_socket_options
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Awaitable, Callable, Collection, Iterable
 
     from rattangate.peers.codec import PeerUpdate
-    from rattangate.peers.handshake import PeerIdentity
+    from rattangate.peers.handshake import Client, PeerIdentity
+
+    ServeTunnel = Callable[[str, FrameReader, trio.SocketStream], Awaitable[None]]
 
 SEND_TIMEOUT_S = 2.0
 RECONNECT_DELAY_S = 0.25
@@ -55,7 +58,8 @@
 
     `peers` maps the names of the peers to their addresses. `receive` is called with each update
     that arrives; with `accepts_relayed`, a peer may forward updates of other instances.
-    `make_initial_update` returns the first update on each connection.
+    `make_initial_update` returns the first update on each connection. `serve_tunnel` serves a
+    connection on which a peer asks for a tunnel to an endpoint; without it none is served.
     """
 
     def __init__(
@@ -65,12 +69,14 @@
         receive: Callable[[ReceivedUpdate], None],
         make_initial_update: Callable[[], PeerUpdate],
         accepts_relayed: bool = False,
+        serve_tunnel: ServeTunnel | None = None,
     ) -> None:
         self._identity = identity
         self._peers = peers
         self._on_update = receive
         self._make_initial_update = make_initial_update
         self._accepts_relayed = accepts_relayed
+        self._serve_tunnel = serve_tunnel
         self._connected = frozenset(peers)
         self._queues: dict[str, trio.MemorySendChannel[bytes]] = {}
         self._cancel_scopes: dict[str, trio.CancelScope] = {}
@@ -173,7 +179,11 @@
         reader = FrameReader(stream)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                name = await self._authenticate_client(reader, stream)
+                client = await self._authenticate_client(reader, stream)
+            name = client.instance
+            if client.purpose == Purpose.TUNNEL:
+                await self._serve_tunnel_to(name, reader, stream)
+                return
             # A peer that connects can be reached again: the delay before reconnecting to it ends.
             if name in self._reconnect_events:
                 self._reconnect_events[name].set()
@@ -184,11 +194,18 @@
         except (OSError, trio.BrokenResourceError, EOFError):
             return
 
-    async def _authenticate_client(self, reader: FrameReader, stream: trio.SocketStream) -> str:
-        name = await authenticate_client(self._identity, reader, stream)
-        if name not in self._peers:
-            raise PeerProtocolError(f"instance {name!r} is not a configured peer")
-        return name
+    async def _authenticate_client(self, reader: FrameReader, stream: trio.SocketStream) -> Client:
+        client = await authenticate_client(self._identity, reader, stream)
+        if client.instance not in self._peers:
+            raise PeerProtocolError(f"instance {client.instance!r} is not a configured peer")
+        return client
+
+    async def _serve_tunnel_to(
+        self, name: str, reader: FrameReader, stream: trio.SocketStream
+    ) -> None:
+        if self._serve_tunnel is None:
+            raise PeerProtocolError(f"tunnel for {name!r}, which this instance does not serve")
+        await self._serve_tunnel(name, reader, stream)
 
     def _receive_frame(self, name: str, frame: bytes) -> None:
         update = decode_frame(decode_update, frame)
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -6,6 +6,8 @@
   2: i64 incarnation
   3: binary nonce
   4: binary proof
+  /** What the connection is for: 0 for updates, 1 for a tunnel to an endpoint. */
+  5: i32 purpose = 0
 }
 
 /** Proves that the client knows the peer secret, as HMAC-SHA-256 over both nonces. */
@@ -161,3 +163,27 @@
   /** The live instances of the sender's data centre, with their incarnations. */
   17: optional map<string, i64> live_instances
 }
+
+/** Asks the server of a tunnel to connect to one incarnation of an endpoint. */
+struct TunnelRequest {
+  1: string endpoint
+  2: i64 incarnation
+}
+
+/** Tells whether the server of a tunnel has connected to the endpoint, as a TunnelOutcome. */
+struct TunnelAnswer {
+  1: i32 outcome
+  /** How long the endpoint wants no requests from the server, if the outcome says so. */
+  2: i32 rest_ms
+}
+
+/** Carries bytes through a tunnel, and what the two instances tell each other of it. */
+struct TunnelFrame {
+  1: optional binary data
+  /** The endpoint has closed its connection without an error; nothing follows. */
+  2: optional bool is_end
+  /** The server wants no further request on this tunnel. */
+  3: optional bool is_closing
+  /** The endpoint has told the client in an answer to send no requests for this time. */
+  4: optional i32 rest_ms
+}
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -15,12 +15,14 @@
         2: (TType.I64, "incarnation", False),
         3: (TType.BINARY, "nonce", False),
         4: (TType.BINARY, "proof", False),
+        5: (TType.I32, "purpose", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("instance", None),
         ("incarnation", None),
         ("nonce", None),
         ("proof", None),
+        ("purpose", 0),
     ]
 
 
@@ -323,3 +325,46 @@
         ("listed", None),
         ("live_instances", None),
     ]
+
+
+class TunnelRequest(TPayload):
+    """Carry the struct TunnelRequest."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.I64, "incarnation", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("incarnation", None),
+    ]
+
+
+class TunnelAnswer(TPayload):
+    """Carry the struct TunnelAnswer."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I32, "outcome", False),
+        2: (TType.I32, "rest_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("outcome", None),
+        ("rest_ms", None),
+    ]
+
+
+class TunnelFrame(TPayload):
+    """Carry the struct TunnelFrame."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.BINARY, "data", False),
+        2: (TType.BOOL, "is_end", False),
+        3: (TType.BOOL, "is_closing", False),
+        4: (TType.I32, "rest_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("data", None),
+        ("is_end", None),
+        ("is_closing", None),
+        ("rest_ms", None),
+    ]
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -110,6 +110,39 @@
     assert back.state is EndpointState.LIVE
 
 
+def test_endpoint_that_a_peer_reaches_is_live_but_not_reachable_itself():
+    view = make_view()
+    view.update_list([ENGINE], 0.0)
+    view.set_reachable("e1", 100, False, 1.0)
+    view.mark_gone("e1", 100, 1.1)
+    (live,) = view.set_via_peer("e1", 100, True, 1.2)
+    assert live.state is EndpointState.LIVE
+    assert not view.is_reachable(ENGINE)
+    (lost,) = view.set_via_peer("e1", 100, False, 1.3)
+    assert lost.state is EndpointState.SUSPENDED
+    (live,) = view.set_reachable("e1", 100, True, 1.4)
+    assert live.state is EndpointState.LIVE
+    assert view.is_reachable(ENGINE)
+
+
+def test_instance_is_cut_off_when_it_reaches_less_than_half_of_the_endpoints():
+    view = make_view()
+    view.update_list([ENGINE, SERVICE_REPLICA], 0.0)
+    view.set_reachable("e1", 100, False, 1.0)
+    assert not view.is_cut_off
+    view.set_reachable("p1", 100, False, 1.0)
+    assert view.is_cut_off
+
+
+def test_rest_that_an_endpoint_asked_for_runs_out():
+    view = make_view()
+    view.update_list([ENGINE], 0.0)
+    view.suspend_until("e1", 100, 3.0, 1.0)
+    assert view.rest_s("e1", 100, 1.0) == 2.0
+    assert view.rest_s("e1", 100, 4.0) == 0.0
+    assert view.rest_s("e2", 100, 1.0) == 0.0
+
+
 def test_engine_with_weights_older_than_the_minimum_is_suspended():
     view = make_view()
     view.update_list([ENGINE, SERVICE_REPLICA], 0.0)
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -34,10 +34,14 @@
 
 @dataclass
 class Links:
-    """Hold the cut that is in force between an instance and the replicas at `addresses`."""
+    """Hold the cut that is in force between an instance and the replicas at `addresses`.
+
+    `other_app` is the instance that keeps its links.
+    """
 
     addresses: set[str] = field(default_factory=set)
     cut: Cut | None = None
+    other_app: FrontApp | None = None
     socks: list[trio.socket.SocketType] = field(default_factory=list)
 
     def apply(self, cut: Cut | None) -> None:
@@ -80,6 +84,7 @@
             nursery.start_soon(app.run)
             _links.set(None)
             await wait_until(lambda: hasattr(app, "state") and app.is_ready)
+            links.other_app = deployment.app
             peers = (deployment.app, app)
             await wait_until(lambda: all(item._peers.count == 1 for item in peers))
             yield Deployment(deployment.platform, app, deployment.replicas, client, boot), links
--- a/tests/front/test_cut_links.py
+++ b/tests/front/test_cut_links.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+
+import httpx
 import pytest
 import trio
+import trio.testing
 
+from rattangate.core.messages import EndpointState
 from tests.front.cut_links import Cut, running_pair
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
@@ -13,11 +19,14 @@
     Call,
     event,
     respond_done,
+    wait_until,
 )
+from tests.small_deployment import free_addresses
 
 PATHS = (IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH)
 # The platform's bound until which an instance must have noticed a lost link.
 CONTACT_S = 3.0
+DESKS = ("desk-0", "desk-1")
 # More than the endpoints have open connections, so that new ones are needed.
 SIMULTANEOUS = 4
 
@@ -60,3 +69,145 @@
             assert len(deployment.calls()) == ran + 10 * len(PATHS) * SIMULTANEOUS
 
     trio.run(main)
+
+
+def _served_at_tunnels(links_app) -> int:
+    return links_app.state.paths.tunnels.server.open_count
+
+
+async def _serve_through_peer(deployment, links, cut: Cut = Cut.CLOSE) -> None:
+    """Cut the links and wait until every endpoint is reached through the peer."""
+    await _request_all(deployment, "before", 1)
+    links.apply(cut)
+    view = deployment.app.state.view
+    endpoints = deployment.app.state.driver.gateway.endpoints.values()
+    number = 0
+    while view.count_unreachable() < len(deployment.replicas) or not all(
+        item.status.state is EndpointState.LIVE for item in endpoints
+    ):
+        await _request_all(deployment, f"until-{number}", 2)
+        number += 1
+
+
+def test_requests_go_directly_again_after_the_links_have_healed(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            links.apply(None)
+            await wait_until(lambda: deployment.app.state.view.count_unreachable() == 0)
+            assert set(await _request_all(deployment, "healed")) == {200}
+            await wait_until(lambda: _served_at_tunnels(links.other_app) == 0)
+
+    trio.run(main)
+
+
+def test_a_caller_who_leaves_ends_the_work_that_a_peer_passed_on(monkeypatch):
+    async def stall(call: Call) -> None:
+        await call.start_stream()
+        await call.send_chunk(event(1))
+        assert await call.stream.receive_some() == b""
+        ended.set()
+
+    ended = trio.Event()
+
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            for replica in deployment.replicas.values():
+                replica.handler = stall
+            with trio.move_on_after(0.5):
+                await deployment.request(STREAM_PATH, X_Attempt_Id="leaves")
+            with trio.fail_after(0.5):
+                await ended.wait()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("ends", ["resets", "stops"])
+def test_a_stream_that_breaks_behind_a_peer_does_not_look_complete(ends, monkeypatch):
+    async def break_off(call: Call) -> None:
+        await call.start_stream()
+        await call.send_chunk(event(1))
+        if ends == "resets":
+            linger = struct.pack("ii", 1, 0)
+            call.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await call.stream.aclose()
+
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            for replica in deployment.replicas.values():
+                replica.handler = break_off
+            with pytest.raises(httpx.RemoteProtocolError):
+                await deployment.request(STREAM_PATH, X_Attempt_Id="broken")
+
+    trio.run(main)
+
+
+def test_a_retry_after_that_came_through_a_peer_holds_for_that_peer_too(monkeypatch):
+    async def refuse(call: Call) -> None:
+        await call.respond(503, b"", X_Not_Executed="1", Retry_After="5")
+
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            for name in DESKS:
+                deployment.replicas[name].handler = refuse
+            before = len(deployment.calls())
+            for number in range(6):
+                resp = await deployment.request(NON_IDEMPOTENT_PATH, X_Attempt_Id=f"x{number}")
+                assert resp.status_code == 503
+            assert len(deployment.calls()) == before + len(DESKS)
+            view = links.other_app.state.view
+            await wait_until(
+                lambda: all(view.rest_s(name, 1000, trio.current_time()) > 0 for name in DESKS)
+            )
+
+    trio.run(main)
+
+
+def test_an_endpoint_that_rests_for_the_peer_gets_no_requests_through_it(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            for name in DESKS:
+                links.other_app.state.back_off(name, 1000, 5.0)
+            await trio.testing.wait_all_tasks_blocked(0.02)
+            before = len(deployment.calls())
+            for number in range(6):
+                resp = await deployment.request(NON_IDEMPOTENT_PATH, X_Attempt_Id=f"y{number}")
+                assert resp.status_code == 503
+            assert len(deployment.calls()) == before
+
+    trio.run(main)
+
+
+def test_an_endpoint_that_no_instance_reaches_is_down(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _request_all(deployment, "before", 1)
+            (address,) = free_addresses(1)
+            deployment.replicas["desk-0"].address = address
+            deployment.write_replica_entry("desk-0", "desk")
+            gateway = deployment.app.state.driver.gateway
+
+            number = 0
+            while gateway.endpoints["desk-0"].status.state is not EndpointState.DOWN:
+                await _request_all(deployment, f"z{number}")
+                number += 1
+
+    trio.run(main)
+
+
+def test_an_instance_that_stops_ends_the_tunnels_that_it_serves_without_loss(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            assert _served_at_tunnels(links.other_app) > 0
+            tunnels = links.other_app.state.paths.tunnels
+            tunnels.is_leaving = True
+            tunnels.server.close_all()
+            await wait_until(lambda: _served_at_tunnels(links.other_app) == 0)
+            assert 502 not in await _request_all(deployment, "stopped")
+
+    trio.run(main)
