Let instances that are leaving serve tunnels for as long as they run

From 12.7 to 15.6 s all three instances that kept their links were draining at once.

Cause: an instance removed its row from the store at SIGTERM, so its peers forgot it at once, though it ran for up to 7.7 s more; the same news that ends its part in limits and the lease ended the tunnels through it. Now it marks its row as leaving, and removes it (unless it was written anew) when it exits. Peers ask those that leave after those that stay, and move to another as soon as one leaves. Its tunnels take no further request 2 s before the end of draining.

--- a/rattangate/core/tunnel_peers.py
+++ b/rattangate/core/tunnel_peers.py
@@ -10,7 +10,7 @@
 from zlib import crc32
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
 # A peer that opened no tunnel is asked last for this time.
 FAILED_PEER_S = 2.0
@@ -27,10 +27,16 @@
         """Record that a peer opened no tunnel."""
         self._failed_until[peer] = now + FAILED_PEER_S
 
-    def ranked(self, data_centres: Mapping[str, str], data_centre: str, now: float) -> list[str]:
+    def ranked(
+        self,
+        data_centres: Mapping[str, str],
+        data_centre: str,
+        now: float,
+        leaving: Collection[str] = (),
+    ) -> list[str]:
         """Return the names of the peers, by their data centres, in the order to ask them.
 
-        Those that just failed come last, those in the data centre of the endpoint first: the way
+        Those that just failed come last, and before them those that are leaving; those in the data centre of the endpoint first: the way
         through them crosses between data centres no more often than a direct one.
         """
         self._failed_until = {
@@ -39,9 +45,9 @@
             if until > now and peer in data_centres
         }
 
-        def rank(peer: str) -> tuple[float, bool, int]:
+        def rank(peer: str) -> tuple[float, bool, bool, int]:
             failed_until = self._failed_until.get(peer, 0.0)
             is_remote = data_centres[peer] != data_centre
-            return failed_until, is_remote, crc32(f"{self._name}/{peer}".encode())
+            return failed_until, peer in leaving, is_remote, crc32(f"{self._name}/{peer}".encode())
 
         return sorted(data_centres, key=rank)
--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -69,6 +69,8 @@
 DRAIN_POLL_S = 0.05
 # Draining ends this long before the end of the grace period.
 EXIT_MARGIN_S = 0.3
+# The tunnels of peers take no further requests this long before the end of draining.
+TUNNEL_CLOSE_S = 2.0
 BACKLOG = 512
 
 
@@ -121,8 +123,9 @@
             )
             await self._wait_signal()
             order_controller.stop()
-            nursery.start_soon(self._peers.deregister)
+            nursery.start_soon(self._peers.mark_leaving)
             await self._drain()
+            await self._peers.deregister()
             log(
                 LogEvent.INSTANCE_STOPPED,
                 instance=self.boot.instance,
@@ -182,9 +185,6 @@
     async def _drain(self) -> None:
         deadline = trio.current_time() + self.boot.bounds.grace_s - EXIT_MARGIN_S
         self.is_leaving = True
-        tunnels = self.state.paths.tunnels
-        tunnels.is_leaving = True
-        tunnels.server.close_all()
         in_flight = self.forwarder.in_flight
         log(LogEvent.INSTANCE_DRAINING, instance=self.boot.instance, streams=in_flight)
         await trio.sleep(BALANCER_NOTICE_S)
@@ -192,9 +192,17 @@
         self._listen_scope.cancel()
         for conn in list(self._conns):
             conn.close_if_idle()
+        # Peers without links of their own may depend on this instance for as long as it runs.
+        with trio.move_on_at(deadline - TUNNEL_CLOSE_S):
+            await self._wait_until_idle()
+        self.state.paths.tunnels.close()
         with trio.move_on_at(deadline):
-            while self.forwarder.in_flight or self._conns or tunnels.server.open_count:
-                await trio.sleep(DRAIN_POLL_S)
+            await self._wait_until_idle()
+
+    async def _wait_until_idle(self) -> None:
+        server = self.state.paths.tunnels.server
+        while self.forwarder.in_flight or self._conns or server.open_count:
+            await trio.sleep(DRAIN_POLL_S)
 
     async def _serve_callers(self, nursery: trio.Nursery) -> None:
         """Accept callers until the instance closes; accepted connections go on in the nursery."""
--- a/rattangate/front/endpoint_paths.py
+++ b/rattangate/front/endpoint_paths.py
@@ -19,11 +19,12 @@
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from rattangate.core.fleet import ListedEndpoint
     from rattangate.core.messages import EndpointStatus
     from rattangate.front.state import FrontState
+    from rattangate.front.tunnels import TunnelPeer
     from rattangate.log_events import FieldValue
 
     # The name and the incarnation of an endpoint.
@@ -58,6 +59,7 @@
         self._feed_changes = feed_changes
         self._pools: dict[EndpointKey, EndpointPool] = {}
         self._probes: dict[EndpointKey, _Probe] = {}
+        self._leaving_peers: set[str] = set()
         self._next_check_at = -math.inf
 
     def pool_of(self, endpoint: str, incarnation: int) -> EndpointPool | None:
@@ -97,6 +99,17 @@
         self._log_change(LogEvent.ENDPOINT_UNREACHABLE, key, error=error)
         self._nursery.start_soon(self._restore, key)
 
+    def set_tunnel_peers(self, peers: Mapping[str, TunnelPeer]) -> None:
+        """Set the peers that serve tunnels; look for another way where one is leaving."""
+        leaving = {name for name, peer in peers.items() if peer.is_leaving}
+        newly_leaving = leaving - self._leaving_peers
+        self._leaving_peers = leaving
+        self.tunnels.set_peers(peers)
+        for probe in self._probes.values():
+            if probe.peer in newly_leaving:
+                probe.peer = ""
+                probe.lost.set()
+
     def _lose_peer(self, key: EndpointKey, probe: _Probe) -> None:
         if not probe.peer:
             return
@@ -135,6 +148,7 @@
         found = await self.tunnels.find(listed) if has_peers else None
         now = trio.current_time()
         if found is None:
+            self._feed_changes(self._view.set_via_peer(*key, False, now))
             # An instance that lost most endpoints itself cannot tell which of them are gone.
             if not has_peers or not self._view.is_cut_off:
                 self._feed_changes(self._view.mark_gone(*key, now))
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -39,6 +39,7 @@
 SECRET_BYTES = 32
 WATCHER_CFG = TableWatcherCfg(INSTANCE_TABLE, wait_s=10.0, min_interval_s=1.0, peer_timeout_s=15.0)
 RETRY_DELAY_S = 0.3
+DEREGISTER_TIMEOUT_S = 0.2
 # Time over which the instances of a large deployment write lost rows again.
 RESTORE_SPREAD_S = 1.0
 CRC_RANGE = 2.0**32
@@ -64,6 +65,7 @@
     incarnation: int
     cores: float = 0.0
     serves_tunnels: bool = False
+    is_leaving: bool = False
 
 
 class Peers:
@@ -87,6 +89,9 @@
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
         self._instances: dict[str, InstanceEntry] = {}
+        # Not among the instances any more, but able to serve tunnels until they exit.
+        self._leaving_instances: dict[str, InstanceEntry] = {}
+        self._leaving_version: int | None = None
         self._has_read_instances = False
         self._first_seen_at: dict[str, float] = {}
         self._plan = RelayPlan(boot.instance, boot.data_centre, boot.cores)
@@ -159,12 +164,24 @@
             self.table_update_handlers[INSTANCE_TABLE] = watcher.apply_peer_update
             await watcher.run()
 
-    async def deregister(self) -> None:
-        """Remove this instance's row from the store."""
+    async def mark_leaving(self) -> None:
+        """Mark this instance's row in the store: it takes part in nothing but tunnels any more."""
         self._is_leaving = True
-        outcome = await self._store.remove_row(INSTANCE_TABLE, INSTANCE_ROW_PREFIX + self._name)
-        if not isinstance(outcome, Written):
-            log(LogEvent.PLATFORM_DOWN, service="store", error="cannot remove the instance's row")
+        key = INSTANCE_ROW_PREFIX + self._name
+        value = msgspec.json.encode(msgspec.structs.replace(self._entry, is_leaving=True))
+        outcome = await self._store.write_row(INSTANCE_TABLE, key, value)
+        if isinstance(outcome, Written):
+            self._leaving_version = outcome.version
+        else:
+            log(LogEvent.PLATFORM_DOWN, service="store", error="cannot mark the instance's row")
+
+    async def deregister(self) -> None:
+        """Remove this instance's row from the store, unless it was written anew."""
+        if self._leaving_version is None:
+            return
+        key = INSTANCE_ROW_PREFIX + self._name
+        with trio.move_on_after(DEREGISTER_TIMEOUT_S):
+            await self._store.remove_row(INSTANCE_TABLE, key, self._leaving_version)
 
     def send_news(self, sent: SendPeerUpdate) -> None:
         """Send all peers this instance's placements."""
@@ -215,15 +232,19 @@
         if update.is_after_return and self._nursery is not None:
             self._nursery.start_soon(self._restore_rows, update.rows)
         instances = {} if update.is_snapshot else dict(self._instances)
+        leaving = {} if update.is_snapshot else dict(self._leaving_instances)
         for row in update.rows:
             name = row.key.removeprefix(INSTANCE_ROW_PREFIX)
             if name in (row.key, self._name):
                 continue
             entry = None if row.value is None else _decode_entry(row)
+            instances.pop(name, None)
+            leaving.pop(name, None)
             if entry is not None and entry.address != self._address:
-                instances[name] = entry
-            else:
-                instances.pop(name, None)
+                (leaving if entry.is_leaving else instances)[name] = entry
+        if leaving != self._leaving_instances:
+            self._leaving_instances = leaving
+            self._set_tunnel_peers()
         if instances != self._instances or not self._has_read_instances:
             self._apply_instances(instances)
 
@@ -278,11 +299,15 @@
         if self._links is not None:
             addresses = {name: entry.address for name, entry in self._instances.items()}
             self._links.set_peers(addresses, self._plan.connections(self._live))
-        self._state.paths.tunnels.set_peers(
+        self._set_tunnel_peers()
+
+    def _set_tunnel_peers(self) -> None:
+        live = {name: one for name, one in self._instances.items() if name in self._live}
+        self._state.paths.set_tunnel_peers(
             {
-                name: TunnelPeer(entry.address, entry.data_centre)
-                for name, entry in self._instances.items()
-                if name in self._live and entry.serves_tunnels
+                name: TunnelPeer(entry.address, entry.data_centre, entry.is_leaving)
+                for name, entry in {**self._leaving_instances, **live}.items()
+                if entry.serves_tunnels
             }
         )
 
--- a/rattangate/front/tunnels.py
+++ b/rattangate/front/tunnels.py
@@ -37,6 +37,7 @@
 
     address: str
     data_centre: str
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +67,11 @@
         """Set the live peers that serve tunnels."""
         self._peers = peers
 
+    def close(self) -> None:
+        """Serve no further requests of peers."""
+        self.is_leaving = True
+        self.server.close_all()
+
     @property
     def has_peers(self) -> bool:
         """Tell whether there is a peer to ask."""
@@ -74,7 +80,9 @@
     async def find(self, listed: ListedEndpoint) -> FoundPeer | None:
         """Find a peer that reaches an endpoint, None if those asked do not."""
         data_centres = {name: peer.data_centre for name, peer in self._peers.items()}
-        ranked = self._order.ranked(data_centres, listed.data_centre, trio.current_time())
+        leaving = {name for name, peer in self._peers.items() if peer.is_leaving}
+        now = trio.current_time()
+        ranked = self._order.ranked(data_centres, listed.data_centre, now, leaving)
         is_cut_off = self._state.view.is_cut_off
         for name in ranked[: PEERS_ASKED_IF_CUT_OFF if is_cut_off else PEERS_ASKED]:
             try:
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -174,9 +174,15 @@
         }
         return await self._transact(body, expected)
 
-    async def remove_row(self, table: str, key: str) -> Written | StoreConflict | Unavailable:
-        """Remove one row, whatever its version."""
-        body = {"expected": [], "set_keys": [], "remove": [_row_id(table, key)]}
+    async def remove_row(
+        self, table: str, key: str, expected_version: int
+    ) -> Written | StoreConflict | Unavailable:
+        """Remove one row if it has the expected version."""
+        expected = ExpectedVersion(key, expected_version)
+        if _is_of_earlier_era(expected_version, self._era):
+            return await self._read_conflict(table, (expected,))
+        condition = {**_row_id(table, key), "ver": number_of(expected_version)}
+        body = {"expected": [condition], "set_keys": [], "remove": [_row_id(table, key)]}
         return await self._transact(body, ())
 
     async def put_blob(
--- a/tests/core/test_tunnel_peers.py
+++ b/tests/core/test_tunnel_peers.py
@@ -36,3 +36,10 @@
     peers = TunnelPeers("entry-x")
     peers.record_failure("entry-1", 0.0)
     assert peers.ranked({"entry-2": "uptown"}, "uptown", 0.1) == ["entry-2"]
+
+
+def test_a_peer_that_is_leaving_is_asked_after_those_that_stay():
+    peers = TunnelPeers("entry-x")
+    peers.record_failure("entry-3", 0.0)
+    names = {"entry-1": "uptown", "entry-2": "riverside", "entry-3": "uptown"}
+    assert peers.ranked(names, "uptown", 0.1, {"entry-1"}) == ["entry-2", "entry-1", "entry-3"]
--- a/tests/front/test_cut_links.py
+++ b/tests/front/test_cut_links.py
@@ -199,14 +199,24 @@
     trio.run(main)
 
 
-def test_an_instance_that_stops_ends_the_tunnels_that_it_serves_without_loss(monkeypatch):
+def test_instances_that_are_leaving_still_serve_those_without_links(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            await _serve_through_peer(deployment, links)
+            await links.other_app._peers.mark_leaving()
+            await wait_until(lambda: deployment.app._peers.count == 0)
+            for number in range(5):
+                assert set(await _request_all(deployment, f"leaving-{number}")) == {200}
+
+    trio.run(main)
+
+
+def test_tunnels_end_without_loss_when_their_server_closes_them(monkeypatch):
     async def main() -> None:
         async with running_pair(monkeypatch) as (deployment, links):
             await _serve_through_peer(deployment, links)
             assert _served_at_tunnels(links.other_app) > 0
-            tunnels = links.other_app.state.paths.tunnels
-            tunnels.is_leaving = True
-            tunnels.server.close_all()
+            links.other_app.state.paths.tunnels.close()
             await wait_until(lambda: _served_at_tunnels(links.other_app) == 0)
             assert 502 not in await _request_all(deployment, "stopped")
 
