Set the clock of permits before the first permit

Cause: permits exist as soon as the list of instances is read, but their clock was set by the next tick only, up to 0.1 s later, so the first ones followed the clock of the instance.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -285,6 +285,7 @@
         shares = max(MIN_RETRY_SHARES, len(instances) + 1)
         gateway = self._state.driver.gateway
         gateway.scheduler.share_retries(shares)
+        self._state.set_permit_clock()
         gateway.limited.permits.configure((self._name, *instances))
         data_centres = {name: entry.data_centre for name, entry in instances.items()}
         self._plan.configure(data_centres, {name: entry.cores for name, entry in instances.items()})
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -114,8 +114,7 @@
     def tick(self) -> None:
         """Apply the changes that are due by time, and close unusable connections."""
         now = trio.current_time()
-        offset_s = boottime_now() - now + self._shared_clock.offset_s
-        self.driver.gateway.limited.permits.set_clock(offset_s)
+        self.set_permit_clock()
         # A response from outdated weights is of no use to a caller once the bound for running a
         # named version has passed.
         limit = boottime_now() - self.boot.bounds.version_s + VERSION_MARGIN_S
@@ -127,6 +126,11 @@
             self._next_sweep_at = now + SWEEP_INTERVAL_S
             self.paths.sweep()
 
+    def set_permit_clock(self) -> None:
+        """Set the permits to the clock that all instances share."""
+        offset_s = boottime_now() - trio.current_time() + self._shared_clock.offset_s
+        self.driver.gateway.limited.permits.set_clock(offset_s)
+
     def count_live(self, service: str) -> int:
         """Count the endpoints of a service that take requests."""
         seen = (item.status for item in self.driver.gateway.endpoints.values())
