Spare endpoints that say that they are brittle

New on the users' pages: Server-Brittle = N in all answers of a service's replicas; one that must reject more than N requests in a second for want of room falls over (LIMIT). Nothing read it.

The newest word on a service counts, as for limits, and is news for the peers. A brittle endpoint gets no more than it has room for, as far as the placements of all instances tell. Once it has rejected a request of any instance, all of them together send it 0.8 of what it completed before, by the permits that divide named limits, growing by 15 in 100 each second. A restarted endpoint keeps that rate: without this, all that the others were spared went to it at once.

Failed first: an unlimited endpoint next to limited ones (herds to a restarted one), a fixed low rate after a rejection (half of the requests served), a rate that grows continuously (permits are counted anew at each change, so none came). Server-Limit is no longer passed on to callers.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -18,6 +18,7 @@
 from rattangate.core.messages import (
     AttemptEnded,
     AttemptResult,
+    BrittlenessReported,
     CacheChanged,
     CacheSnapshotReceived,
     Dispatch,
@@ -35,6 +36,7 @@
     QuarantineReleased,
     RequestAbandoned,
     RequestArrived,
+    RequestRejected,
     SendPeerUpdate,
     Tick,
 )
@@ -162,6 +164,7 @@
             cached = request.placed_on.predicted_cached_tokens(
                 (LOCAL_OWNER, request.placement_number)
             )
+        self.limited.brittle.record_completed(request.placed_on, now)
         request.placed_on.record_first_token(
             (LOCAL_OWNER, request.placement_number), msg.cached_tokens, now
         )
@@ -205,6 +208,21 @@
             return []
         return [*self.limited.apply_report(msg, now)]
 
+    @_handle.register
+    def _on_brittleness(self, msg: BrittlenessReported, now: float) -> list[Effect]:
+        endpoint = self._current(msg.endpoint, msg.incarnation)
+        if endpoint is None:
+            return []
+        return [*self.limited.brittle.apply_report(msg, endpoint.status.serves, now)]
+
+    @_handle.register
+    def _on_rejected(self, msg: RequestRejected, now: float) -> list[Effect]:
+        endpoint = self._current(msg.endpoint, msg.incarnation)
+        if endpoint is not None:
+            key = incarnation_key(endpoint)
+            self.limited.brittle.record_rejection(key, endpoint.status.serves, now)
+        return []
+
     @_handle.register
     def _on_load_reported(self, msg: LoadReported, now: float) -> list[Effect]:
         endpoint = self._current(msg.endpoint, msg.incarnation)
@@ -235,9 +253,9 @@
         if msg.limits is None:
             return []
         if not self.scheduler.has_heard_from(msg.instance):
-            self.limited.limits.schedule_resend()
+            self.limited.schedule_resend()
         effects = self.scheduler.apply_peer_update(msg.instance, msg.limits, now)
-        return [*effects, *self.limited.apply_peer(msg.limits.endpoint_limits, now)]
+        return [*effects, *self.limited.apply_peer(msg.limits, now)]
 
     @_handle.register
     def _on_peer_lost(self, msg: PeerLost, now: float) -> list[Effect]:
@@ -280,7 +298,7 @@
             if request.may_continue_at(candidate.endpoint)
         ]
         waits = {
-            candidate.endpoint.name: self.limited.wait_s(incarnation_key(candidate.endpoint), now)
+            candidate.endpoint.name: self.limited.wait_s(candidate.endpoint, now)
             for candidate in candidates
         }
         return add_permit_waits(candidates, waits)
@@ -317,7 +335,7 @@
         """Place a request on an endpoint and record the placement for the next peer update."""
         req = request.req
         endpoint = chosen.endpoint
-        self.limited.record_sent(incarnation_key(endpoint), now)
+        self.limited.record_sent(endpoint, now)
         self._last_number += 1
         request.attempt += 1
         request.placement_number = self._last_number
@@ -403,7 +421,7 @@
     def _limits_update(self, now: float) -> LimitsUpdate | None:
         """Return the limits if due: at intervals for usage and queue, at once for all else."""
         age_s = now - self._limits_sent_at
-        has_unsent = self.limited.limits.has_unsent
+        has_unsent = self.limited.has_unsent
         is_urgent = has_unsent or self.scheduler.has_urgent_update(self._sent_limits)
         if age_s < self.cfg.usage_interval_s and not is_urgent:
             return None
@@ -412,7 +430,7 @@
             return None
         self._sent_limits = limits
         self._limits_sent_at = now
-        return replace(limits, endpoint_limits=self.limited.limits.take_unsent(now))
+        return self.limited.add_unsent(limits, now)
 
     def _record_release(
         self, request: ActiveRequest, cached_tokens: int | None, now: float
@@ -459,6 +477,7 @@
         if release.cached_tokens is None:
             endpoint.drop(key, at)
         else:
+            self.limited.brittle.record_completed(endpoint, now)
             endpoint.record_first_token(key, release.cached_tokens, at)
 
     def _drop_peer(self, peer: str, now: float) -> None:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -172,6 +172,29 @@
     sent_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class BrittlenessReported:
+    """Report whether an answer says that the endpoints of its service are brittle.
+
+    Such an endpoint falls over if it must reject more than `max_rejections_per_s` requests in a
+    second for want of room; None says that it is not brittle. `sent_at` is when the answered
+    request was sent.
+    """
+
+    endpoint: str
+    incarnation: int
+    max_rejections_per_s: float | None
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRejected:
+    """Report that an endpoint rejected a request without running it, for want of room."""
+
+    endpoint: str
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """Report the load of an endpoint at the time `measured_at`."""
@@ -297,11 +320,23 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRejection:
+    """Tell peers that an endpoint of a brittle service rejected a request `age_s` ago."""
+
+    endpoint: str
+    incarnation: int
+    service: str
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitsUpdate:
     """Hold an instance's use of limits, length of queue and suspect requests, for its peers.
 
-    `endpoint_limits` holds what the instance has read in answers since its last update.
+    `endpoint_limits`, `brittle_services` and `rejections` hold what the instance has read in
+    answers since its last update. `brittle_services` names services in place of endpoints, with the
+    rejections a second that one of their endpoints bears.
     """
 
     usages: tuple[WorkspaceUsage, ...] = ()
@@ -310,6 +345,8 @@
     claims: tuple[TrialClaim, ...] = ()
     good_runs: tuple[GoodRun, ...] = ()
     endpoint_limits: tuple[EndpointLimit, ...] = ()
+    brittle_services: tuple[EndpointLimit, ...] = ()
+    rejections: tuple[EndpointRejection, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -365,6 +402,8 @@
     | RequestAbandoned
     | EndpointStatus
     | EndpointLimitReported
+    | BrittlenessReported
+    | RequestRejected
     | LoadReported
     | CacheChanged
     | PeerUpdateReceived
@@ -473,7 +512,25 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceBrittlenessChanged:
+    """Report how many rejections a second an endpoint of a service bears, None for any number.
+
+    `source` tells whether an answer or a peer said so.
+    """
+
+    service: str
+    max_rejections_per_s: float | None
+    source: str
+
+
 QuarantineChange = SuspicionRecorded | CrashRecorded | VerdictChanged
 Effect = (
-    Dispatch | CancelAttempt | Refuse | SendPeerUpdate | QuarantineChange | EndpointLimitChanged
+    Dispatch
+    | CancelAttempt
+    | Refuse
+    | SendPeerUpdate
+    | QuarantineChange
+    | EndpointLimitChanged
+    | ServiceBrittlenessChanged
 )
--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -21,6 +21,7 @@
     Refuse,
     RequestAbandoned,
     SendPeerUpdate,
+    ServiceBrittlenessChanged,
     SuspicionRecorded,
     VerdictChanged,
 )
@@ -148,6 +149,15 @@
             source=effect.source,
         )
 
+    @_carry_out.register
+    def _log_brittleness(self, effect: ServiceBrittlenessChanged) -> None:
+        log(
+            LogEvent.SERVICE_BRITTLENESS_CHANGED,
+            service=effect.service,
+            max_rejections_per_s=effect.max_rejections_per_s,
+            source=effect.source,
+        )
+
     def _deliver(self, req_id: int, effect: Dispatch | Refuse) -> None:
         exchange = self._exchanges.get(req_id)
         if exchange is not None:
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -9,7 +9,13 @@
 
 from rattangate.core.events import EventStreamError
 from rattangate.core.fleet import WeightsUpdate
-from rattangate.core.messages import AttemptResult, EndpointLimitReported, Refuse
+from rattangate.core.messages import (
+    AttemptResult,
+    BrittlenessReported,
+    EndpointLimitReported,
+    Refuse,
+    RequestRejected,
+)
 from rattangate.core.routes import RouteKind
 from rattangate.errors import ErrorKind, Failure
 from rattangate.front.admission import BufferedResponse, admit, is_still_authorized
@@ -176,7 +182,7 @@
         response = exchange.response_head
         admitted.reports_error = response.status >= MIN_SERVER_ERROR
         self._record_leaving(dispatch, response)
-        self._record_limit(dispatch, response, sent_at)
+        self._record_limits(dispatch, response, sent_at)
         if response.was_not_run and response.status in NOT_RUN_STATUSES:
             admitted.may_have_run = may_have_run_before
             if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
@@ -291,21 +297,29 @@
         self._state.apply_leaving(dispatch.endpoint, dispatch.incarnation, "answer")
         self._announce_leaving(dispatch.endpoint, dispatch.incarnation)
 
-    def _record_limit(self, dispatch: Dispatch, response: AnswerHead, sent_at: float) -> None:
-        """Report the request rate that a response names; only a signed one can name none."""
-        if response.limit_per_s is None and not response.is_signed:
+    def _record_limits(self, dispatch: Dispatch, response: AnswerHead, sent_at: float) -> None:
+        """Report the rates that a response names; only a signed one can name none."""
+        names_none = response.limit_per_s is None and response.max_rejections_per_s is None
+        if names_none and not response.is_signed:
             return
         self._state.driver.feed(
             EndpointLimitReported(
                 dispatch.endpoint, dispatch.incarnation, response.limit_per_s, sent_at
             )
         )
+        self._state.driver.feed(
+            BrittlenessReported(
+                dispatch.endpoint, dispatch.incarnation, response.max_rejections_per_s, sent_at
+            )
+        )
 
     def _record_refusal(self, dispatch: Dispatch, response: AnswerHead) -> None:
         """Back off for the time of a Retry-After.
 
         An endpoint that refuses with 421 or on outdated weights is assumed to load new ones.
         """
+        if response.status == SERVICE_UNAVAILABLE and not response.is_leaving:
+            self._state.driver.feed(RequestRejected(dispatch.endpoint, dispatch.incarnation))
         if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
             self._state.back_off(dispatch.endpoint, dispatch.incarnation, response.retry_after_s)
         listed = self._state.view.endpoints.get(dispatch.endpoint)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -174,6 +174,11 @@
         "A peer asked this instance for a tunnel to an endpoint.",
         ("instance", "endpoint", "incarnation", "outcome", "tunnels"),
     )
+    SERVICE_BRITTLENESS_CHANGED = (
+        314,
+        "An endpoint of a service bears so many rejections a second, null for any number.",
+        ("service", "max_rejections_per_s", "source"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/peers/limits_codec.py
+++ b/rattangate/peers/limits_codec.py
@@ -6,6 +6,7 @@
 
 from rattangate.core.messages import (
     EndpointLimit,
+    EndpointRejection,
     GoodRun,
     LimitsUpdate,
     Suspicion,
@@ -28,6 +29,9 @@
         good_runs=[_good_run_to_thrift(run) for run in update.good_runs] or None,
         endpoint_limits=[_endpoint_limit_to_thrift(limit) for limit in update.endpoint_limits]
         or None,
+        brittle_services=[_endpoint_limit_to_thrift(limit) for limit in update.brittle_services]
+        or None,
+        rejections=[_rejection_to_thrift(rejection) for rejection in update.rejections] or None,
     )
 
 
@@ -45,6 +49,11 @@
         ),
         tuple(GoodRun(run.part, run.age_ms / MS_PER_S) for run in raw.good_runs or ()),
         tuple(_endpoint_limit_from_thrift(limit) for limit in raw.endpoint_limits or ()),
+        tuple(_endpoint_limit_from_thrift(limit) for limit in raw.brittle_services or ()),
+        tuple(
+            EndpointRejection(item.endpoint, item.incarnation, item.serves, item.age_ms / MS_PER_S)
+            for item in raw.rejections or ()
+        ),
     )
 
 
@@ -99,6 +108,15 @@
     return EndpointLimit(raw.endpoint, raw.incarnation, raw.per_s, raw.age_ms / MS_PER_S)
 
 
+def _rejection_to_thrift(rejection: EndpointRejection) -> Any:
+    return idl.EndpointRejection(
+        endpoint=rejection.endpoint,
+        incarnation=rejection.incarnation,
+        serves=rejection.service,
+        age_ms=_clamp_to_ms(rejection.age_s),
+    )
+
+
 def _claim_to_thrift(claim: TrialClaim) -> Any:
     return idl.Trial(digest=claim.digest, endpoint=claim.endpoint, exclusive=claim.exclusive)
 
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -87,6 +87,14 @@
   4: i32 age_ms
 }
 
+/** An endpoint of a brittle service that rejected a request age_ms ago. */
+struct EndpointRejection {
+  1: string endpoint
+  2: i64 incarnation
+  3: string serves
+  4: i32 age_ms
+}
+
 /** An instance's use of limits, length of queue and suspect requests. */
 struct Limits {
   1: list<Usage> usages
@@ -95,6 +103,9 @@
   4: list<Trial> trials
   5: optional list<GoodRun> good_runs
   6: optional list<EndpointLimit> endpoint_limits
+  /** Services in place of endpoints, with the rejections a second that one endpoint bears. */
+  7: optional list<EndpointLimit> brittle_services
+  8: optional list<EndpointRejection> rejections
 }
 
 /** What an instance believes to be in an engine's cache, least recently used piece first. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -180,6 +180,23 @@
     ]
 
 
+class EndpointRejection(TPayload):
+    """Carry the struct EndpointRejection."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.STRING, "serves", False),
+        4: (TType.I32, "age_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("incarnation", None),
+        ("serves", None),
+        ("age_ms", None),
+    ]
+
+
 class Limits(TPayload):
     """Carry the struct Limits."""
 
@@ -190,6 +207,8 @@
         4: (TType.LIST, "trials", (TType.STRUCT, Trial), False),
         5: (TType.LIST, "good_runs", (TType.STRUCT, GoodRun), False),
         6: (TType.LIST, "endpoint_limits", (TType.STRUCT, EndpointLimit), False),
+        7: (TType.LIST, "brittle_services", (TType.STRUCT, EndpointLimit), False),
+        8: (TType.LIST, "rejections", (TType.STRUCT, EndpointRejection), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("usages", None),
@@ -198,6 +217,8 @@
         ("trials", None),
         ("good_runs", None),
         ("endpoint_limits", None),
+        ("brittle_services", None),
+        ("rejections", None),
     ]
 
 
--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -89,7 +89,8 @@
     `was_not_run` guarantees that the request was not executed. `has_content_encoding` says that the
     body has a content encoding. The replica accepts no requests from this instance for
     `retry_after_s` seconds, and never again if `is_leaving`. It accepts `limit_per_s` requests a
-    second from all instances together, None where it names no limit.
+    second from all instances together, None where it names no limit. It falls over if it must
+    reject more than `max_rejections_per_s` requests in a second, None for any number.
     """
 
     status: int
@@ -101,6 +102,7 @@
     retry_after_s: float | None = None
     is_leaving: bool = False
     limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
 
 
 def decode_request(headers: Iterable[Header]) -> RequestHead | None:
@@ -162,7 +164,8 @@
         _decode_idle_timeout(values.get(b"keep-alive")),
         _decode_retry_after(values.get(wire.RETRY_AFTER)),
         values.get(wire.ENDPOINT_LEAVING) == b"1",
-        _decode_limit(values.get(wire.ENDPOINT_LIMIT)),
+        _decode_rate(values.get(wire.ENDPOINT_LIMIT)),
+        _decode_rate(values.get(wire.ENDPOINT_BRITTLE)),
     )
 
 
@@ -251,8 +254,8 @@
     return delay_s if 0 < delay_s < math.inf else None
 
 
-def _decode_limit(value: bytes | None) -> float | None:
-    """Return the requests a second, or None for a malformed or negative number."""
+def _decode_rate(value: bytes | None) -> float | None:
+    """Return the number a second, or None for a malformed or negative number."""
     try:
         per_s = float(value or b"")
     except ValueError:
--- a/rattangate/platform/wire.py
+++ b/rattangate/platform/wire.py
@@ -27,6 +27,7 @@
 ENDPOINT_ID = b"x-instance-id"
 ENDPOINT_LEAVING = b"server-leaving"
 ENDPOINT_LIMIT = b"server-limit"
+ENDPOINT_BRITTLE = b"server-brittle"
 
 # Dropped from requests of callers: only the router may set these directives for replicas.
 RESERVED_HEADERS = frozenset(
@@ -51,7 +52,9 @@
 )
 
 # Dropped from answers to callers: replicas set these for the router.
-ROUTER_ONLY_HEADERS = frozenset({ENDPOINT_LOAD, ENDPOINT_ID, ENDPOINT_LEAVING})
+ROUTER_ONLY_HEADERS = frozenset(
+    {ENDPOINT_LOAD, ENDPOINT_ID, ENDPOINT_LEAVING, ENDPOINT_LIMIT, ENDPOINT_BRITTLE}
+)
 
 READY_PATH = "/readyz"
 ORDER_PATH = "/order"
--- a/tests/peers/test_limits_codec.py
+++ b/tests/peers/test_limits_codec.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from rattangate.core.messages import EndpointLimit, GoodRun, LimitsUpdate, Suspicion
+from rattangate.core.messages import (
+    EndpointLimit,
+    EndpointRejection,
+    GoodRun,
+    LimitsUpdate,
+    Suspicion,
+)
 from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
 
 
@@ -22,3 +28,11 @@
         endpoint_limits=(EndpointLimit("e1", 7, 1.9, 0.25), EndpointLimit("e2", 8, None, 0.0))
     )
     assert limits_from_thrift(limits_to_thrift(update)) == update
+
+
+def test_brittle_services_and_rejections_reach_peers():
+    update = LimitsUpdate(
+        brittle_services=(EndpointLimit("llm", 0, 5.0, 0.25),),
+        rejections=(EndpointRejection("e1", 7, "llm", 0.125),),
+    )
+    assert limits_from_thrift(limits_to_thrift(update)) == update
