Take no answer without an id on a kept connection for that of the request

With the id of the earlier request in it, the repeated refusal was skipped here already; without an id it was taken for the answer (503 for a request that ran). Now an answer without an id counts on a connection's first request only; later it is a lost attempt.

test_an_earlier_refusal_that_is_repeated_does_not_refuse_the_next_request[False] failed before (503, expected 504).

--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -56,10 +56,11 @@
 
 
 class EndpointConn:
-    """Hold one connection to an endpoint."""
+    """Hold one connection to an endpoint; `exchanges` counts the requests on it."""
 
     def __init__(self, stream: EndpointStream) -> None:
         self.usable_until = trio.current_time() + DEFAULT_IDLE_TIMEOUT_S
+        self.exchanges = 0
         self._stream = stream
         self._unread = b""
 
@@ -228,13 +229,24 @@
                 raise ExchangeLost(f"expected a response head, got {type(event).__name__}")
             self.headers = list(event.headers.raw_items())
             self.response_head = decode_answer(event.status_code, event.headers)
-            if self.response_head.attempt_id in ("", self._req.attempt_id):
+            if self._answers_request(self.response_head.attempt_id):
                 return
             await self._skip_mismatched_response()
         raise ExchangeLost(
             f"{MAX_MISMATCHED_RESPONSES} responses to other requests instead of the expected one"
         )
 
+    def _answers_request(self, attempt_id: str) -> bool:
+        """Tell whether a response is for this request.
+
+        Without an id it may be for an earlier one on a kept connection.
+        """
+        if attempt_id:
+            return attempt_id == self._req.attempt_id
+        if self._conn.exchanges > 1:
+            raise ExchangeLost("response on a kept connection does not name its request")
+        return True
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the response body; raise ExchangeLost if it is truncated."""
         while True:
@@ -324,6 +336,7 @@
     Raises ConnectFailed if no byte was sent and ExchangeLost after that.
     """
     conn = await pool.acquire()
+    conn.exchanges += 1
     exchange = Exchange(pool, conn, req)
     stack.push_async_callback(exchange.finish)
     await exchange.send_request()
