Write an instance's row at its end only if no other process has written it

A write whose answer is lost may be carried out up to 6 s later. The hashes that order the peers for tunnels are computed once for each set of peers.

--- a/rattangate/core/tunnel_peers.py
+++ b/rattangate/core/tunnel_peers.py
@@ -22,6 +22,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._failed_until: dict[str, float] = {}
+        self._hashes: dict[str, int] = {}
 
     def record_failure(self, peer: str, now: float) -> None:
         """Record that a peer opened no tunnel."""
@@ -45,9 +46,12 @@
             if until > now and peer in data_centres
         }
 
+        if self._hashes.keys() != data_centres.keys():
+            self._hashes = {peer: crc32(f"{self._name}/{peer}".encode()) for peer in data_centres}
+
         def rank(peer: str) -> tuple[float, bool, bool, int]:
             failed_until = self._failed_until.get(peer, 0.0)
             is_remote = data_centres[peer] != data_centre
-            return failed_until, peer in leaving, is_remote, crc32(f"{self._name}/{peer}".encode())
+            return failed_until, peer in leaving, is_remote, self._hashes[peer]
 
         return sorted(data_centres, key=rank)
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -91,7 +91,9 @@
         self._instances: dict[str, InstanceEntry] = {}
         # Not among the instances any more, but able to serve tunnels until they exit.
         self._leaving_instances: dict[str, InstanceEntry] = {}
-        self._leaving_version: int | None = None
+        # The version of this instance's row that it wrote last: a write that the store carries out
+        # late must not touch the row of the process that follows it under the same name.
+        self._row_version: int | None = None
         self._has_read_instances = False
         self._first_seen_at: dict[str, float] = {}
         self._plan = RelayPlan(boot.instance, boot.data_centre, boot.cores)
@@ -167,21 +169,24 @@
     async def mark_leaving(self) -> None:
         """Mark this instance's row in the store: it takes part in nothing but tunnels any more."""
         self._is_leaving = True
+        if self._row_version is None:
+            return
         key = INSTANCE_ROW_PREFIX + self._name
         value = msgspec.json.encode(msgspec.structs.replace(self._entry, is_leaving=True))
-        outcome = await self._store.write_row(INSTANCE_TABLE, key, value)
+        outcome = await self._store.write_row(INSTANCE_TABLE, key, value, self._row_version)
         if isinstance(outcome, Written):
-            self._leaving_version = outcome.version
+            self._row_version = outcome.version
         else:
+            self._row_version = None
             log(LogEvent.PLATFORM_DOWN, service="store", error="cannot mark the instance's row")
 
     async def deregister(self) -> None:
-        """Remove this instance's row from the store, unless it was written anew."""
-        if self._leaving_version is None:
+        """Remove this instance's row from the store, unless another process has written it."""
+        if self._row_version is None:
             return
         key = INSTANCE_ROW_PREFIX + self._name
         with trio.move_on_after(DEREGISTER_TIMEOUT_S):
-            await self._store.remove_row(INSTANCE_TABLE, key, self._leaving_version)
+            await self._store.remove_row(INSTANCE_TABLE, key, self._row_version)
 
     def send_news(self, sent: SendPeerUpdate) -> None:
         """Send all peers this instance's placements."""
@@ -209,6 +214,7 @@
         while True:
             written = await self._store.write_row(INSTANCE_TABLE, key, value)
             if isinstance(written, Written):
+                self._row_version = written.version
                 secret = await self._get_or_create_secret()
                 if secret is not None:
                     return secret
@@ -235,6 +241,8 @@
         leaving = {} if update.is_snapshot else dict(self._leaving_instances)
         for row in update.rows:
             name = row.key.removeprefix(INSTANCE_ROW_PREFIX)
+            if row.value == msgspec.json.encode(self._entry):
+                self._row_version = row.version
             if name in (row.key, self._name):
                 continue
             entry = None if row.value is None else _decode_entry(row)
