--- a/rattangate/core/brittle_services.py
+++ b/rattangate/core/brittle_services.py
@@ -1,8 +1,8 @@
 """Services whose endpoints fall over if they must reject too many requests for want of room.
 
 Such an endpoint is given no more requests than it has room for, as far as the placements of all
-instances tell. Once it has rejected one, all instances together send it so few for a while that it
-could reject them all.
+instances tell. Once it has rejected one, all instances together send it less than it completed
+before, and slowly more from there on.
 """
 
 from __future__ import annotations
@@ -189,8 +189,11 @@
         self._limits.schedule_resend()
 
     def expire(self, now: float) -> None:
-        """Forget the rejections that do not limit an endpoint any more."""
-        self._full = {key: one for key, one in self._full.items() if one.per_s(now) is not None}
+        """Forget the rejections that do not limit an endpoint any more, and old completions."""
+        self._full = {name: one for name, one in self._full.items() if one.per_s(now) is not None}
+        self._completed = {
+            name: one for name, one in self._completed.items() if one.per_s(now) >= MIN_PER_S
+        }
 
 
 def _count_placed(endpoint: Endpoint, now: float) -> int:
