Hold the port of an endpoint that no instance reaches in its test

It took a free port and left it free: another test run that draws from the same range may listen there, and the endpoint is then reachable. The port is bound without listening now.

--- a/tests/front/test_cut_links.py
+++ b/tests/front/test_cut_links.py
@@ -21,7 +21,6 @@
     respond_done,
     wait_until,
 )
-from tests.small_deployment import free_addresses
 
 PATHS = (IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH)
 # The platform's bound until which an instance must have noticed a lost link.
@@ -186,15 +185,17 @@
     async def main() -> None:
         async with running_pair(monkeypatch) as (deployment, links):
             await _request_all(deployment, "before", 1)
-            (address,) = free_addresses(1)
-            deployment.replicas["desk-0"].address = address
-            deployment.write_replica_entry("desk-0", "desk")
-            gateway = deployment.app.state.driver.gateway
-
-            number = 0
-            while gateway.endpoints["desk-0"].status.state is not EndpointState.DOWN:
-                await _request_all(deployment, f"z{number}")
-                number += 1
+            # Bound without listening: connections are refused, and no other process gets the port.
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))
+                host, port = unused.getsockname()
+                deployment.replicas["desk-0"].address = f"{host}:{port}"
+                deployment.write_replica_entry("desk-0", "desk")
+                gateway = deployment.app.state.driver.gateway
+                number = 0
+                while gateway.endpoints["desk-0"].status.state is not EndpointState.DOWN:
+                    await _request_all(deployment, f"z{number}")
+                    number += 1
 
     trio.run(main)
 
