--- a/review/1/case.py
+++ b/review/1/case.py
@@ -43,7 +43,8 @@
         instance.signal(signal.SIGHUP)
     answers = await asyncio.gather(*sent)
     assert instance.process is not None
-    code = await asyncio.wait_for(instance.process.wait(), 10.0)
+    async with asyncio.timeout(10.0):
+        code = await instance.process.wait()
     rig.record.write(f"instance {instance.name} ended with {code}")
     ran = {run.attempt for one in rig.replicas.values() for run in one.runs if not run.refused}
     return [
@@ -54,4 +55,4 @@
     ]
 
 
-sys.exit(r.run_case(Path(__file__).resolve().parent, play))
+r.run_case(Path(__file__).resolve().parent, play)
--- a/review/rig.py
+++ b/review/rig.py
@@ -21,7 +21,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar, NoReturn
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -281,7 +281,8 @@
             if rows or left <= 0:
                 return 200, {"rows": rows, **self._stamp()}
             try:
-                await asyncio.wait_for(self._changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
             except TimeoutError:
                 continue
 
@@ -384,14 +385,12 @@
         run = Run(self._record.now(), attempt, self.name, req.headers)
         self.runs.append(run)
         base = {"X-Attempt-Id": attempt, "X-Server-Seal": f"seal.{attempt}"}
-        if self.is_leaving:
-            base["Server-Leaving"] = "1"
         expected = req.headers.get("x-expect-version")
         is_other = req.headers.get("x-target-instance", self.name) != self.name
         if is_other or (self.model and expected not in (None, str(self.version))):
             run.refused = 421
             self._record.write(f"replica {self.name} refuses {attempt} with 421")
-            writer.write(response(421, {**base, "X-Not-Executed": "1"}, b""))
+            writer.write(response(421, self._with_leaving({**base, "X-Not-Executed": "1"}), b""))
             return
         self._record.write(f"replica {self.name} runs {attempt} tenant={req.headers.get('x-tenant')}")
         try:
@@ -408,9 +407,10 @@
     ) -> None:
         if not self.events:
             await asyncio.sleep(self.work_s)
-            writer.write(response(200, base, b"done"))
+            writer.write(response(200, self._with_leaving(base), b"done"))
             return
         self._use_cache(run, req)
+        base = self._with_leaving(base)
         lines = {**base, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
                  "X-Weight-Versions": str(self.version)}  # fmt: skip
         head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
@@ -422,6 +422,9 @@
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
         writer.write(b"0\r\n\r\n")
 
+    def _with_leaving(self, headers: dict[str, str]) -> dict[str, str]:
+        return {**headers, "Server-Leaving": "1"} if self.is_leaving else headers
+
     def _use_cache(self, run: Run, req: Request) -> None:
         """Reuse the cached parts of the prompt, then keep all of its parts."""
         salt = req.headers.get("x-cache-salt", "")
@@ -463,7 +466,10 @@
 class Client:
     """Send requests over one kept connection, one at a time."""
 
+    opened: ClassVar[list[Client]] = []
+
     def __init__(self, address: str, record: Record) -> None:
+        Client.opened.append(self)
         self._address = address
         self._record = record
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -480,8 +486,8 @@
         try:
             if self._streams is None:
                 host, port = self._address.rsplit(":", 1)
-                opening = asyncio.open_connection(host, int(port), limit=1 << 20)
-                self._streams = await asyncio.wait_for(opening, 1.0)
+                async with asyncio.timeout(1.0):
+                    self._streams = await asyncio.open_connection(host, int(port), limit=1 << 20)
         except (OSError, TimeoutError):
             answer.ended = "no connection"
         else:
@@ -489,7 +495,8 @@
             try:
                 answer.sent_at = self._record.now()
                 writer.write(f"{method} {path} HTTP/1.1\r\n{text}\r\n".encode() + body)
-                await asyncio.wait_for(self._read(reader, answer), 20.0)
+                async with asyncio.timeout(20.0):
+                    await self._read(reader, answer)
             except (OSError, EOFError, ValueError, TimeoutError):
                 answer.ended = "cut"
         answer.ended_at = self._record.now()
@@ -648,7 +655,8 @@
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(f"GET /readyz HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
-            found = await asyncio.wait_for(read_head(reader), 1.0)
+            async with asyncio.timeout(1.0):
+                found = await read_head(reader)
             writer.close()
         except (OSError, TimeoutError):
             return False
@@ -716,30 +724,35 @@
         while not await condition():
             if time.monotonic() > deadline:
                 raise CannotRun(detail)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.02)
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
         await asyncio.gather(*(instance.end() for instance in self.instances))
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=2.0)
+        for client in Client.opened:
+            client.close()
         for replica in self.replicas.values():
             replica.http.stop()
         self.store.http.stop()
+        await asyncio.sleep(0.1)
         if os.environ.get("KEEP_LOGS"):
             print(f"logs: {self.folder}", file=sys.stderr)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case: Path, play: Callable[[Rig], Awaitable[list[str]]]) -> int:
-    """Play a case for at most 110 s; `play` returns what broke the rule, nothing if it held."""
+def run_case(case: Path, play: Callable[[Rig], Awaitable[list[str]]]) -> NoReturn:
+    """Play a case for at most 105 s and exit; `play` returns what broke the rule, nothing if it held."""
 
     async def run() -> int:
         rig = Rig(case)
         try:
-            broken = await asyncio.wait_for(play(rig), 110.0)
+            async with asyncio.timeout(105.0):
+                broken = await play(rig)
         except (CannotRun, TimeoutError, AssertionError, OSError) as exc:
             rig.record.write(f"the case could not run: {exc!r}")
             return NOT_RUN
@@ -750,4 +763,9 @@
         rig.record.write("the rule was broken" if broken else "the rule held")
         return BROKEN if broken else HELD
 
-    return asyncio.run(run())
+    loop = asyncio.new_event_loop()
+    code = loop.run_until_complete(run())
+    # All processes have ended; tasks that are left must not delay the end of the script.
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
