--- a/review/rig.py
+++ b/review/rig.py
@@ -27,6 +27,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 METRICS_PORT = 9464
 HEARTBEAT_S = 1.2
+# What a model replica reads of prompts, one prompt after another.
+PREFILL_TOKENS_PER_S = 36_700
 BOUNDS = {
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
     "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000,
@@ -340,6 +342,7 @@
         self._record = record
         # By salt and chain of parts: the tenant whose request made the part.
         self._cache: dict[tuple[str, str], str] = {}
+        self._prefill = asyncio.Lock()
         self.http = HttpServer(address, self._serve)
 
     def entry(self) -> dict[str, Any]:
@@ -409,7 +412,8 @@
             await asyncio.sleep(self.work_s)
             writer.write(response(200, self._with_leaving(base), b"done"))
             return
-        self._use_cache(run, req)
+        async with self._prefill:
+            await asyncio.sleep(self._use_cache(run, req) / PREFILL_TOKENS_PER_S)
         base = self._with_leaving(base)
         lines = {**base, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
                  "X-Weight-Versions": str(self.version)}  # fmt: skip
@@ -425,13 +429,14 @@
     def _with_leaving(self, headers: dict[str, str]) -> dict[str, str]:
         return {**headers, "Server-Leaving": "1"} if self.is_leaving else headers
 
-    def _use_cache(self, run: Run, req: Request) -> None:
-        """Reuse the cached parts of the prompt, then keep all of its parts."""
+    def _use_cache(self, run: Run, req: Request) -> int:
+        """Reuse the cached parts of the prompt and keep all; return the tokens to be read."""
         salt = req.headers.get("x-cache-salt", "")
         tenant = req.headers.get("x-tenant", "")
         chain = ""
         makers = []
         is_cached = True
+        missing = 0
         for part in req.headers.get("x-prefix-hash", "").split(","):
             chain += f"/{part}"
             is_cached = is_cached and (salt, chain) in self._cache
@@ -439,12 +444,14 @@
                 makers.append(self._cache[salt, chain])
             else:
                 self._cache[salt, chain] = tenant
+                missing += int(part.split(":")[1])
         run.cached_from = ",".join(sorted(set(makers)))
         if makers:
             self._record.write(
                 f"replica {self.name}: {run.attempt} of {tenant} reuses {len(makers)} cached parts"
                 f" under salt {salt!r}, made by {run.cached_from}"
             )
+        return missing
 
 
 # Clients
