--- a/review/rig.py
+++ b/review/rig.py
@@ -29,6 +29,8 @@
 HEARTBEAT_S = 1.2
 # What a model replica reads of prompts, one prompt after another.
 PREFILL_TOKENS_PER_S = 36_700
+# How long new weights take a model replica.
+LOAD_S = 1.1
 BOUNDS = {
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
     "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000,
@@ -191,6 +193,7 @@
         self.version = 1
         self.rows: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.is_down = False
+        self.highest_named: dict[str, int] = {}
         self._changes: list[tuple[int, str, str, bytes | None]] = []
         self._changed = asyncio.Event()
         self._record = record
@@ -206,6 +209,15 @@
         if (table, key) in self.rows:
             self._apply([(table, key, None)])
 
+    def named_version(self, model: str) -> int:
+        """Return the newest version of a model that the operator has named."""
+        return self.highest_named.get(model, 1)
+
+    def name_version(self, model: str, version: int) -> None:
+        """Name new weights as the operator does."""
+        self.highest_named[model] = max(version, self.highest_named.get(model, 1))
+        self.put("op", f"version/{model}", {"model": model, "version": version})
+
     def make_copy(self) -> StoreCopy:
         """Return a copy of the contents."""
         return StoreCopy(self.version, dict(self.rows), list(self._changes))
@@ -304,6 +316,52 @@
         return 200, self._stamp()
 
 
+class Proxy:
+    """Pass bytes between one instance and the store; while it is cut, pass none and stay silent."""
+
+    def __init__(self, address: str, target: str) -> None:
+        self.address = address
+        self.is_cut = False
+        self._target = target
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._run, host, int(port))
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._wait_while_cut()
+        host, port = self._target.rsplit(":", 1)
+        try:
+            to_read, to_write = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self._pass(reader, to_write), self._pass(to_read, writer))
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                await self._wait_while_cut()
+                writer.write(data)
+                await writer.drain()
+            await self._wait_while_cut()
+            writer.close()
+        except OSError:
+            await self._wait_while_cut()
+            writer.transport.abort()
+
+    async def _wait_while_cut(self) -> None:
+        while self.is_cut:
+            await asyncio.sleep(0.01)
+
+
 # Replicas
 
 
@@ -320,6 +378,26 @@
     cached_from: str = ""
 
 
+@dataclass
+class Order:
+    """Hold one order that arrived at a replica, and the status of its answer."""
+
+    at: float
+    replica: str
+    body: dict[str, Any]
+    status: int = 0
+
+    @property
+    def holder(self) -> str:
+        """Return who sent the order."""
+        return str(self.body.get("holder"))
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing token."""
+        return int(self.body.get("fence", 0))
+
+
 class Replica:
     """One replica: registers itself, runs requests and answers orders, as the pages say."""
 
@@ -336,7 +414,10 @@
         self.state = "ready"
         self.writes_entries = True
         self.born = int(time.time() * 1000)
-        self.orders: list[dict[str, Any]] = []
+        self.orders: list[Order] = []
+        self.accepted = 0
+        self.is_loading = False
+        self._loads: list[asyncio.Future[None]] = []
         self._seq = 0
         self._store = store
         self._record = record
@@ -371,17 +452,50 @@
         if path == "/report":
             writer.write(json_response(200, self._report()))
         elif path == "/order":
-            self.orders.append(json.loads(req.body))
-            writer.write(json_response(200, {}))
+            order = Order(self._record.now(), self.name, json.loads(req.body))
+            self.orders.append(order)
+            target = req.headers.get("x-target-instance", self.name)
+            order.status = 421 if target != self.name else self._take_order(order.body)
+            writer.write(json_response(order.status, {}))
+            self._record.write(
+                f"replica {self.name} answers {order.status} to an order of {order.holder} with"
+                f" fence {order.fence} to load version {order.body.get('version')}"
+            )
         elif path == "/healthz":
             writer.write(response(200, {"X-Instance-Id": self.name}, b""))
         else:
             await self._run_request(req, writer)
 
+    def _take_order(self, body: dict[str, Any]) -> int:
+        if body.get("op") != "version" or "holder" not in body or "fence" not in body:
+            return 400
+        if self._store.named_version(self.model) < body["version"]:
+            return 400
+        if body["version"] == self.version:
+            return 200
+        if self.is_loading or body.get("expected", self.accepted) != self.accepted:
+            return 409
+        self.accepted += 1
+        self.is_loading = True
+        self._loads.append(asyncio.ensure_future(self._load(body["version"])))
+        return 202
+
+    async def _load(self, version: int) -> None:
+        """Let the running requests finish (mode `block`), then load."""
+        while any(not run.refused and not run.ended for run in self.runs):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(LOAD_S)
+        self.version = version
+        self._cache.clear()
+        self.is_loading = False
+        self._record.write(f"replica {self.name} has loaded version {version}")
+        if self.writes_entries and not self._store.is_down:
+            self._store.put("servers", self.name, self.entry())
+
     def _report(self) -> dict[str, Any]:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         return {"born": self.born, "stage": "combined", "models": models if self.model else [],
-                "busy": False, "seq": len(self.orders), "queued": 0, "running": 0}  # fmt: skip
+                "busy": self.is_loading, "seq": self.accepted, "queued": 0, "running": 0}  # fmt: skip
 
     async def _run_request(self, req: Request, writer: asyncio.StreamWriter) -> None:
         attempt = req.headers.get("x-attempt-id", "")
@@ -389,6 +503,10 @@
         self.runs.append(run)
         base = {"X-Attempt-Id": attempt, "X-Server-Seal": f"seal.{attempt}"}
         expected = req.headers.get("x-expect-version")
+        if self.is_loading:
+            run.refused = 503
+            writer.write(response(503, self._with_leaving({**base, "X-Not-Executed": "1"}), b""))
+            return
         is_other = req.headers.get("x-target-instance", self.name) != self.name
         if is_other or (self.model and expected not in (None, str(self.version))):
             run.refused = 421
@@ -622,6 +740,8 @@
         self.ready = f"{host}:{ready}"
         self.process: asyncio.subprocess.Process | None = None
         self._rig = rig
+        store_port = free_ports("127.0.0.1", 1)[0]
+        self.store_link = Proxy(f"127.0.0.1:{store_port}", rig.store.http.address)
         self._settings = rig.folder / f"{name}.json"
         self._settings.write_text(json.dumps({
             "node_name": name, "role": "entry", "machine_class": "front", "serves": ["front"],
@@ -634,7 +754,7 @@
             "invariants": ["base", "drain", "config", "cost", "retry", "recover", "kvcache",
                            "stream", "engine", "tenants", "platform"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "platform": {"address": rig.store.http.address, "form": "table",
+            "platform": {"address": self.store_link.address, "form": "table",
                          "writes_per_s": 400, "reads_per_s": 2000, "tx_ms": 5.0,
                          "part_writes_s": 200, "row_bytes": 65536, "across": False,
                          "history_s": 20, "blob_bytes": 8388608, "blob_ms": 25.0,
@@ -643,6 +763,7 @@
 
     async def start(self) -> None:
         """Start the process with the command of the deploy file and wait until it is ready."""
+        await self.store_link.start()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["entry"]["run"].split()
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -684,6 +805,7 @@
             self.process.kill()
         if self.process is not None:
             await self.process.wait()
+        self.store_link.stop()
 
 
 class Rig:
@@ -715,13 +837,18 @@
         """Start the store, the replicas and the instances."""
         await self.store.http.start()
         self.store.put("op", "config", config)
-        self.store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
+        self.store.name_version(MODEL, 1)
         for replica in self.replicas.values():
             self.start_task(replica.run())
         await asyncio.sleep(0.2)
-        self.instances = [Instance(f"front-{number}", "riverside", self)
-                          for number in range(1, instances + 1)]  # fmt: skip
-        await asyncio.gather(*(instance.start() for instance in self.instances))
+        await self.add_instances(instances)
+
+    async def add_instances(self, count: int) -> None:
+        """Start more instances and wait until they are ready."""
+        first = len(self.instances) + 1
+        added = [Instance(f"front-{first + number}", "riverside", self) for number in range(count)]
+        self.instances += added
+        await asyncio.gather(*(instance.start() for instance in added))
 
     async def wait_until(
         self, condition: Callable[[], Awaitable[bool]], limit_s: float, detail: str
