--- a/review/rig.py
+++ b/review/rig.py
@@ -411,6 +411,8 @@
         self.model = ""
         self.version = 1
         self.is_leaving = False
+        # The attempts whose stream gets bytes without end.
+        self.endless: set[str] = set()
         self.state = "ready"
         self.writes_entries = True
         self.born = int(time.time() * 1000)
@@ -537,6 +539,9 @@
                  "X-Weight-Versions": str(self.version)}  # fmt: skip
         head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        if run.attempt in self.endless:
+            self._record.write(f"replica {self.name} sends bytes without end to {run.attempt}")
+            await self._send_endless(writer)
         first = int(req.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
@@ -544,6 +549,14 @@
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
         writer.write(b"0\r\n\r\n")
 
+    async def _send_endless(self, writer: asyncio.StreamWriter) -> None:
+        """Send chunks of 50 bytes that never end an event, until the caller closes."""
+        while True:
+            for _ in range(100):
+                writer.write(b"32\r\n%b\r\n" % (b"x" * 50))
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
     def _with_leaving(self, headers: dict[str, str]) -> dict[str, str]:
         return {**headers, "Server-Leaving": "1"} if self.is_leaving else headers
 
