--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 # The store is away for so long; its copy is of one second before the replica begins to leave.
 AWAY_S = 0.5
 # What replicas had written is written again within this time after the store's return.
-REWRITE_S = 2.0
+REWRITE_S = 1.0
 
 
 async def send_bookings(
--- a/review/rig.py
+++ b/review/rig.py
@@ -777,6 +777,12 @@
     async def start(self) -> None:
         """Start the process with the command of the deploy file and wait until it is ready."""
         await self.store_link.start()
+        await self.launch()
+        await self._rig.wait_until(lambda: self.is_ready(), 25.0, f"{self.name} is not ready")
+        self._rig.record.write(f"instance {self.name} is ready")
+
+    async def launch(self) -> None:
+        """Start the process."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["entry"]["run"].split()
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -787,8 +793,6 @@
             *command, cwd=ROOT, env=env, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL
         )
         self._rig.record.write(f"instance {self.name} starts")
-        await self._rig.wait_until(lambda: self.is_ready(), 25.0, f"{self.name} is not ready")
-        self._rig.record.write(f"instance {self.name} is ready")
 
     async def is_ready(self) -> bool:
         """Ask as the platform's balancer does."""
@@ -875,11 +879,11 @@
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
-        await asyncio.gather(*(instance.end() for instance in self.instances))
         for task in self._tasks:
             task.cancel()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=2.0)
+        await asyncio.gather(*(instance.end() for instance in self.instances))
         for client in Client.opened:
             client.close()
         for replica in self.replicas.values():
