Log and count requests whose callers left, by how far they had got

Taking a connection and sending on it are two steps now, so that the stage is known; no decision changes.

--- a/rattangate/explain/causes.py
+++ b/rattangate/explain/causes.py
@@ -23,14 +23,14 @@
     final_lines = [line for line in explanation.own_lines if line.event in FINAL_EVENTS]
     if not final_lines:
         return (
-            "There is no final line: the caller disconnected, the instance stopped, or the line was"
-            " dropped (see log_lines_dropped)."
+            "There is no final line: the instance stopped, or the line was dropped (see"
+            " log_lines_dropped)."
         )
     last = final_lines[-1]
     if last.event is LogEvent.REQUEST_DONE:
         return _explain_done(explanation, last)
     if last.event is LogEvent.REQUEST_ABANDONED:
-        return "The caller disconnected before the answer was complete."
+        return _explain_abandoned(last)
     kind = ErrorKind(last.text("kind"))
     return _EXPLAINERS.get(kind, _explain_other)(explanation, last)
 
@@ -41,6 +41,16 @@
     return text if failure is None else f"{text} {_describe_failure(explanation, failure)}"
 
 
+def _explain_abandoned(last: LogLine) -> str:
+    text = "The caller disconnected before the answer was complete"
+    if not last.text("stage"):
+        return f"{text}."
+    text += f" (stage {last.text('stage')}), {last.text('waited_ms')} ms after the request was read"
+    if last.text("placed_ms"):
+        text += f" and {last.text('placed_ms')} ms after {last.text('endpoint')} was chosen for it"
+    return f"{text}."
+
+
 def _explain_overload(explanation: Explanation, last: LogLine) -> str:
     load = explanation.load
     live = last.text("endpoints_live") or "an unknown number of"
--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -7,6 +7,7 @@
 
 from rattangate.clock import boottime_now
 from rattangate.core.events import EventSplicer
+from rattangate.core.request_stage import RequestStage
 from rattangate.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
@@ -34,7 +35,8 @@
 
     `strips_api_key` removes the key from the forwarded headers; `may_have_run` tells whether an
     endpoint may have run the request; `reports_error` tells whether the last response had a status
-    of 500 or above; `error_response` is sent if no other endpoint succeeds.
+    of 500 or above; `error_response` is sent if no other endpoint succeeds. `placed_at` is the time
+    of the last choice of an endpoint.
     """
 
     req: CallerRequest
@@ -46,6 +48,8 @@
     strips_api_key: bool
     attempts: int = 0
     endpoint: str = ""
+    stage: RequestStage = RequestStage.ARRIVED
+    placed_at: float | None = None
     first_token_at: float = 0.0
     may_have_run: bool = False
     reports_error: bool = False
--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -48,28 +48,30 @@
 
 
 class Responder:
-    """Write one response; `is_started` tells whether sending its head has begun."""
+    """Write one response; `is_started` tells whether sending its head has begun.
+
+    `has_caller_left` tells whether the caller disconnected before the response was complete.
+    """
 
     def __init__(self, conn: CallerConn) -> None:
         self.is_started = False
         self.is_complete = False
+        self.has_caller_left = False
         self._conn = conn
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
         self.is_started = True
         closing = [(b"Connection", b"close")] if self._conn.is_closing() else []
-        await self._conn.send(
-            h11.Response(status_code=status, headers=[*headers, *closing], reason=b"")
-        )
+        await self._send(h11.Response(status_code=status, headers=[*headers, *closing], reason=b""))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._conn.send(h11.Data(data=data))
+        await self._send(h11.Data(data=data))
 
     async def finish(self) -> None:
         """Send the end of the response."""
-        await self._conn.send(h11.EndOfMessage())
+        await self._send(h11.EndOfMessage())
         self.is_complete = True
 
     async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
@@ -80,6 +82,13 @@
             await self.send(body)
         await self.finish()
 
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            await self._conn.send(event)
+        except CallerDisconnected:
+            self.has_caller_left = True
+            raise
+
 
 class CallerConn:
     """Serve the requests of one connection in sequence."""
@@ -135,7 +144,7 @@
             return False
         responder = Responder(self)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_for_disconnect, nursery.cancel_scope)
+            nursery.start_soon(self._watch_for_disconnect, responder, nursery.cancel_scope)
             await self._handle(req, responder)
             nursery.cancel_scope.cancel()
         if not responder.is_complete or self.is_closing():
@@ -215,7 +224,7 @@
         is_in_head = self._parser.their_state is h11.IDLE
         return len(self._parser.trailing_data[0]) if is_in_head else 0
 
-    async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
+    async def _watch_for_disconnect(self, responder: Responder, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller disconnects; buffer requests that it pipelines."""
         while True:
             try:
@@ -223,6 +232,7 @@
             except (OSError, trio.BrokenResourceError):
                 data = b""
             if not data:
+                responder.has_caller_left = not responder.is_complete
                 scope.cancel()
                 return
             self._parser.receive_data(data)
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -8,6 +8,7 @@
 
 from rattangate.clock import boottime_now
 from rattangate.log_events import LogEvent, log
+from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
     from rattangate.core.messages import AttemptResult, Dispatch
@@ -56,6 +57,22 @@
     )
 
 
+def log_abandoned(admitted: AdmittedRequest) -> None:
+    """Log a request whose caller disconnected, and how far the request had got."""
+    now = trio.current_time()
+    placed_at = admitted.placed_at
+    log(
+        LogEvent.REQUEST_ABANDONED,
+        request_id=admitted.head.attempt_id,
+        workspace=admitted.workspace_name,
+        stage=admitted.stage.value,
+        attempts=admitted.attempts,
+        endpoint=admitted.endpoint,
+        waited_ms=int((now - admitted.req.arrived_at) * MS_PER_S),
+        placed_ms=None if placed_at is None else int((now - placed_at) * MS_PER_S),
+    )
+
+
 def log_failed(admitted: AdmittedRequest, result: AttemptResult, detail: str) -> None:
     """Log an attempt that failed."""
     log(
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -222,7 +222,10 @@
         self._is_response_complete = False
 
     async def read_head(self) -> None:
-        """Read the status and headers of the response, skipping responses to other requests."""
+        """Read the status and headers of the response, skipping responses to other requests.
+
+        Raise ExchangeLost if none comes.
+        """
         for _ in range(MAX_MISMATCHED_RESPONSES):
             event = await self._next_event()
             if not isinstance(event, h11.Response):
@@ -331,16 +334,11 @@
 async def open_exchange(
     pool: EndpointPool, req: OutboundRequest, stack: AsyncExitStack
 ) -> Exchange:
-    """Send a request and read the head of its response.
-
-    Raises ConnectFailed if no byte was sent and ExchangeLost after that.
-    """
+    """Take a connection for a request, of which nothing is sent; raise ConnectFailed without one."""
     conn = await pool.acquire()
     conn.exchanges += 1
     exchange = Exchange(pool, conn, req)
     stack.push_async_callback(exchange.finish)
-    await exchange.send_request()
-    await exchange.read_head()
     return exchange
 
 
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import AsyncExitStack, aclosing
+from contextlib import AsyncExitStack, aclosing, contextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -16,11 +16,18 @@
     Refuse,
     RequestRejected,
 )
+from rattangate.core.request_stage import RequestStage
 from rattangate.core.routes import RouteKind
 from rattangate.errors import ErrorKind, Failure
 from rattangate.front.admission import BufferedResponse, admit, is_still_authorized
 from rattangate.front.caller_conn import CallerDisconnected
-from rattangate.front.decision_log import log_done, log_failed, log_placed, log_refused
+from rattangate.front.decision_log import (
+    log_abandoned,
+    log_done,
+    log_failed,
+    log_placed,
+    log_refused,
+)
 from rattangate.front.endpoint_conn import (
     ConnectFailed,
     ExchangeLost,
@@ -33,7 +40,7 @@
 from rattangate.platform.requests import decode_request, returned_headers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from rattangate.core.messages import Dispatch
     from rattangate.driver import Exchange as GatewayExchange
@@ -100,10 +107,24 @@
             await refuse(responder, head.attempt_id, admitted, False)
             return
         self._metrics.count_request(admitted.route.kind.value)
-        with trio.CancelScope(deadline=admitted.deadline) as scope:
-            await self._serve(admitted, responder)
-        if scope.cancelled_caught:
-            await self._finish_timed_out(admitted, responder)
+        with self._recording_abandonment(admitted, responder):
+            with trio.CancelScope(deadline=admitted.deadline) as scope:
+                await self._serve(admitted, responder)
+            if scope.cancelled_caught:
+                await self._finish_timed_out(admitted, responder)
+
+    @contextmanager
+    def _recording_abandonment(
+        self, admitted: AdmittedRequest, responder: Responder
+    ) -> Iterator[None]:
+        try:
+            yield
+        finally:
+            if responder.has_caller_left:
+                if responder.is_started:
+                    admitted.stage = RequestStage.ANSWERING
+                self._metrics.count_abandoned(admitted.stage)
+                log_abandoned(admitted)
 
     def _admit(self, req: CallerRequest, head: RequestHead) -> AdmittedRequest | Failure:
         if self._is_closing():
@@ -113,6 +134,7 @@
     async def _serve(self, admitted: AdmittedRequest, responder: Responder) -> None:
         with self._state.driver.exchange(make_request_arrived(self._state, admitted)) as decisions:
             while True:
+                admitted.stage = RequestStage.QUEUED
                 effect = await decisions.next_effect()
                 if isinstance(effect, Refuse):
                     await self._finish_refused(admitted, effect.failure, responder)
@@ -137,6 +159,8 @@
     ) -> AttemptResult:
         admitted.attempts += 1
         admitted.endpoint = dispatch.endpoint
+        admitted.placed_at = trio.current_time()
+        admitted.stage = RequestStage.CONNECTING
         log_placed(self._state, admitted, dispatch)
         pool = self._state.paths.pool_of(dispatch.endpoint, dispatch.incarnation)
         if pool is None:
@@ -179,6 +203,9 @@
         except ConnectFailed:
             admitted.may_have_run = may_have_run_before
             raise
+        admitted.stage = RequestStage.SENT
+        await exchange.send_request()
+        await exchange.read_head()
         response = exchange.response_head
         admitted.reports_error = response.status >= MIN_SERVER_ERROR
         self._record_leaving(dispatch, response)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -85,7 +85,11 @@
         ("request_id", "endpoint", "offset"),
     )
     STREAM_BROKEN = (204, "A stream ended with an error event.", ("request_id", "offset"))
-    REQUEST_ABANDONED = (205, "The caller disconnected.", ("request_id", "workspace"))
+    REQUEST_ABANDONED = (
+        205,
+        "The caller disconnected before the answer was complete.",
+        ("request_id", "workspace", "stage", "attempts", "endpoint", "waited_ms", "placed_ms"),
+    )
     ANSWER_MISMATCHED = (
         206,
         "A response of an endpoint was for another request, incarnation or weights version.",
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -10,6 +10,7 @@
 
 from rattangate.core.messages import EndpointState, Verdict
 from rattangate.core.refusals import RefusalReason
+from rattangate.core.request_stage import RequestStage
 from rattangate.core.retries import RetryReason
 from rattangate.errors import ErrorKind
 
@@ -58,6 +59,13 @@
         "Refused model requests, by the reason that the gateway found.",
         "Look the reason up on the operators' page on overload.",
     )
+    ABANDONED_REQUESTS = (
+        "rattangate_abandoned_requests",
+        MetricKind.COUNTER,
+        ("stage",),
+        "Requests whose caller disconnected before the answer was complete, by stage.",
+        "Many `arrived` or `queued`: callers give up before their request is sent; see overload.",
+    )
     RETRIES = (
         "rattangate_retries",
         MetricKind.COUNTER,
@@ -259,6 +267,7 @@
         self.requests = Series()
         self.refusals = Series()
         self.refusal_reasons = Series()
+        self.abandoned_requests = Series()
         self.retries = Series()
         self.prompt_tokens = Series()
         self.cache_hit_tokens = Series()
@@ -281,6 +290,7 @@
             Metric.REQUESTS: self.requests,
             Metric.REFUSALS: self.refusals,
             Metric.REFUSAL_REASONS: self.refusal_reasons,
+            Metric.ABANDONED_REQUESTS: self.abandoned_requests,
             Metric.RETRIES: self.retries,
             Metric.PROMPT_TOKENS: self.prompt_tokens,
             Metric.CACHE_HIT_TOKENS: self.cache_hit_tokens,
@@ -319,6 +329,10 @@
         """Count one request that the gateway refused."""
         self.refusal_reasons.inc(label=reason.value)
 
+    def count_abandoned(self, stage: RequestStage) -> None:
+        """Count one request whose caller disconnected."""
+        self.abandoned_requests.inc(label=stage.value)
+
     def count_retry(self, reason: RetryReason) -> None:
         """Count one retry of a request."""
         self.retries.inc(label=reason.value)
@@ -352,6 +366,8 @@
             self.refusals.set(0.0, kind.value)
         for refusal in RefusalReason:
             self.refusal_reasons.set(0.0, refusal.value)
+        for stage in RequestStage:
+            self.abandoned_requests.set(0.0, stage.value)
         for reason in RetryReason:
             self.retries.set(0.0, reason.value)
         for verdict in Verdict:
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -133,6 +133,17 @@
     assert expected in explain_lines(text).cause
 
 
+def test_an_abandoned_request_reports_how_far_it_had_got():
+    line = make_line(
+        1.0, "e1", "request_abandoned", request_id="a1", stage="sent", endpoint="desk-1",
+        waited_ms=900, placed_ms=0
+    )  # fmt: skip
+    assert explain_lines(line).cause == (
+        "The caller disconnected before the answer was complete (stage sent), 900 ms after the"
+        " request was read and 0 ms after desk-1 was chosen for it."
+    )
+
+
 def test_timeout_reports_the_endpoint_that_did_not_answer():
     explanation = explain_lines(
         make_line(100.0, "e1", "request_placed", request_id="a1", endpoint="desk-1"),
--- /dev/null
+++ b/tests/front/callers.py
@@ -0,0 +1,44 @@
+"""Callers that write their requests to a socket themselves, to leave at a chosen moment."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+from typing import TYPE_CHECKING
+
+from tests.front.deployment import HOST, KEY, MODEL
+
+if TYPE_CHECKING:
+    from rattangate.platform.boot import BootSettings
+
+# Closing a socket with this option resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def encode_request(path: str, attempt: str, body: bytes = b"hello") -> bytes:
+    """Return the bytes of one request."""
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: {attempt}",
+        "X-Deadline-Ms: 3000",
+        f"Authorization: Bearer {KEY}",
+        f"X-Model: {MODEL}",
+        "X-Token-Counts: 900,20",
+        "X-Prefix-Hash: aa:600,bb:300",
+        f"Content-Length: {len(body)}",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def connect(boot: BootSettings) -> socket.socket:
+    """Connect to an instance without letting its tasks run meanwhile."""
+    host, port = boot.caller_address.rsplit(":", 1)
+    return socket.create_connection((host, int(port)))
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
