--- a/tests/front/callers.py
+++ b/tests/front/callers.py
@@ -4,7 +4,6 @@
 
 import socket
 import struct
-
 from typing import TYPE_CHECKING
 
 from tests.front.deployment import HOST, KEY, MODEL
--- a/tests/front/test_abandoned_requests.py
+++ b/tests/front/test_abandoned_requests.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
+import socket
+from contextlib import contextmanager, suppress
 
 import eliot
 import pytest
 import trio
 
-from tests.front.callers import connect, encode_request
+from rattangate.front import endpoint_conn
+from rattangate.front.endpoint_conn import open_directly
+from tests.front.callers import connect, encode_request, reset
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
@@ -88,3 +91,115 @@
                 assert abandonments(lines) == []
 
     trio.run(main)
+
+
+# More than enough for the order of two tasks, which is left to chance, to go either way.
+LEAVING_CALLERS = 20
+
+
+async def _count_calls(deployment) -> int:
+    """Wait until nothing happens any more; return how many requests reached replicas."""
+    await trio.sleep(0.5)
+    return len(deployment.calls())
+
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+@pytest.mark.parametrize("path", PATHS)
+def test_a_request_whose_caller_left_before_it_was_read_is_not_sent(path, leave):
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            for number in range(LEAVING_CALLERS):
+                sock = connect(deployment.boot)
+                sock.sendall(encode_request(path, f"a{number}"))
+                leave(sock)
+            assert await _count_calls(deployment) == 0
+
+    trio.run(main)
+
+
+def test_a_request_on_a_kept_connection_whose_caller_left_before_it_was_read_is_not_sent():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            socks = [connect(deployment.boot) for _ in range(LEAVING_CALLERS)]
+            for number, sock in enumerate(socks):
+                sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"first{number}"))
+            await wait_until(lambda: len(deployment.calls()) == LEAVING_CALLERS)
+            await trio.sleep(0.2)
+            for number, sock in enumerate(socks):
+                assert b" 200 " in sock.recv(65_536)
+                sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"second{number}"))
+                sock.close()
+            assert await _count_calls(deployment) == LEAVING_CALLERS
+
+    trio.run(main)
+
+
+def test_a_request_whose_caller_left_while_it_waited_for_a_connection_is_not_sent(monkeypatch):
+    waiting: list[trio.Event] = []
+
+    async def open_late(address: str) -> trio.SocketStream:
+        stream = await open_directly(address)
+        waiting.append(trio.Event())
+        await waiting[-1].wait()
+        return stream
+
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            monkeypatch.setattr(endpoint_conn, "open_directly", open_late)
+            for number in range(LEAVING_CALLERS):
+                sock = connect(deployment.boot)
+                sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"a{number}"))
+                await wait_until(lambda: bool(waiting))
+                # No task of the instance runs between the two.
+                waiting.pop().set()
+                sock.close()
+                await trio.sleep(0.02)
+            assert await _count_calls(deployment) == 0
+
+    trio.run(main)
+
+
+def test_a_caller_that_leaves_after_pipelining_much_ends_its_request():
+    closed = trio.Event()
+
+    async def detect_end(call: Call) -> None:
+        with suppress(trio.BrokenResourceError):
+            assert await call.stream.receive_some() == b""
+        closed.set()
+
+    async def main() -> None:
+        async with running_deployment(plain_handler=detect_end) as deployment:
+            sock = connect(deployment.boot)
+            sock.sendall(encode_request(NON_IDEMPOTENT_PATH, "a1"))
+            sock.sendall(encode_request(NON_IDEMPOTENT_PATH, "a2", bytes(100_000)))
+            await wait_until(lambda: len(deployment.calls()) == 1)
+            await trio.sleep(0.1)
+            sock.close()
+            with trio.fail_after(1.0):
+                await closed.wait()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("path", [NON_IDEMPOTENT_PATH, STREAM_PATH])
+def test_an_abandoned_request_is_reset_so_that_no_byte_of_it_arrives_later(path):
+    was_reset = trio.Event()
+
+    async def detect_reset(call: Call) -> None:
+        if path == STREAM_PATH:
+            await call.start_stream()
+        try:
+            await call.stream.receive_some()
+        except trio.BrokenResourceError:
+            was_reset.set()
+
+    async def main() -> None:
+        async with running_deployment(detect_reset, detect_reset) as deployment:
+            sock = connect(deployment.boot)
+            sock.sendall(encode_request(path, "a1"))
+            await wait_until(lambda: len(deployment.calls()) == 1)
+            sock.close()
+            with trio.fail_after(1.0):
+                await was_reset.wait()
+
+    trio.run(main)
--- a/tests/peers/test_tunnels.py
+++ b/tests/peers/test_tunnels.py
@@ -20,7 +20,9 @@
 
 REQUEST = TunnelRequest("e1", 7)
 CLIENT = PeerIdentity("a", 1, b"s" * 32)
+# More than the buffers between the server and an endpoint that does not read hold.
 LARGE = bytes(range(256)) * 2000
+SMALL_BUFFER_BYTES = 4_096
 
 
 class Tunnels:
@@ -39,7 +41,9 @@
         if self.refusal is not None:
             return self.refusal
         host, port = self.endpoint_address.rsplit(":", 1)
-        return await trio.open_tcp_stream(host, int(port))
+        stream = await trio.open_tcp_stream(host, int(port))
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        return stream
 
     async def _serve_endpoint(self, stream: trio.SocketStream) -> None:
         await self._sender.send(stream)
@@ -150,6 +154,30 @@
     run(test)
 
 
+def test_a_tunnel_that_its_client_left_resets_the_connection_to_the_endpoint():
+    async def test(tunnels: Tunnels) -> None:
+        stream, endpoint = await tunnels.open()
+        await stream.send_all(b"request")
+        assert await endpoint.receive_some() == b"request"
+        await trio.aclose_forcefully(stream)
+        with trio.fail_after(2), pytest.raises(trio.BrokenResourceError):
+            await endpoint.receive_some()
+
+    run(test)
+
+
+def test_a_client_that_leaves_is_noticed_while_the_endpoint_does_not_read():
+    async def test(tunnels: Tunnels) -> None:
+        stream, _ = await tunnels.open()
+        await stream.send_all(LARGE)
+        await trio.sleep(0.1)
+        await trio.aclose_forcefully(stream)
+        with trio.fail_after(2):
+            await until(lambda: tunnels.server.open_count == 0)
+
+    run(test)
+
+
 def test_a_refusal_tells_why():
     async def test(tunnels: Tunnels) -> None:
         for answer in (
