Look for the end of a caller's connection before its request is sent on

Callers that gave up because their request was not read in time had it run all the same: when an instance gets to a connection late, request and close wait in the socket together. The watch of the connection started beside the handler, and which ran first was chance; a caller that left in the same turn of the loop in which an endpoint's connection came was found out after the request had gone.

The handler now asks the socket itself, before it places the request and again before each send; nothing runs between that answer and the send. A connection on which nothing was sent yet goes back to its pool.

Ruled out: requests in the queue, which end with their callers (new test, passes on the code before). The test of waiting for a connection now delays the pool in place of the opening, since connections are kept; it fails on the code before as it did.

--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -10,6 +10,8 @@
 import h11
 import trio
 
+from rattangate.sockets import is_readable
+
 if TYPE_CHECKING:
     from rattangate.core.routes import ConnectionLimits
     from rattangate.platform.requests import Header
@@ -59,6 +61,12 @@
         self.has_caller_left = False
         self._conn = conn
 
+    async def ensure_connected(self) -> None:
+        """Raise CallerDisconnected if the caller has closed its connection."""
+        if not await self._conn.is_caller_connected():
+            self.has_caller_left = True
+            raise CallerDisconnected
+
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
         self.is_started = True
@@ -124,6 +132,13 @@
         if self._idle_scope is not None:
             self._idle_scope.cancel()
 
+    async def is_caller_connected(self) -> bool:
+        """Tell whether the caller has closed the connection, also if no task has noticed yet."""
+        while self._has_room_ahead() and is_readable(self._stream.socket):
+            if not await self._read_ahead():
+                return False
+        return True
+
     async def send(self, event: h11.Event) -> None:
         """Send one h11 event of a response; raise CallerDisconnected if that fails or times out."""
         data = self._parser.send(event)
@@ -226,18 +241,24 @@
 
     async def _watch_for_disconnect(self, responder: Responder, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller disconnects; buffer requests that it pipelines."""
-        while True:
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except (OSError, trio.BrokenResourceError):
-                data = b""
-            if not data:
+        while self._has_room_ahead():
+            if not await self._read_ahead():
                 responder.has_caller_left = not responder.is_complete
                 scope.cancel()
                 return
+
+    async def _read_ahead(self) -> bool:
+        """Receive what follows the current request; tell whether the caller is still connected."""
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except (OSError, trio.BrokenResourceError):
+            return False
+        if data:
             self._parser.receive_data(data)
-            if len(self._parser.trailing_data[0]) > READ_BYTES:
-                return
+        return bool(data)
+
+    def _has_room_ahead(self) -> bool:
+        return len(self._parser.trailing_data[0]) <= READ_BYTES
 
     async def _refuse(self, exc: RequestRefused) -> None:
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from contextlib import AsyncExitStack, ExitStack, aclosing, suppress
 from dataclasses import dataclass
@@ -14,7 +13,7 @@
 
 from rattangate.peers.tunnels import TunnelStream
 from rattangate.platform.requests import Header, decode_answer
-from rattangate.sockets import set_socket_options
+from rattangate.sockets import is_readable, set_socket_options
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -68,9 +67,7 @@
         """Tell whether the connection is open, has not timed out and has no unread bytes."""
         if self._unread or _is_used_up(self._stream) or trio.current_time() >= self.usable_until:
             return False
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not is_readable(self._stream.socket)
 
     @property
     def is_direct(self) -> bool:
@@ -218,6 +215,7 @@
         self._conn = conn
         self._req = req
         self._parser = _new_parser(req)
+        self._is_send_started = False
         self._is_request_sent = False
         self._is_response_complete = False
 
@@ -267,6 +265,8 @@
 
         A connection that breaks during sending is detected when the response is read.
         """
+        self._is_send_started = True
+        self._conn.exchanges += 1
         data = _encode(self._req)
         if len(data) <= SMALL_REQUEST_BYTES:
             await self._send(data)
@@ -278,7 +278,10 @@
         await self._conn.report_rest(rest_s)
 
     async def finish(self) -> None:
-        """Release the connection if the exchange is complete and left no bytes, else close it."""
+        """Release the connection if it can carry another exchange, else close it."""
+        if not self._is_send_started:
+            await self._pool.release(self._conn)
+            return
         if not self._is_conn_reusable():
             await self._conn.aclose()
             return
@@ -336,7 +339,6 @@
 ) -> Exchange:
     """Take a connection for a request, of which nothing is sent; raise ConnectFailed without one."""
     conn = await pool.acquire()
-    conn.exchanges += 1
     exchange = Exchange(pool, conn, req)
     stack.push_async_callback(exchange.finish)
     return exchange
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -108,6 +108,7 @@
             return
         self._metrics.count_request(admitted.route.kind.value)
         with self._recording_abandonment(admitted, responder):
+            await responder.ensure_connected()
             with trio.CancelScope(deadline=admitted.deadline) as scope:
                 await self._serve(admitted, responder)
             if scope.cancelled_caught:
@@ -203,6 +204,7 @@
         except ConnectFailed:
             admitted.may_have_run = may_have_run_before
             raise
+        await responder.ensure_connected()
         admitted.stage = RequestStage.SENT
         await exchange.send_request()
         await exchange.read_head()
--- a/rattangate/sockets.py
+++ b/rattangate/sockets.py
@@ -1,7 +1,8 @@
-"""Socket options of the TCP connections that instances open and accept."""
+"""Socket options and states of the TCP connections that instances open and accept."""
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -22,3 +23,10 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def is_readable(sock: trio.socket.SocketType) -> bool:
+    """Tell whether a socket has bytes to receive, was closed by the other side or failed."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/front/test_abandoned_requests.py
+++ b/tests/front/test_abandoned_requests.py
@@ -6,11 +6,12 @@
 from contextlib import contextmanager, suppress
 
 import eliot
+import httpx
 import pytest
 import trio
 
-from rattangate.front import endpoint_conn
-from rattangate.front.endpoint_conn import open_directly
+from rattangate.front.caller_conn import CallerConn
+from rattangate.front.endpoint_conn import EndpointConn, EndpointPool
 from tests.front.callers import connect, encode_request, reset
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
@@ -19,6 +20,7 @@
     Call,
     event,
     running_deployment,
+    stream_events,
     wait_until,
 )
 
@@ -137,15 +139,17 @@
 def test_a_request_whose_caller_left_while_it_waited_for_a_connection_is_not_sent(monkeypatch):
     waiting: list[trio.Event] = []
 
-    async def open_late(address: str) -> trio.SocketStream:
-        stream = await open_directly(address)
+    acquire = EndpointPool.acquire
+
+    async def acquire_late(pool: EndpointPool) -> EndpointConn:
+        conn = await acquire(pool)
         waiting.append(trio.Event())
         await waiting[-1].wait()
-        return stream
+        return conn
 
     async def main() -> None:
         async with running_deployment() as deployment:
-            monkeypatch.setattr(endpoint_conn, "open_directly", open_late)
+            monkeypatch.setattr(EndpointPool, "acquire", acquire_late)
             for number in range(LEAVING_CALLERS):
                 sock = connect(deployment.boot)
                 sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"a{number}"))
@@ -159,6 +163,66 @@
     trio.run(main)
 
 
+def test_callers_that_stay_are_served_after_the_instance_stood_still():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            socks = [connect(deployment.boot) for _ in range(LEAVING_CALLERS)]
+            for number, sock in enumerate(socks):
+                sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"a{number}"))
+                if number % 2:
+                    sock.close()
+            assert await _count_calls(deployment) == LEAVING_CALLERS // 2
+            assert all(b" 200 " in sock.recv(65_536) for sock in socks[::2])
+
+    trio.run(main)
+
+
+def test_a_connection_on_which_nothing_was_sent_for_a_caller_that_left_is_used_again(monkeypatch):
+    async def main() -> None:
+        async with running_deployment(replicas_per_service=1) as deployment:
+            app = deployment.app
+            is_connected = CallerConn.is_caller_connected
+            answers = iter([True, False])
+
+            async def leave_while_connecting(conn: CallerConn) -> bool:
+                return next(answers, True) and await is_connected(conn)
+
+            monkeypatch.setattr(CallerConn, "is_caller_connected", leave_while_connecting)
+            with pytest.raises(httpx.RemoteProtocolError):
+                await deployment.request(NON_IDEMPOTENT_PATH, X_Attempt_Id="leaves")
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 200
+            assert len(deployment.calls()) == 1
+            assert app.state.paths.pool_of("desk-0", 1000).opened == 1
+
+    trio.run(main)
+
+
+def test_a_queued_request_whose_caller_leaves_is_not_sent():
+    gate = trio.Event()
+
+    async def answer_late(call: Call) -> None:
+        await gate.wait()
+        await stream_events(call)
+
+    async def main() -> None:
+        with recorded_log() as lines:
+            async with running_deployment(engine_handler=answer_late) as deployment:
+                socks = []
+                while not deployment.app.state.driver.gateway.scheduler.queue:
+                    socks.append(connect(deployment.boot))
+                    socks[-1].sendall(encode_request(STREAM_PATH, f"a{len(socks)}"))
+                    await trio.sleep(0.05)
+                    assert len(socks) < 100
+                sent = len(deployment.calls())
+                socks[-1].close()
+                await wait_until(lambda: bool(abandonments(lines)))
+                assert abandonments(lines)[0]["stage"] == "queued"
+                gate.set()
+                assert await _count_calls(deployment) == sent
+
+    trio.run(main)
+
+
 def test_a_caller_that_leaves_after_pipelining_much_ends_its_request():
     closed = trio.Event()
 
