Reset the connections of abandoned requests instead of closing them

A request that its caller has abandoned could reach an endpoint seconds later: a closed connection leaves its bytes with the kernel, which delivers them once the link heals or the endpoint has room, and a peer's connection to the endpoint behind a tunnel likewise. A reset drops them. An exchange whose response is not complete now resets its connection or tunnel; a peer resets the endpoint's connection of each tunnel that its client ended first, so also those of an instance that is gone.

--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -13,7 +13,7 @@
 
 from rattangate.peers.tunnels import TunnelStream
 from rattangate.platform.requests import Header, decode_answer
-from rattangate.sockets import is_readable, set_socket_options
+from rattangate.sockets import is_readable, reset_on_close, set_socket_options
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -100,6 +100,12 @@
         if isinstance(self._stream, TunnelStream):
             await self._stream.report_rest(rest_s)
 
+    async def abort(self) -> None:
+        """Reset the connection, so that no byte that the network still holds arrives later."""
+        with suppress(OSError):
+            reset_on_close(self._stream.socket)
+        await self.aclose()
+
     async def aclose(self) -> None:
         """Close the connection."""
         with trio.CancelScope(shield=True), trio.move_on_after(0):
@@ -278,10 +284,13 @@
         await self._conn.report_rest(rest_s)
 
     async def finish(self) -> None:
-        """Release the connection if it can carry another exchange, else close it."""
+        """Release the connection if it can carry another exchange, else end it."""
         if not self._is_send_started:
             await self._pool.release(self._conn)
             return
+        if not self._is_response_complete:
+            await self._conn.abort()
+            return
         if not self._is_conn_reusable():
             await self._conn.aclose()
             return
@@ -291,7 +300,7 @@
         await self._pool.release(self._conn)
 
     def _is_conn_reusable(self) -> bool:
-        if not self._is_response_complete or not self._is_request_sent:
+        if not self._is_request_sent:
             return False
         trailing, is_closed = self._parser.trailing_data
         return not trailing and not is_closed and self._parser.their_state is h11.DONE
--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -2,7 +2,8 @@
 
 After the handshake the client asks for an endpoint, and the server connects to it. From there on the
 server passes bytes in both directions, in frames, so that an endpoint's regular close can be told
-from the loss of the tunnel. The client closes the connection to abandon what it has sent.
+from the loss of the tunnel. The client resets the connection to abandon what it has sent; whenever
+it ends the tunnel before the endpoint does, the server resets the connection to the endpoint.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
     encode_request,
 )
 from rattangate.peers.tunnel_codec import decode_frame as decode_tunnel_frame
-from rattangate.sockets import set_socket_options
+from rattangate.sockets import reset_on_close, set_socket_options
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -147,7 +148,7 @@
 
 @dataclass(slots=True)
 class _ServedTunnel:
-    """Hold one open tunnel of a peer."""
+    """Hold one open tunnel of a peer; `has_ended` tells whether the endpoint closed it regularly."""
 
     request: TunnelRequest
     reader: FrameReader
@@ -155,6 +156,7 @@
     endpoint: trio.SocketStream
     closing: trio.Event = field(default_factory=trio.Event)
     client_closed: trio.Event = field(default_factory=trio.Event)
+    has_ended: bool = False
     send_lock: trio.Lock = field(default_factory=trio.Lock)
 
     async def send(self, frame: TunnelFrame) -> None:
@@ -206,6 +208,8 @@
             await self._run(tunnel)
         finally:
             del self._tunnels[id(tunnel)]
+            if not tunnel.has_ended:
+                reset_on_close(opened.socket)
             await trio.aclose_forcefully(opened)
 
     async def _run(self, tunnel: _ServedTunnel) -> None:
@@ -215,6 +219,7 @@
             if await _pass_responses(tunnel):
                 with trio.move_on_after(CLOSE_TIMEOUT_S):
                     await tunnel.client_closed.wait()
+                tunnel.has_ended = True
             nursery.cancel_scope.cancel()
 
     async def _pass_requests(self, tunnel: _ServedTunnel, scope: trio.CancelScope) -> None:
--- a/rattangate/sockets.py
+++ b/rattangate/sockets.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,6 +15,8 @@
 USER_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# The value of SO_LINGER for lingering on close for no time: on, 0 s.
+_LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 def set_socket_options(sock: trio.socket.SocketType) -> None:
@@ -25,6 +28,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def reset_on_close(sock: trio.socket.SocketType) -> None:
+    """Let the close of a connection reset it, which drops the bytes that were not delivered."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+
+
 def is_readable(sock: trio.socket.SocketType) -> bool:
     """Tell whether a socket has bytes to receive, was closed by the other side or failed."""
     poll = select.poll()
