Notice the end of a tunnel's client while its endpoint does not read

A peer that carried an abandoned request held on to it, up to the endpoint's user timeout: it read the client's end only behind all bytes before it, and read no further while it waited for the endpoint to take some. Reading and passing on are two tasks now, with up to 16 frames (of at most 64 KiB as instances send them) between them; the client's end cancels both and resets the endpoint's connection.

The test failed before: 512 kB for an endpoint that does not read, the client leaves, and the tunnel is still open 2 s later. A request of more than the queue holds cannot be complete at the endpoint before its end is read, so it never runs.

--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -45,6 +45,8 @@
     ReportRest = Callable[[TunnelRequest, float], None]
 
 MAX_DATA_BYTES = 65_536
+# Frames of a client that are read ahead of the endpoint.
+MAX_QUEUED_FRAMES = 16
 REQUEST_TIMEOUT_S = 2.0
 # After an endpoint's regular close, the server waits so long for the client to close the tunnel:
 # closing it with unread bytes would reset it and lose the end.
@@ -146,14 +148,26 @@
     return TunnelStream(stream, reader)
 
 
+class _Queue:
+    """Hold the two ends of a queue of bytes."""
+
+    def __init__(self, max_items: int) -> None:
+        self.sender, self.receiver = trio.open_memory_channel[bytes](max_items)
+
+
 @dataclass(slots=True)
 class _ServedTunnel:
-    """Hold one open tunnel of a peer; `has_ended` tells whether the endpoint closed it regularly."""
+    """Hold one open tunnel of a peer.
+
+    `queue` holds the client's bytes for the endpoint; `has_ended` tells whether the endpoint closed
+    the connection regularly.
+    """
 
     request: TunnelRequest
     reader: FrameReader
     peer: trio.SocketStream
     endpoint: trio.SocketStream
+    queue: _Queue = field(default_factory=lambda: _Queue(MAX_QUEUED_FRAMES))
     closing: trio.Event = field(default_factory=trio.Event)
     client_closed: trio.Event = field(default_factory=trio.Event)
     has_ended: bool = False
@@ -214,7 +228,8 @@
 
     async def _run(self, tunnel: _ServedTunnel) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._pass_requests, tunnel, nursery.cancel_scope)
+            nursery.start_soon(self._read_requests, tunnel, nursery.cancel_scope)
+            nursery.start_soon(_pass_requests, tunnel)
             nursery.start_soon(_announce_closing, tunnel)
             if await _pass_responses(tunnel):
                 with trio.move_on_after(CLOSE_TIMEOUT_S):
@@ -222,9 +237,11 @@
                 tunnel.has_ended = True
             nursery.cancel_scope.cancel()
 
-    async def _pass_requests(self, tunnel: _ServedTunnel, scope: trio.CancelScope) -> None:
-        """Pass the client's bytes on; end the tunnel when the client closes it."""
-        is_writable = True
+    async def _read_requests(self, tunnel: _ServedTunnel, scope: trio.CancelScope) -> None:
+        """Queue the client's bytes for the endpoint; end the tunnel when the client closes it.
+
+        They are read ahead of an endpoint that is slow to read, to notice the end of the client.
+        """
         while True:
             try:
                 frame = decode_frame(decode_tunnel_frame, await tunnel.reader.read())
@@ -234,9 +251,18 @@
                 return
             if frame.rest_s:
                 self._report_rest(tunnel.request, frame.rest_s)
-            if frame.data and is_writable:
-                # The endpoint may have answered before it closed, so its bytes are still read.
-                is_writable = await _try_send(tunnel.endpoint, frame.data)
+            if frame.data:
+                await tunnel.queue.sender.send(frame.data)
+
+
+async def _pass_requests(tunnel: _ServedTunnel) -> None:
+    """Pass the queued bytes on until the endpoint takes no more."""
+    async for data in tunnel.queue.receiver:
+        if not await _try_send(tunnel.endpoint, data):
+            break
+    # The endpoint may have answered before it closed, so the rest is read and dropped.
+    async for _ in tunnel.queue.receiver:
+        pass
 
 
 async def _announce_closing(tunnel: _ServedTunnel) -> None:
