Go on watching a caller that has pipelined much

A caller that left after it had sent more than 64 KiB beyond its current request was never noticed, and its request ran to the end: the watch of the connection returned for good once it had buffered so much. It now checks each 0.1 s whether the other side has hung up; so does the check before a send.

--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -10,7 +10,7 @@
 import h11
 import trio
 
-from rattangate.sockets import is_readable
+from rattangate.sockets import has_hung_up, is_readable
 
 if TYPE_CHECKING:
     from rattangate.core.routes import ConnectionLimits
@@ -19,6 +19,8 @@
 READ_BYTES = 65_536
 BODY_TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 10.0
+# How often a connection from which nothing is read for now is checked for its end.
+HANG_UP_POLL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,10 +136,12 @@
 
     async def is_caller_connected(self) -> bool:
         """Tell whether the caller has closed the connection, also if no task has noticed yet."""
-        while self._has_room_ahead() and is_readable(self._stream.socket):
+        while self._has_room_ahead():
+            if not is_readable(self._stream.socket):
+                return True
             if not await self._read_ahead():
                 return False
-        return True
+        return not has_hung_up(self._stream.socket)
 
     async def send(self, event: h11.Event) -> None:
         """Send one h11 event of a response; raise CallerDisconnected if that fails or times out."""
@@ -241,11 +245,17 @@
 
     async def _watch_for_disconnect(self, responder: Responder, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller disconnects; buffer requests that it pipelines."""
-        while self._has_room_ahead():
-            if not await self._read_ahead():
-                responder.has_caller_left = not responder.is_complete
-                scope.cancel()
-                return
+        while await self._wait_ahead():
+            pass
+        responder.has_caller_left = not responder.is_complete
+        scope.cancel()
+
+    async def _wait_ahead(self) -> bool:
+        """Wait for more from the caller; tell whether it is still connected."""
+        if self._has_room_ahead():
+            return await self._read_ahead()
+        await trio.sleep(HANG_UP_POLL_S)
+        return not has_hung_up(self._stream.socket)
 
     async def _read_ahead(self) -> bool:
         """Receive what follows the current request; tell whether the caller is still connected."""
--- a/rattangate/sockets.py
+++ b/rattangate/sockets.py
@@ -35,6 +35,16 @@
 
 def is_readable(sock: trio.socket.SocketType) -> bool:
     """Tell whether a socket has bytes to receive, was closed by the other side or failed."""
+    return _has_event(sock, select.POLLIN)
+
+
+def has_hung_up(sock: trio.socket.SocketType) -> bool:
+    """Tell whether the other side closed the connection, even behind bytes that are not received."""
+    return _has_event(sock, select.POLLRDHUP)
+
+
+def _has_event(sock: trio.socket.SocketType, event: int) -> bool:
+    """Tell whether an event, an error or a hang-up is pending on a socket."""
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
+    poll.register(sock.fileno(), event)
     return bool(poll.poll(0))
