Answer each request that is left when a draining instance ends

Callers of an instance in a planned stop got no answer (LOST): requests that waited in its queue, ran nowhere and could have been refused, and requests that were passed on late in the grace period. At the end of draining the tasks of all requests were cancelled and their connections closed.

Two seconds before the end the instance now refuses what waits in the queue, for a connection or for a retry, and sends nothing more; a request of which nothing was sent is refused as not run (503, Retry-After), also where it was waiting for a connection, which used to count as sent. Shortly before the end it answers what endpoints still have with an unknown outcome (504); streams that have begun end cut, as they must.

--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -69,8 +69,10 @@
 DRAIN_POLL_S = 0.05
 # Draining ends this long before the end of the grace period.
 EXIT_MARGIN_S = 0.3
-# The tunnels of peers take no further requests this long before the end of draining.
-TUNNEL_CLOSE_S = 2.0
+# No request is sent to an endpoint this long before the end of draining, nor taken from a peer.
+LAST_SEND_S = 2.0
+# The requests that are left are answered this long before the end of draining.
+LAST_ANSWER_S = 0.2
 BACKLOG = 512
 
 
@@ -193,9 +195,13 @@
         for conn in list(self._conns):
             conn.close_if_idle()
         # Peers without links of their own may depend on this instance for as long as it runs.
-        with trio.move_on_at(deadline - TUNNEL_CLOSE_S):
+        with trio.move_on_at(deadline - LAST_SEND_S):
             await self._wait_until_idle()
+        self.forwarder.refuse_waiting()
         self.state.paths.tunnels.close()
+        with trio.move_on_at(deadline - LAST_ANSWER_S):
+            await self._wait_until_idle()
+        self.forwarder.end_all()
         with trio.move_on_at(deadline):
             await self._wait_until_idle()
 
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -59,12 +59,18 @@
 SHUTDOWN_RETRY_AFTER_S = 0.05
 # A response with one of these statuses is valid only if it states that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Stages in which no endpoint has the request.
+WAITING_STAGES = frozenset({RequestStage.ARRIVED, RequestStage.QUEUED, RequestStage.CONNECTING})
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
 
 
 class Forwarder:
-    """Forward the requests of callers to the endpoints that the gateway chooses."""
+    """Forward the requests of callers to the endpoints that the gateway chooses.
+
+    `in_flight` counts the requests that are being handled; `sends_no_more` tells whether waiting
+    requests are refused since the instance is about to end.
+    """
 
     def __init__(
         self,
@@ -74,6 +80,8 @@
         announce_leaving: Callable[[str, int], None],
     ) -> None:
         self.in_flight = 0
+        self.sends_no_more = False
+        self._scopes: dict[trio.CancelScope, AdmittedRequest] = {}
         self._is_closing = is_closing
         self._announce_leaving = announce_leaving
         self._state = state
@@ -94,6 +102,19 @@
         finally:
             self.in_flight -= 1
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that no endpoint has, and send none from now on."""
+        self.sends_no_more = True
+        for scope, admitted in self._scopes.items():
+            if admitted.stage in WAITING_STAGES:
+                scope.cancel()
+
+    def end_all(self) -> None:
+        """Answer each request now, those that endpoints have with an unknown outcome."""
+        self.sends_no_more = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def _handle(self, req: CallerRequest, responder: Responder) -> None:
         head = decode_request(req.headers)
         if head is None:
@@ -109,10 +130,20 @@
         self._metrics.count_request(admitted.route.kind.value)
         with self._recording_abandonment(admitted, responder):
             await responder.ensure_connected()
-            with trio.CancelScope(deadline=admitted.deadline) as scope:
+            with self._serving_scope(admitted) as scope:
                 await self._serve(admitted, responder)
             if scope.cancelled_caught:
-                await self._finish_timed_out(admitted, responder)
+                await self._finish_cancelled(admitted, responder)
+
+    @contextmanager
+    def _serving_scope(self, admitted: AdmittedRequest) -> Iterator[trio.CancelScope]:
+        """Cancel a request at its deadline, or when the instance stops."""
+        with trio.CancelScope(deadline=admitted.deadline) as scope:
+            self._scopes[scope] = admitted
+            try:
+                yield scope
+            finally:
+                del self._scopes[scope]
 
     @contextmanager
     def _recording_abandonment(
@@ -136,6 +167,9 @@
         with self._state.driver.exchange(make_request_arrived(self._state, admitted)) as decisions:
             while True:
                 admitted.stage = RequestStage.QUEUED
+                if self.sends_no_more:
+                    await self._finish_cancelled(admitted, responder)
+                    return
                 effect = await decisions.next_effect()
                 if isinstance(effect, Refuse):
                     await self._finish_refused(admitted, effect.failure, responder)
@@ -196,15 +230,11 @@
     ) -> AttemptResult:
         pool = self._state.paths.pool_of(dispatch.endpoint, dispatch.incarnation)
         assert pool is not None
-        may_have_run_before = admitted.may_have_run
-        admitted.may_have_run = True
         sent_at = trio.current_time()
-        try:
-            exchange = await open_exchange(pool, outbound, stack)
-        except ConnectFailed:
-            admitted.may_have_run = may_have_run_before
-            raise
+        exchange = await open_exchange(pool, outbound, stack)
         await responder.ensure_connected()
+        may_have_run_before = admitted.may_have_run
+        admitted.may_have_run = True
         admitted.stage = RequestStage.SENT
         await exchange.send_request()
         await exchange.read_head()
@@ -384,11 +414,16 @@
         else:
             await refuse(responder, admitted.head.attempt_id, failure, may_have_run)
 
-    async def _finish_timed_out(self, admitted: AdmittedRequest, responder: Responder) -> None:
-        kind = ErrorKind.DEADLINE_UNREACHABLE
+    async def _finish_cancelled(self, admitted: AdmittedRequest, responder: Responder) -> None:
+        """Answer a request that is out of time, or that the instance stops before it is done."""
+        is_late = trio.current_time() >= admitted.deadline
+        detail = "out of time" if is_late else "stopping"
+        failure = Failure(ErrorKind.SHUTTING_DOWN, detail, SHUTDOWN_RETRY_AFTER_S)
         if admitted.may_have_run:
-            kind = ErrorKind.OUTCOME_UNKNOWN
-        await self._finish_refused(admitted, Failure(kind, "out of time"), responder)
+            failure = Failure(ErrorKind.OUTCOME_UNKNOWN, detail)
+        elif is_late:
+            failure = Failure(ErrorKind.DEADLINE_UNREACHABLE, detail)
+        await self._finish_refused(admitted, failure, responder)
 
     def _count_refusal(
         self,
--- a/tests/front/deployment.py
+++ b/tests/front/deployment.py
@@ -211,6 +211,7 @@
     engine_handler: Handler = stream_events,
     replicas_per_service: int = 2,
     log_writer: LineWriter | None = None,
+    grace_s: float = 3.0,
 ):
     """Run a deployment; all replicas of a service have the same handler."""
     addresses = free_addresses(5 + 2 * replicas_per_service)
@@ -223,7 +224,7 @@
         ready,
         int(peer.rsplit(":", 1)[1]),
         store_address,
-        Bounds(grace_s=3.0),
+        Bounds(grace_s=grace_s),
     )
     replica_addresses = iter(addresses[5:])
     replicas = {}
