Let an odd entry of the endpoint list cost that entry alone

The decoder lets RecursionError through for values that are nested deeply, also in fields that the type does not have; born or a version above 64 bits ends the connections to peers, whose messages cannot hold it; a port out of range or in other digits raises outside of the errors that connecting expects.

All JSON of other systems goes through one function that raises DecodeError for whatever it cannot decode; the entry's numbers, address and name are checked, and the log line says what is wrong.

The product's own interface answers 400 where it answered 500 to a body that is nested deeply.

--- a/rattangate/cmd/config_versions.py
+++ b/rattangate/cmd/config_versions.py
@@ -30,6 +30,7 @@
     Proposal,
 )
 from rattangate.exit_codes import ExitCode
+from rattangate.json_decoding import decode_json
 from rattangate.platform.outcomes import Unavailable
 from rattangate.platform.store import Store
 from rattangate.records.config_store import ConfigStore
@@ -199,7 +200,7 @@
 ) -> None:
     try:
         resp = await client.get(f"http://{instance.admin_address}/v1/instances")
-        instances = msgspec.json.decode(resp.content).get("instances", [])
+        instances = decode_json(resp.content).get("instances", [])
     except (httpx.HTTPError, msgspec.MsgspecError):
         return
     for described in instances:
--- a/rattangate/config/content.py
+++ b/rattangate/config/content.py
@@ -10,6 +10,7 @@
 from rattangate.config.diagnostics import ConfigError, Diagnostic
 from rattangate.config.load import Sources, check_sources, settings_from_sources
 from rattangate.config.tree import Source
+from rattangate.json_decoding import decode_json
 
 if TYPE_CHECKING:
     from rattangate.config.model import Settings
@@ -55,7 +56,7 @@
 def decode_content(data: bytes) -> ConfigContent:
     """Decode a content from JSON; raise ConfigError if it is malformed."""
     try:
-        return msgspec.json.decode(data, type=ConfigContent)
+        return decode_json(data, ConfigContent)
     except msgspec.MsgspecError as exc:
         diagnostic = Diagnostic(
             BASE_NAME, 1, "", "the content is malformed", "apply the files again"
--- a/rattangate/core/streams.py
+++ b/rattangate/core/streams.py
@@ -119,7 +119,7 @@
             return _EventAction.DONE if self.finish_reason is not None else StreamFault.GAP
         try:
             chunk = _decode_chunk(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, ValueError, RecursionError):
             return StreamFault.MALFORMED
         if chunk.system_fingerprint not in (None, self._fingerprint):
             return StreamFault.OTHER_SOURCE
--- a/rattangate/endpoints/client.py
+++ b/rattangate/endpoints/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rattangate.core.messages import AttemptResult
+from rattangate.json_decoding import decode_json
 from rattangate.plain_http import EMPTY_TRUST_STORE
 
 if TYPE_CHECKING:
@@ -94,10 +95,6 @@
     events: list[_RawEvent]
 
 
-_decode_report = msgspec.json.Decoder(EndpointReport).decode
-_decode_events = msgspec.json.Decoder(_RawEvents).decode
-
-
 class EndpointClient:
     """Call one endpoint over a connection pool of its own."""
 
@@ -150,7 +147,7 @@
         """Read the state and load of the endpoint."""
         try:
             resp = await self.http.get("/load", timeout=LOAD_TIMEOUT_S)
-            return _decode_report(resp.content)
+            return decode_json(resp.content, EndpointReport)
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
             return CallFailed(AttemptResult.NOT_SENT, repr(exc))
         except (httpx.HTTPError, msgspec.MsgspecError, UnicodeDecodeError) as exc:
@@ -162,7 +159,7 @@
             resp = await self.http.get(
                 f"/cache-events?after={after}", timeout=CACHE_EVENTS_TIMEOUT_S
             )
-            raw = _decode_events(resp.content)
+            raw = decode_json(resp.content, _RawEvents)
             return raw.incarnation, tuple(_make_cache_event(event) for event in raw.events)
         except (httpx.HTTPError, msgspec.MsgspecError, ValueError) as exc:
             return CallFailed(AttemptResult.LOST, repr(exc))
@@ -181,7 +178,7 @@
 async def _make_open_failure(resp: httpx.Response) -> CallFailed:
     body: dict[str, Any] = {}
     try:
-        decoded = msgspec.json.decode(await resp.aread())
+        decoded = decode_json(await resp.aread())
     except (httpx.HTTPError, msgspec.DecodeError):
         decoded = None
     if isinstance(decoded, dict):
--- a/rattangate/endpoints/orders.py
+++ b/rattangate/endpoints/orders.py
@@ -12,6 +12,7 @@
 from rattangate.core.messages import EndpointState
 from rattangate.core.orders import Drain, LoadVersion, ObservedState, OrderResult, SetRole
 from rattangate.core.rollout import DesiredVersion, RolloutCfg
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.orders import Observation
 from rattangate.platform.outcomes import Unavailable, Written
@@ -156,7 +157,7 @@
                 return None
             row = self._in_use_rows[model.name] = read_outcome
         if row.value is not None:
-            return msgspec.json.decode(row.value, type=VersionInUse).in_use
+            return decode_json(row.value, VersionInUse).in_use
         versions = Counter(item.weights_version for item in replicas if item.ready)
         return versions.most_common(1)[0][0] if versions else None
 
--- a/rattangate/explain/lines.py
+++ b/rattangate/explain/lines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
 def _parse_line(raw_line: str) -> LogLine | None:
     _, opening_brace, remainder = raw_line.partition("{")
     try:
-        fields = msgspec.json.decode(opening_brace + remainder)
+        fields = decode_json(opening_brace + remainder)
         raw = msgspec.convert(fields, _RawLine)
         event = LogEvent[raw.message_type.upper()]
     except (msgspec.MsgspecError, UnicodeError, KeyError):
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -15,6 +15,7 @@
 from rattangate.core.relays import RelayPlan
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.front.tunnels import TunnelPeer
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import encode_update, make_update
 from rattangate.peers.handshake import PeerIdentity
@@ -409,7 +410,7 @@
 
 def _decode_entry(row: StoreRow) -> InstanceEntry | None:
     try:
-        return msgspec.json.decode(row.value or b"", type=InstanceEntry)
+        return decode_json(row.value or b"", InstanceEntry)
     except msgspec.DecodeError as exc:
         log(LogEvent.ENTRY_MALFORMED, table=INSTANCE_TABLE, row=row.key, error=str(exc))
         return None
--- a/rattangate/front/store_watchers.py
+++ b/rattangate/front/store_watchers.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from rattangate.clock import boottime_now
-from rattangate.core.fleet import ModelVersion
+from rattangate.core.fleet import ListedEndpoint, ModelVersion
 from rattangate.core.routes import ServingConfig
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.log_events import LogEvent, log
@@ -21,7 +21,6 @@
 )
 
 if TYPE_CHECKING:
-    from rattangate.core.fleet import ListedEndpoint
     from rattangate.front.peers import Peers
     from rattangate.front.state import FrontState
     from rattangate.front.table_watcher import TableUpdate
@@ -161,15 +160,10 @@
 
     def _apply_row(self, row: StoreRow) -> None:
         entry = None if row.value is None else decode_endpoint(row.key, row.value)
-        if entry is not None:
+        if isinstance(entry, ListedEndpoint):
             self._listed[row.key] = entry
             return
         self._listed.pop(row.key, None)
-        if row.value is not None and row.key not in self._malformed:
+        if entry is not None and row.key not in self._malformed:
             self._malformed.add(row.key)
-            log(
-                LogEvent.ENTRY_MALFORMED,
-                table=ENDPOINT_TABLE,
-                row=row.key,
-                error="not a valid endpoint entry",
-            )
+            log(LogEvent.ENTRY_MALFORMED, table=ENDPOINT_TABLE, row=row.key, error=entry.reason)
--- a/rattangate/http/admin.py
+++ b/rattangate/http/admin.py
@@ -22,6 +22,7 @@
     describe_api,
 )
 from rattangate.http.responses import error_response, json_response
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import CONTENT_TYPE
 from rattangate.records.audit import AuditEntry
@@ -173,7 +174,7 @@
     if operation.body is None:
         return {}
     try:
-        body = msgspec.json.decode(await request.get_data())
+        body = decode_json(await request.get_data())
     except msgspec.MsgspecError:
         return Failure(ErrorKind.BAD_REQUEST, "body: must be JSON")
     if not isinstance(body, dict):
--- a/rattangate/http/bookings.py
+++ b/rattangate/http/bookings.py
@@ -31,6 +31,7 @@
     SwapRecord,
     WakeUp,
 )
+from rattangate.json_decoding import decode_json
 from rattangate.plain_http import EMPTY_TRUST_STORE
 from rattangate.records.booking_table import BookingTable
 
@@ -247,7 +248,7 @@
     if resp.status_code != httpx.codes.SERVICE_UNAVAILABLE:
         return False
     try:
-        body = msgspec.json.decode(resp.content)
+        body = decode_json(resp.content)
     except msgspec.DecodeError:
         return False
     return isinstance(body, dict) and body.get("not_run") is True
--- a/rattangate/http/caller.py
+++ b/rattangate/http/caller.py
@@ -26,6 +26,7 @@
     log_unknown_key,
     register_error_handlers,
 )
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 
 if TYPE_CHECKING:
@@ -181,7 +182,7 @@
     arrived_at: float,
 ) -> ModelCall | Failure:
     try:
-        body = msgspec.json.decode(raw_body)
+        body = decode_json(raw_body)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         return Failure(ErrorKind.BAD_REQUEST, f"body: {exc}")
     if not isinstance(body, dict):
--- a/rattangate/platform/boot.py
+++ b/rattangate/platform/boot.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from rattangate.json_decoding import decode_json
 from rattangate.units import MS_PER_S
 
 BOOT_VARIABLE = "RATTANGATE_BOOT"
@@ -117,7 +118,7 @@
 def decode_boot(raw: bytes, path: str) -> BootSettings:
     """Decode a settings file; raise BootError that names the invalid field."""
     try:
-        boot = msgspec.json.decode(raw, type=_Boot)
+        boot = decode_json(raw, _Boot)
     except msgspec.DecodeError as exc:
         raise BootError(f"{path}: {exc}; correct this field") from exc
     raw_bounds = boot.bounds
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any
+import ipaddress
+from dataclasses import dataclass
+from typing import Annotated, Any
 
 import msgspec
 
@@ -16,6 +18,7 @@
     ServingConfig,
     Workspace,
 )
+from rattangate.json_decoding import decode_json
 from rattangate.units import MS_PER_S
 
 OPERATOR_TABLE = "op"
@@ -23,6 +26,12 @@
 CONFIG_KEY = "config"
 VERSION_PREFIX = "version/"
 MAX_SLOTS = 1_000_000
+MAX_INT64 = 2**63 - 1
+MAX_PORT = 65_535
+MAX_REASON_CHARS = 200
+
+# What fits into the messages between instances.
+_UInt63 = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 
 
 class _TrafficShare(msgspec.Struct):
@@ -89,7 +98,7 @@
 
 class _RunningModel(msgspec.Struct):
     name: str
-    version: int
+    version: _UInt63
 
 
 class _EndpointEntry(msgspec.Struct):
@@ -97,8 +106,8 @@
     address: str
     zone: str
     state: str
-    slots: int
-    born: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    born: _UInt63
     version: str = ""
     models: list[_RunningModel] = []
 
@@ -108,9 +117,16 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class MalformedEntry:
+    """Report an entry that cannot be used, and why."""
+
+    reason: str
+
+
 def decode_config(value: bytes) -> ServingConfig:
     """Decode the operator's configuration; raise DecodeError if it is malformed."""
-    raw = msgspec.json.decode(value, type=_Config)
+    raw = decode_json(value, _Config)
     limits = ConnectionLimits(
         raw.limits.header_bytes,
         raw.limits.max_body_bytes,
@@ -126,16 +142,18 @@
     )
 
 
-def decode_endpoint(name: str, value: bytes) -> ListedEndpoint | None:
-    """Decode an endpoint's entry; return None if the entry is malformed or unusable."""
+def decode_endpoint(name: str, value: bytes) -> ListedEndpoint | MalformedEntry:
+    """Decode an endpoint's entry, which may come from any writer."""
+    if not _is_header_value(name):
+        return MalformedEntry("the name cannot stand in a header")
     try:
-        raw = msgspec.json.decode(value, type=_EndpointEntry)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    if raw.state not in ("ready", "draining") or not _is_address(raw.address):
-        return None
-    if not 0 < raw.slots <= MAX_SLOTS:
-        return None
+        raw = decode_json(value, _EndpointEntry)
+    except msgspec.DecodeError as exc:
+        return MalformedEntry(str(exc)[:MAX_REASON_CHARS])
+    if raw.state not in ("ready", "draining"):
+        return MalformedEntry("unknown state")
+    if not _is_address(raw.address):
+        return MalformedEntry("the address is not an IPv4 address with a port")
     return ListedEndpoint(
         name,
         raw.born,
@@ -157,7 +175,7 @@
     if key == CONFIG_KEY:
         return decode_config(value)
     if key.startswith(VERSION_PREFIX):
-        raw = msgspec.json.decode(value, type=_DesiredVersion)
+        raw = decode_json(value, _DesiredVersion)
         return ModelVersion(raw.model, raw.version)
     return None
 
@@ -215,4 +233,14 @@
 
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(":")
-    return bool(host) and port.isdigit()
+    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    return 1 <= int(port) <= MAX_PORT
+
+
+def _is_header_value(text: str) -> bool:
+    return text.isascii() and text.isprintable() and bool(text.strip())
--- a/rattangate/platform/orders.py
+++ b/rattangate/platform/orders.py
@@ -11,6 +11,7 @@
 
 from rattangate.core.fleet import ModelVersion
 from rattangate.core.orders import OrderResult
+from rattangate.json_decoding import decode_json
 from rattangate.plain_http import EMPTY_TRUST_STORE
 from rattangate.platform import wire
 from rattangate.platform.operator import encode_load_order
@@ -167,7 +168,7 @@
         req = self._client.build_request("GET", url, timeout=timeout)
         try:
             answer = await self._send(req, REPORT_TIMEOUT_S + CONNECT_TIMEOUT_S)
-            raw = msgspec.json.decode(answer.body, type=_Report)
+            raw = decode_json(answer.body, _Report)
         except (*_CALL_FAILURES, msgspec.DecodeError) as exc:
             return NoReport(repr(exc))
         models = tuple(ModelVersion(item.name, item.version) for item in raw.models)
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -13,6 +13,7 @@
 from rattangate.clock import boottime_now
 from rattangate.core.shared_clock import SharedClock
 from rattangate.core.store_version import era_of, make_version, number_of
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST_STORE
 from rattangate.platform import wire
@@ -339,7 +340,7 @@
     if resp.status_code == httpx.codes.GONE:
         return _Answer(resp.status_code, EMPTY_BODY, era)
     try:
-        return _Answer(resp.status_code, msgspec.json.decode(resp.content), era)
+        return _Answer(resp.status_code, decode_json(resp.content), era)
     except msgspec.DecodeError as exc:
         return Unavailable(f"answer is not valid JSON: {exc}", may_have_applied=may_have_applied)
 
--- a/rattangate/records/audit.py
+++ b/rattangate/records/audit.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rattangate.json_decoding import decode_json
 from rattangate.platform.outcomes import BlobRead, Unavailable
 
 if TYPE_CHECKING:
@@ -52,5 +53,5 @@
         for key in sorted(keys, reverse=True)[:MAX_LISTED_ENTRIES]:
             blob = await self._store.get_blob(key)
             if isinstance(blob, BlobRead) and blob.body is not None:
-                entries.append(msgspec.json.decode(blob.body, type=AuditEntry))
+                entries.append(decode_json(blob.body, AuditEntry))
         return tuple(entries)
--- a/rattangate/records/booking_table.py
+++ b/rattangate/records/booking_table.py
@@ -16,6 +16,7 @@
     SwapEnded,
 )
 from rattangate.core.compare_and_swap import CompareAndSwapResult
+from rattangate.json_decoding import decode_json
 from rattangate.platform.outcomes import StoreConflict, Unavailable
 from rattangate.records import TABLE
 
@@ -81,4 +82,4 @@
 def _decode_record(row: StoreRow) -> BookingRecord | None:
     if row.value is None:
         return None
-    return msgspec.json.decode(row.value, type=BookingRow).record
+    return decode_json(row.value, BookingRow).record
--- a/rattangate/records/config_store.py
+++ b/rattangate/records/config_store.py
@@ -32,6 +32,7 @@
     SwapVersion,
     TableRead,
 )
+from rattangate.json_decoding import decode_json
 from rattangate.platform.outcomes import (
     BlobRead,
     ExpectedVersion,
@@ -180,7 +181,7 @@
 
 def decode_record(data: bytes) -> ConfigRecord:
     """Decode a record; raise MsgspecError if it is malformed."""
-    return msgspec.json.decode(data, type=ConfigRecord)
+    return decode_json(data, ConfigRecord)
 
 
 def _decode_row(row: StoreRow) -> ConfigRecord | None:
--- a/rattangate/records/lease_row.py
+++ b/rattangate/records/lease_row.py
@@ -8,6 +8,7 @@
 
 from rattangate.core.compare_and_swap import CompareAndSwapResult
 from rattangate.core.leases import LeaseRead, LeaseRecord, LeaseSwapped, ReadLease
+from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.outcomes import StoreConflict, Unavailable
 from rattangate.records import TABLE
@@ -59,7 +60,7 @@
     if row.value is None:
         return None
     try:
-        return msgspec.json.decode(row.value, type=LeaseRecord)
+        return decode_json(row.value, LeaseRecord)
     except msgspec.DecodeError as exc:
         log(LogEvent.ENTRY_MALFORMED, table=TABLE, row=row.key, error=str(exc))
         return None
--- /dev/null
+++ b/tests/front/test_odd_entries.py
@@ -0,0 +1,76 @@
+"""An entry of another writer in the endpoint list costs that entry alone."""
+
+from __future__ import annotations
+
+import json
+
+import eliot
+import pytest
+import trio
+
+from tests.front.deployment import (
+    IDEMPOTENT_PATH,
+    NON_IDEMPOTENT_PATH,
+    running_deployment,
+    wait_until,
+)
+
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "riverside",
+    "slots": 4,
+    "state": "ready",
+    "born": 1000,
+}
+NESTING = 2_000
+HUGE = "9" * 5_000
+
+
+def _with(name: str, text: str) -> bytes:
+    """Return an entry with a field that is given as JSON text."""
+    return json.dumps({**ENTRY, name: "?"}).replace('"?"', text).encode()
+
+
+ODD_ENTRIES = {
+    "unfinished nesting": b'{"labels":' * NESTING,
+    "nesting": _with("labels", "[" * NESTING + "]" * NESTING),
+    "nested service": _with("service", "[" * NESTING + "]" * NESTING),
+    "born above 64 bits": _with("born", str(2**64)),
+    "born of many digits": _with("born", HUGE),
+    "negative born": _with("born", "-1"),
+    "slots of many digits": _with("slots", HUGE),
+    "weights above 64 bits": _with("models", f'[{{"name":"daka","version":{2**64}}}]'),
+    "unknown field with many digits": _with("labels", "1" * 100_000 + "x"),
+    "port above 65535": _with("address", '"127.0.0.1:65536"'),
+    "port of many digits": _with("address", f'"127.0.0.1:{HUGE}"'),
+    "port 0": _with("address", '"127.0.0.1:0"'),
+    "port in other digits": _with("address", '"127.0.0.1:\\u00b2\\u00b2"'),
+    "host that is no address": _with("address", '"desk host:80"'),
+    "lone surrogate": _with("zone", '"\\ud800"'),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_entry_neither_ends_an_instance_nor_stops_it_from_following_the_list(odd):
+    async def main() -> None:
+        lines: list[dict] = []
+        eliot.add_destinations(lines.append)
+        try:
+            async with running_deployment() as deployment:
+                deployment.platform.store.put("servers", "odd", odd)
+                await wait_until(lambda: any(line.get("row") == "odd" for line in lines))
+                view = deployment.app.state.view
+                assert set(view.endpoints) == set(deployment.replicas)
+                deployment.write_replica_entry("desk-0", "desk", state="draining")
+                await wait_until(lambda: view.endpoints["desk-0"].is_leaving)
+                for path in (IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH):
+                    assert (await deployment.request(path)).status_code == 200
+        finally:
+            eliot.remove_destination(lines.append)
+        malformed = [line for line in lines if line["message_type"] == "entry_malformed"]
+        assert [line["row"] for line in malformed] == ["odd"]
+        assert malformed[0]["error"]
+        assert not any(line["message_type"] == "internal_fault" for line in lines)
+
+    trio.run(main)
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -7,8 +7,14 @@
 import msgspec
 import pytest
 
+from rattangate.core.fleet import ListedEndpoint
 from rattangate.core.routes import RouteKind
-from rattangate.platform.operator import decode_config, decode_endpoint, encode_load_order
+from rattangate.platform.operator import (
+    MalformedEntry,
+    decode_config,
+    decode_endpoint,
+    encode_load_order,
+)
 from tests.platform.entries import CONFIG, ENDPOINT_ENTRY
 
 
@@ -47,13 +53,13 @@
 
 def test_endpoint_entry_is_decoded():
     listed = decode_endpoint("i-7f3a", json.dumps(ENDPOINT_ENTRY).encode())
-    assert listed is not None
+    assert isinstance(listed, ListedEndpoint)
     assert (listed.incarnation, listed.is_leaving) == (1785950657011, False)
     assert listed.version_of("daka510000") == 3
     draining = decode_endpoint(
         "i-7f3a", json.dumps({**ENDPOINT_ENTRY, "state": "draining"}).encode()
     )
-    assert draining is not None
+    assert isinstance(draining, ListedEndpoint)
     assert draining.is_leaving
 
 
@@ -65,17 +71,33 @@
         {"slots": 0},
         {"address": "nowhere"},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 2**63},
+        {"slots": 10**30},
+        {"models": [{"name": "daka510000", "version": 2**64}]},
+        {"address": "10.1.64.42:0"},
+        {"address": "10.1.64.42:65536"},
+        {"address": "10.1.64.42:" + "9" * 5000},
+        {"address": "10.1.64.42:\u00b2"},
+        {"address": "desk host:80"},
         {"models": 7},
         {"service": None},
     ],
 )
 def test_endpoint_entry_with_an_invalid_field_is_ignored(change):
-    assert decode_endpoint("i-7f3a", json.dumps({**ENDPOINT_ENTRY, **change}).encode()) is None
+    entry = decode_endpoint("i-7f3a", json.dumps({**ENDPOINT_ENTRY, **change}).encode())
+    assert isinstance(entry, MalformedEntry)
+    assert entry.reason
 
 
 def test_endpoint_entry_that_is_not_a_json_object_is_ignored():
-    assert decode_endpoint("i-7f3a", b"\xff\xfe{") is None
-    assert decode_endpoint("i-7f3a", b"[]") is None
+    assert isinstance(decode_endpoint("i-7f3a", b"\xff\xfe{"), MalformedEntry)
+    assert isinstance(decode_endpoint("i-7f3a", b"[]"), MalformedEntry)
+
+
+@pytest.mark.parametrize("name", ["a\r\nX-Hold: 1", "\u00e9", " ", ""])
+def test_endpoint_entry_whose_name_cannot_stand_in_a_header_is_ignored(name):
+    assert isinstance(decode_endpoint(name, json.dumps(ENDPOINT_ENTRY).encode()), MalformedEntry)
 
 
 def test_load_order_carries_holder_fence_and_expected_order_count():
