Handle signals for as long as the process runs

SIGHUP requests a reload as ever; a further stop changes nothing.

The three cases of the new test reached the action of before the receiver; none does now.

--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import signal
 import time
 from collections import Counter
 from contextlib import AsyncExitStack
@@ -29,6 +28,7 @@
     MAX_RETRY_S,
     ReplicaOrders,
 )
+from rattangate.front.signals import SignalHandler
 from rattangate.front.state import PIECE_TOKENS, FrontState
 from rattangate.front.store_watchers import EndpointListWatcher, OperatorConfigWatcher
 from rattangate.log_events import LogEvent, log
@@ -101,6 +101,9 @@
             nursery = await stack.enter_async_context(trio.open_nursery())
             driver = Driver(self._make_gateway(), self.metrics, self._send_news)
             self.state = FrontState(self.boot, driver, nursery, store.clock)
+            reloader = SettingsReloader(self.state)
+            signals = SignalHandler(reloader.request_reload)
+            await nursery.start(signals.run)
             self.forwarder = Forwarder(
                 self.state, self.metrics, lambda: self.is_closing, self._announce_leaving
             )
@@ -113,8 +116,7 @@
             order_controller = self._make_order_controller(store, client, self._peers)
             nursery.start_soon(self._peers.run)
             nursery.start_soon(order_controller.run)
-            self._settings_reloader = SettingsReloader(self.state)
-            nursery.start_soon(self._settings_reloader.run)
+            nursery.start_soon(reloader.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._rotate_metrics)
             log(
@@ -123,7 +125,7 @@
                 version=rattangate.__version__,
                 address=self.boot.caller_address,
             )
-            await self._wait_signal()
+            await signals.wait_stop()
             order_controller.stop()
             nursery.start_soon(self._peers.mark_leaving)
             await self._drain()
@@ -177,13 +179,6 @@
         row = LeaseRow(store, ORDERS_LEASE_KEY)
         return OrderController(lease, row, orders, boottime_now, MAX_RETRY_S)
 
-    async def _wait_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for received in signals:
-                if received != signal.SIGHUP:
-                    return
-                self._settings_reloader.request_reload()
-
     async def _drain(self) -> None:
         deadline = trio.current_time() + self.boot.bounds.grace_s - EXIT_MARGIN_S
         self.is_leaving = True
--- a/tests/front/test_draining.py
+++ b/tests/front/test_draining.py
@@ -5,6 +5,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
 
 from rattangate.front.endpoint_conn import EndpointConn, EndpointPool
@@ -137,6 +138,36 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize("further", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_a_signal_to_a_draining_instance_does_not_end_its_requests(further):
+    unhandled: list[int] = []
+
+    async def answer_late(call: Call) -> None:
+        await trio.sleep(1.0)
+        await respond_done(call)
+
+    async def main() -> None:
+        async with running_deployment(answer_late) as deployment:
+            answers: dict[str, httpx.Response] = {}
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_send, deployment, NON_IDEMPOTENT_PATH, "a1", answers)
+                await wait_until(lambda: len(deployment.calls()) == 1)
+                signal.raise_signal(signal.SIGTERM)
+                await wait_until(lambda: deployment.app.is_leaving)
+                for _ in range(3):
+                    signal.raise_signal(further)
+                    await trio.sleep(0.1)
+            assert answers["a1"].status_code == 200
+
+    # In place of the default action, which would end the tests.
+    before = signal.signal(further, lambda number, frame: unhandled.append(number))
+    try:
+        trio.run(main)
+    finally:
+        signal.signal(further, before)
+    assert unhandled == []
+
+
 def test_requests_are_served_while_an_instance_drains():
     async def main() -> None:
         async with running_deployment(respond_done) as deployment:
