Contain the failure of a connection in its own task

One readiness probe or read of the metrics that its caller reset before the answer ended the instance and all its requests: CallerDisconnected left the nursery of the request in an exception group, which the connection did not expect. It is caught where the handler is called now, and whatever else fails in a connection is logged as an internal fault and ends that connection alone.

--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -83,7 +83,7 @@
         self, boot: BootSettings, log_writer: LineWriter, metrics_port: int = METRICS_PORT
     ) -> None:
         self.boot = boot
-        self._metrics_address = f"{boot.ip}:{metrics_port}"
+        self.metrics_address = f"{boot.ip}:{metrics_port}"
         self.incarnation = time.time_ns() // NS_PER_MS
         self.metrics = Metrics()
         self.is_leaving = False
@@ -108,7 +108,7 @@
                 self.state, self.metrics, lambda: self.is_closing, self._announce_leaving
             )
             nursery.start_soon(self._serve, self.boot.ready_address, self._handle_readiness)
-            nursery.start_soon(self._serve, self._metrics_address, self._handle_metrics)
+            nursery.start_soon(self._serve, self.metrics_address, self._handle_metrics)
             nursery.start_soon(self._serve_callers, nursery)
             self._peers = Peers(store, self.state, self.incarnation, self.metrics)
             nursery.start_soon(OperatorConfigWatcher(store, self.state, self._peers).run)
@@ -222,6 +222,8 @@
             self._conns.add(conn)
             try:
                 await conn.run()
+            except Exception as exc:  # noqa: BLE001 - one connection must not end the others
+                log(LogEvent.INTERNAL_FAULT, where="connection", error=repr(exc))
             finally:
                 self._conns.discard(conn)
 
--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -4,6 +4,7 @@
 
 import email.utils
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -164,7 +165,8 @@
         responder = Responder(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_disconnect, responder, nursery.cancel_scope)
-            await self._handle(req, responder)
+            with suppress(CallerDisconnected):
+                await self._handle(req, responder)
             nursery.cancel_scope.cancel()
         if not responder.is_complete or self.is_closing():
             return False
--- a/tests/front/callers.py
+++ b/tests/front/callers.py
@@ -32,8 +32,13 @@
 
 
 def connect(boot: BootSettings) -> socket.socket:
-    """Connect to an instance without letting its tasks run meanwhile."""
-    host, port = boot.caller_address.rsplit(":", 1)
+    """Connect to an instance as a caller, without letting its tasks run meanwhile."""
+    return connect_to(boot.caller_address)
+
+
+def connect_to(address: str) -> socket.socket:
+    """Connect to an address, without letting other tasks run meanwhile."""
+    host, port = address.rsplit(":", 1)
     return socket.create_connection((host, int(port)))
 
 
