Search the bytes of a stream once, and let other tasks run between its chunks

Each chunk searched the whole buffer again, up to a megabyte, and all chunks of one read were handled without giving way. The bytes of an event are kept in an EventBuffer now, which searches only what is new; the relay and the product's own interface share it. After each 32 chunks of a response other tasks get their turn.

--- a/rattangate/core/events.py
+++ b/rattangate/core/events.py
@@ -4,7 +4,10 @@
 
 import re
 
+from rattangate.core.event_buffer import EventBuffer
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"^id:[ \t]*(\d+)", re.MULTILINE)
 MAX_EVENT_BYTES = 1_000_000
 
@@ -24,7 +27,7 @@
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.forwarded = 0
-        self._buffer = b""
+        self._buffer = EventBuffer(_EVENT_END, _MAX_END_BYTES)
         self._is_resuming = False
 
     def begin_attempt(self) -> None:
@@ -32,7 +35,7 @@
 
         It may repeat events that were forwarded already, which are dropped.
         """
-        self._buffer = b""
+        self._buffer.clear()
         self._is_resuming = self.forwarded > 0
 
     def feed(self, data: bytes) -> bytes:
@@ -41,24 +44,17 @@
         Raises EventStreamError where an event is missing, repeated by the same endpoint or too
         large.
         """
-        self._buffer += data
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        size = len(self._buffer) + len(data)
+        if size > MAX_EVENT_BYTES:
             raise EventStreamError(
-                f"{len(self._buffer)} bytes of events buffered, expected at most {MAX_EVENT_BYTES}"
+                f"{size} bytes of events buffered, expected at most {MAX_EVENT_BYTES}"
             )
-        forwarded: list[bytes] = []
-        start = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            event = self._buffer[start : match.end()]
-            start = match.end()
-            if self._should_forward(event):
-                forwarded.append(event)
-        self._buffer = self._buffer[start:]
-        return b"".join(forwarded)
+        events = self._buffer.feed(data)
+        return b"".join(event for event in events if self._should_forward(event))
 
     def finish(self) -> None:
         """Raise EventStreamError if the answer ended inside an event."""
-        if self._buffer.strip():
+        if not self._buffer.is_blank:
             raise EventStreamError(f"{len(self._buffer)} bytes of an incomplete event at the end")
 
     def _should_forward(self, event: bytes) -> bool:
--- a/rattangate/core/streams.py
+++ b/rattangate/core/streams.py
@@ -5,12 +5,16 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
 
+from rattangate.core.event_buffer import EventBuffer
+
 EVENT_END = b"\n\n"
+_END_PATTERN = re.compile(re.escape(EVENT_END))
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 MAX_EVENT_BYTES = 1_000_000
@@ -80,7 +84,7 @@
         self.cached_tokens = 0
         self._request_id = request_id
         self._texts: list[str] = []
-        self._buffer = b""
+        self._buffer = EventBuffer(_END_PATTERN, len(EVENT_END))
         self._fingerprint = ""
 
     @property
@@ -90,12 +94,12 @@
 
     def begin_attempt(self, fingerprint: str) -> None:
         """Expect the following bytes from a new attempt, which continues at the next offset."""
-        self._buffer = b""
+        self._buffer.clear()
         self._fingerprint = fingerprint
 
     def feed(self, data: bytes) -> FeedResult:
         """Validate the events that these bytes complete; a partial event is buffered."""
-        *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        events = [event.removesuffix(EVENT_END) for event in self._buffer.feed(data)]
         if len(self._buffer) > MAX_EVENT_BYTES:
             return FeedResult(b"", 0, fault=StreamFault.EVENT_TOO_LARGE)
         forward: list[bytes] = []
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from contextlib import AsyncExitStack, ExitStack, aclosing, suppress
 from dataclasses import dataclass
@@ -33,6 +34,8 @@
 MAX_MISMATCHED_BYTES = 262_144
 MAX_INTERIM_RESPONSES = 8
 SMALL_REQUEST_BYTES = 4_096
+# Chunks of a response after which other tasks get their turn, since one read may bring thousands.
+CHUNKS_PER_TURN = 32
 
 
 class ConnectFailed(Exception):  # noqa: N818
@@ -256,10 +259,12 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the response body; raise ExchangeLost if it is truncated."""
-        while True:
+        for number in itertools.count(1):
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
+                if number % CHUNKS_PER_TURN == 0:
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
                 self._is_response_complete = True
                 return
--- a/tests/front/test_endless_responses.py
+++ b/tests/front/test_endless_responses.py
@@ -224,3 +224,23 @@
                 await closed.wait()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("size", [1, 50])
+def test_a_stream_that_never_ends_an_event_does_not_hold_up_other_requests(size):
+    async def never_end(call: Call) -> None:
+        await call.start_stream()
+        chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+        for _ in range(100):
+            await call.stream.send_all(chunk * (BLOCK_BYTES // size))
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=never_end) as deployment:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(deployment.request, STREAM_PATH)
+                for number in range(20):
+                    resp = await deployment.request(IDEMPOTENT_PATH, X_Attempt_Id=f"l{number}")
+                    assert resp.status_code == 200
+                    await trio.sleep(0.05)
+
+    trio.run(main)
