Send no request to an engine whose entry does not name its service's model

An engine whose entry lacks the model counts as down until it names it, as with any entry that names no endpoint to use; the weights version is that of the service's model, and not of the first model in the entry.

The five new cases failed before (two entries in two tests, several models in one).

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -232,8 +232,8 @@
         return EndpointStatus(
             item.endpoint,
             item.incarnation,
-            str(item.models[0].version) if item.models else "",
-            self._state(item, now),
+            _weights_version(item, service),
+            self._state(item, now) if _runs_model(item, service) else EndpointState.DOWN,
             serves=item.service,
             cache_blocks=cache_tokens // self._cfg.block_tokens,
             available_at=self._suspended_until.get((item.endpoint, item.incarnation)),
@@ -277,6 +277,19 @@
         return EndpointState.LIVE
 
 
+def _runs_model(item: ListedEndpoint, service: Service | None) -> bool:
+    """Tell whether an endpoint names weights of its service's models, if that one has any."""
+    return service is None or not service.models or bool(_weights_version(item, service))
+
+
+def _weights_version(item: ListedEndpoint, service: Service | None) -> str:
+    """Return the version of the weights that an endpoint runs for its service, empty for none."""
+    if service is None or not service.models:
+        return str(item.models[0].version) if item.models else ""
+    versions = (item.version_of(model) for model in service.models)
+    return next((str(version) for version in versions if version is not None), "")
+
+
 def _merge(known: ListedEndpoint | None, reported: ListedEndpoint) -> ListedEndpoint:
     """Apply a newer report; leaving marks and higher versions of the incarnation are kept."""
     if known is None or known.incarnation != reported.incarnation:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from rattangate.core.fleet import (
     FleetView,
     FleetViewCfg,
@@ -44,6 +46,23 @@
     assert seen["e1"].weights_version == "1"
 
 
+@pytest.mark.parametrize("models", [(), (ModelVersion("other", 4),)])
+def test_an_engine_whose_entry_lacks_the_model_of_its_service_is_down_until_it_names_it(models):
+    view = make_view()
+    view.update_list([ENGINE], 0.0)
+    (status,) = view.update_list([replace(ENGINE, models=models)], 1.0)
+    assert (status.state, status.weights_version) == (EndpointState.DOWN, "")
+    (status,) = view.update_list([ENGINE], 2.0)
+    assert (status.state, status.weights_version) == (EndpointState.LIVE, "1")
+
+
+def test_an_engine_of_several_models_is_described_by_the_model_of_its_service():
+    view = make_view()
+    models = (ModelVersion("other", 4), ModelVersion("m", 2))
+    (status,) = view.update_list([replace(ENGINE, models=models)], 0.0)
+    assert (status.state, status.weights_version) == (EndpointState.LIVE, "2")
+
+
 def test_only_changes_are_reported():
     view = make_view()
     view.update_list([ENGINE], 0.0)
--- a/tests/front/test_odd_entries.py
+++ b/tests/front/test_odd_entries.py
@@ -8,9 +8,11 @@
 import pytest
 import trio
 
+from rattangate.core.messages import EndpointState
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
+    STREAM_PATH,
     running_deployment,
     wait_until,
 )
@@ -74,3 +76,22 @@
         assert not any(line["message_type"] == "internal_fault" for line in lines)
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("models", [[], [{"name": "other", "version": 1}]])
+def test_an_entry_without_the_model_of_its_service_opens_no_cache_to_other_workspaces(models):
+    async def main() -> None:
+        async with running_deployment(replicas_per_service=1) as deployment:
+            endpoints = deployment.app.state.driver.gateway.endpoints
+            assert (await deployment.request(STREAM_PATH)).status_code == 200
+            deployment.write_replica_entry("llm-0", "llm", models=models)
+            await wait_until(lambda: endpoints["llm-0"].status.state is EndpointState.DOWN)
+            resp = await deployment.request(STREAM_PATH, X_Attempt_Id="odd")
+            assert resp.status_code == 503
+            deployment.write_replica_entry("llm-0", "llm")
+            await wait_until(lambda: endpoints["llm-0"].status.state is EndpointState.LIVE)
+            assert (await deployment.request(STREAM_PATH, X_Attempt_Id="b")).status_code == 200
+            assert all(call.headers["x-cache-salt"] for call in deployment.calls())
+            assert all(call.headers["x-expect-version"] for call in deployment.calls())
+
+    trio.run(main)
