--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -8,13 +8,9 @@
 import trio
 
 from rattangate.core.events import EventStreamError
-from rattangate.core.fleet import WeightsUpdate
 from rattangate.core.messages import (
     AttemptResult,
-    BrittlenessReported,
-    EndpointLimitReported,
     Refuse,
-    RequestRejected,
 )
 from rattangate.core.request_stage import RequestStage
 from rattangate.core.routes import RouteKind
@@ -34,6 +30,7 @@
     OutboundRequest,
     open_exchange,
 )
+from rattangate.front.endpoint_reports import SERVICE_UNAVAILABLE, EndpointReports
 from rattangate.front.refusals import MIN_SERVER_ERROR, refuse
 from rattangate.front.translate import make_outbound_request, make_request_arrived
 from rattangate.log_events import LogEvent, log
@@ -49,10 +46,8 @@
     from rattangate.front.endpoint_conn import Exchange
     from rattangate.front.state import FrontState
     from rattangate.metrics import Metrics
-    from rattangate.platform.requests import AnswerHead, RequestHead
+    from rattangate.platform.requests import RequestHead
 
-# How long a refusing endpoint is assumed to load new weights.
-ASSUMED_LOADING_S = 1.0
 MAX_BUFFERED_BYTES = 262_144
 # Time for reading the rest of an unused response, so that its connection can be reused.
 DISCARD_TIMEOUT_S = 0.1
@@ -61,8 +56,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Stages in which no endpoint has the request.
 WAITING_STAGES = frozenset({RequestStage.ARRIVED, RequestStage.QUEUED, RequestStage.CONNECTING})
-MISDIRECTED_REQUEST = 421
-SERVICE_UNAVAILABLE = 503
 
 
 class Forwarder:
@@ -83,7 +76,7 @@
         self.sends_no_more = False
         self._scopes: dict[trio.CancelScope, AdmittedRequest] = {}
         self._is_closing = is_closing
-        self._announce_leaving = announce_leaving
+        self._reports = EndpointReports(state, announce_leaving)
         self._state = state
         self._metrics = metrics
 
@@ -240,14 +233,13 @@
         await exchange.read_head()
         response = exchange.response_head
         admitted.reports_error = response.status >= MIN_SERVER_ERROR
-        self._record_leaving(dispatch, response)
-        self._record_limits(dispatch, response, sent_at)
+        self._reports.record_answer(dispatch, response, sent_at)
         if response.was_not_run and response.status in NOT_RUN_STATUSES:
             admitted.may_have_run = may_have_run_before
             if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
                 await exchange.report_rest(response.retry_after_s)
             await _discard(exchange)
-            self._record_refusal(dispatch, response)
+            self._reports.record_refusal(dispatch, response)
             detail = f"status {response.status}"
             return self._log_failed(admitted, AttemptResult.REFUSED, detail)
         if (
@@ -349,50 +341,6 @@
             headers = returned_headers(exchange.headers)
             await responder.start(exchange.response_head.status, headers)
 
-    def _record_leaving(self, dispatch: Dispatch, response: AnswerHead) -> None:
-        listed = self._state.view.endpoints.get(dispatch.endpoint)
-        if not response.is_leaving or listed is None or listed.is_leaving:
-            return
-        self._state.apply_leaving(dispatch.endpoint, dispatch.incarnation, "answer")
-        self._announce_leaving(dispatch.endpoint, dispatch.incarnation)
-
-    def _record_limits(self, dispatch: Dispatch, response: AnswerHead, sent_at: float) -> None:
-        """Report the rates that a response names; only a signed one can name none."""
-        names_none = response.limit_per_s is None and response.max_rejections_per_s is None
-        if names_none and not response.is_signed:
-            return
-        self._state.driver.feed(
-            EndpointLimitReported(
-                dispatch.endpoint, dispatch.incarnation, response.limit_per_s, sent_at
-            )
-        )
-        self._state.driver.feed(
-            BrittlenessReported(
-                dispatch.endpoint, dispatch.incarnation, response.max_rejections_per_s, sent_at
-            )
-        )
-
-    def _record_refusal(self, dispatch: Dispatch, response: AnswerHead) -> None:
-        """Back off for the time of a Retry-After.
-
-        An endpoint that refuses with 421 or on outdated weights is assumed to load new ones.
-        """
-        if response.status == SERVICE_UNAVAILABLE and not response.is_leaving:
-            self._state.driver.feed(RequestRejected(dispatch.endpoint, dispatch.incarnation))
-        if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
-            self._state.back_off(dispatch.endpoint, dispatch.incarnation, response.retry_after_s)
-        listed = self._state.view.endpoints.get(dispatch.endpoint)
-        if listed is None or not listed.models:
-            return
-        model = listed.models[0]
-        is_outdated = model.version < (self._state.desired_versions.newest(model.model) or 0)
-        if is_outdated or response.status == MISDIRECTED_REQUEST:
-            self._state.apply_weights(
-                WeightsUpdate(
-                    dispatch.endpoint, dispatch.incarnation, model.model, 0, ASSUMED_LOADING_S
-                )
-            )
-
     def _log_failed(
         self, admitted: AdmittedRequest, result: AttemptResult, detail: str
     ) -> AttemptResult:
