Remember that an endpoint leaves beyond its entry

Leaving marks are kept by name and incarnation for five minutes now, whether or not there is an entry.

The new tests failed before (200 where 503 is due). Ruled out: a replica that was listed as draining or said so while it was listed stays leaving through a return, as the gateway keeps that by itself (tried, passed on the code before).

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -17,6 +17,11 @@
     from rattangate.core.routes import Service
 
 
+# Longer than a leaving endpoint goes on serving, and than the age of a copy from which the store
+# may come back.
+LEAVING_MEMORY_S = 300.0
+
+
 @dataclass(frozen=True, slots=True)
 class ModelVersion:
     """Identify one version of a model's weights."""
@@ -99,6 +104,8 @@
         self._suspended_until: dict[tuple[str, int], float] = {}
         self._last_reported: dict[str, EndpointStatus] = {}
         self._min_versions: Mapping[str, int] = {}
+        # When it is forgotten that an endpoint said that it is leaving.
+        self._leaving_until: dict[tuple[str, int], float] = {}
 
     def configure(self, services: Mapping[str, Service], now: float) -> list[EndpointStatus]:
         """Set the services of a new configuration."""
@@ -106,11 +113,19 @@
         return self._collect_changes(now)
 
     def update_list(self, listed: Iterable[ListedEndpoint], now: float) -> list[EndpointStatus]:
-        """Replace the platform's list; an endpoint that is missing from it is reported as down."""
+        """Replace the platform's list; an endpoint that is missing from it is reported as down.
+
+        An endpoint that is leaving stays so if its entry is gone and comes back.
+        """
         previous = self.endpoints
-        self.endpoints = {
-            item.endpoint: _merge(previous.get(item.endpoint), item) for item in listed
-        }
+        self.endpoints = {}
+        for item in listed:
+            merged = _merge(previous.get(item.endpoint), item)
+            if self.is_leaving(item.endpoint, item.incarnation):
+                merged = replace(merged, is_leaving=True)
+            if merged.is_leaving:
+                self._remember_leaving(item.endpoint, item.incarnation, now)
+            self.endpoints[item.endpoint] = merged
         return self._collect_changes(now)
 
     def update_weights(self, update: WeightsUpdate, now: float) -> list[EndpointStatus]:
@@ -136,12 +151,17 @@
 
     def mark_leaving(self, endpoint: str, incarnation: int, now: float) -> list[EndpointStatus]:
         """Mark an endpoint as leaving because it said so itself, before it is listed as leaving."""
+        self._remember_leaving(endpoint, incarnation, now)
         known = self.endpoints.get(endpoint)
         if known is None or known.incarnation != incarnation or known.is_leaving:
             return []
         self.endpoints[endpoint] = replace(known, is_leaving=True)
         return self._collect_changes(now)
 
+    def is_leaving(self, endpoint: str, incarnation: int) -> bool:
+        """Tell whether an endpoint was listed as leaving or said so, even if it is not listed now."""
+        return (endpoint, incarnation) in self._leaving_until
+
     def suspend_until(
         self, endpoint: str, incarnation: int, until: float, now: float
     ) -> list[EndpointStatus]:
@@ -200,6 +220,8 @@
     def tick(self, now: float) -> list[EndpointStatus]:
         """End the loads and the requested pauses whose deadline has passed."""
         expired = 0
+        for key in [key for key, until in self._leaving_until.items() if until <= now]:
+            del self._leaving_until[key]
         for deadlines in (self._loading_until, self._suspended_until):
             for key in [key for key, deadline in deadlines.items() if deadline <= now]:
                 del deadlines[key]
@@ -210,6 +232,9 @@
         """Return the listed endpoints of a service."""
         return [item for item in self.endpoints.values() if item.service == service]
 
+    def _remember_leaving(self, endpoint: str, incarnation: int, now: float) -> None:
+        self._leaving_until[endpoint, incarnation] = now + LEAVING_MEMORY_S
+
     def _collect_changes(self, now: float) -> list[EndpointStatus]:
         """Return the endpoints whose state differs from the one last reported, and remember it."""
         seen = {item.endpoint: self._describe(item, now) for item in self.endpoints.values()}
--- a/rattangate/front/endpoint_reports.py
+++ b/rattangate/front/endpoint_reports.py
@@ -54,8 +54,8 @@
             )
 
     def _record_leaving(self, dispatch: Dispatch, response: AnswerHead) -> None:
-        listed = self._state.view.endpoints.get(dispatch.endpoint)
-        if not response.is_leaving or listed is None or listed.is_leaving:
+        is_known = self._state.view.is_leaving(dispatch.endpoint, dispatch.incarnation)
+        if not response.is_leaving or is_known:
             return
         self._state.apply_leaving(dispatch.endpoint, dispatch.incarnation, "answer")
         self._announce_leaving(dispatch.endpoint, dispatch.incarnation)
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rattangate.core.fleet import (
+    LEAVING_MEMORY_S,
     FleetView,
     FleetViewCfg,
     ListedEndpoint,
@@ -63,6 +64,26 @@
     assert (status.state, status.weights_version) == (EndpointState.LIVE, "2")
 
 
+def test_an_endpoint_that_left_is_leaving_if_it_is_listed_again_until_that_is_forgotten():
+    view = make_view()
+    view.update_list([replace(ENGINE, is_leaving=True)], 0.0)
+    view.update_list([], 1.0)
+    (status,) = view.update_list([ENGINE], 2.0)
+    assert status.state is EndpointState.LEAVING
+    (reborn,) = view.update_list([replace(ENGINE, incarnation=101)], 3.0)
+    assert reborn.state is EndpointState.LIVE
+    view.tick(2.0 + LEAVING_MEMORY_S)
+    (status,) = view.update_list([ENGINE], 4.0 + LEAVING_MEMORY_S)
+    assert status.state is EndpointState.LIVE
+
+
+def test_an_endpoint_that_says_that_it_leaves_while_it_is_not_listed_is_leaving_when_listed():
+    view = make_view()
+    assert view.mark_leaving("e1", 100, 0.0) == []
+    (status,) = view.update_list([ENGINE], 1.0)
+    assert status.state is EndpointState.LEAVING
+
+
 def test_only_changes_are_reported():
     view = make_view()
     view.update_list([ENGINE], 0.0)
--- a/tests/front/test_store_return.py
+++ b/tests/front/test_store_return.py
@@ -8,6 +8,7 @@
 from rattangate.front.store_watchers import ENTRIES_BACK_S
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
+    Call,
     Deployment,
     make_config,
     running_deployment,
@@ -88,3 +89,30 @@
             await wait_until(lambda: deployment.app.state.config.version == 3)
 
     trio.run(main)
+
+
+def test_an_endpoint_that_said_that_it_leaves_after_its_entry_was_gone_gets_no_requests():
+    removed = trio.Event()
+
+    async def say_leaving_late(call: Call) -> None:
+        await removed.wait()
+        await call.respond(200, b"done", Server_Leaving="1")
+
+    async def main() -> None:
+        async with running_deployment(say_leaving_late, replicas_per_service=1) as deployment:
+            store = deployment.platform.store
+            view = deployment.app.state.view
+            copy = store.make_copy()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(deployment.request, IDEMPOTENT_PATH)
+                await wait_until(lambda: len(deployment.calls()) == 1)
+                store.remove_row("servers", "desk-0")
+                await wait_until(lambda: "desk-0" not in view.endpoints)
+                removed.set()
+            store.return_from(copy)
+            await wait_until(lambda: "desk-0" in view.endpoints)
+            resp = await deployment.request(IDEMPOTENT_PATH, X_Attempt_Id="after")
+            assert resp.status_code == 503
+            assert len(deployment.calls()) == 1
+
+    trio.run(main)
