Make the tests of abandoned requests independent of the machine's speed

It now sends the next request once the last one is placed or queued, with longer timeouts. Two other tests read an answer with a blocking call, which would have stopped the instance in the same loop had the answer not been there yet; they wait for it now.

--- a/tests/front/callers.py
+++ b/tests/front/callers.py
@@ -6,6 +6,8 @@
 import struct
 from typing import TYPE_CHECKING
 
+import trio
+
 from tests.front.deployment import HOST, KEY, MODEL
 
 if TYPE_CHECKING:
@@ -15,13 +17,15 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def encode_request(path: str, attempt: str, body: bytes = b"hello") -> bytes:
+def encode_request(
+    path: str, attempt: str, body: bytes = b"hello", deadline_ms: int = 3_000
+) -> bytes:
     """Return the bytes of one request."""
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Attempt-Id: {attempt}",
-        "X-Deadline-Ms: 3000",
+        f"X-Deadline-Ms: {deadline_ms}",
         f"Authorization: Bearer {KEY}",
         f"X-Model: {MODEL}",
         "X-Token-Counts: 900,20",
@@ -42,6 +46,12 @@
     return socket.create_connection((host, int(port)))
 
 
+async def receive(sock: socket.socket) -> bytes:
+    """Return the next bytes of a connection, while other tasks run."""
+    await trio.lowlevel.wait_readable(sock)
+    return sock.recv(65_536)
+
+
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/tests/front/deployment.py
+++ b/tests/front/deployment.py
@@ -143,6 +143,13 @@
         """Write a configuration as the operator does."""
         self.platform.store.put("op", "config", {**make_config(version), **changes})
 
+    async def set_timeouts(self, timeout_ms: int) -> None:
+        """Give all routes another timeout and wait until it is in force."""
+        version = self.app.state.config.version + 1
+        routes = [{**route, "timeout_ms": timeout_ms} for route in make_config(version)["routes"]]
+        self.configure(version, routes=routes)
+        await wait_until(lambda: self.app.state.config.version == version)
+
     def write_replica_entry(self, name: str, service: str, **changes: Any) -> None:
         """Write a replica's entry to the store."""
         models = [{"name": MODEL, "version": 1}] if service == "llm" else []
--- a/tests/front/test_abandoned_requests.py
+++ b/tests/front/test_abandoned_requests.py
@@ -12,18 +12,20 @@
 
 from rattangate.front.caller_conn import CallerConn
 from rattangate.front.endpoint_conn import EndpointConn, EndpointPool
-from tests.front.callers import connect, encode_request, reset
+from tests.front.callers import connect, encode_request, receive, reset
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
     STREAM_PATH,
     Call,
+    Deployment,
     event,
     running_deployment,
     stream_events,
     wait_until,
 )
 
+TIMEOUT_MS = 10_000
 PATHS = (IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, STREAM_PATH)
 
 
@@ -43,6 +45,17 @@
     return [line for line in lines if line["message_type"] == "request_abandoned"]
 
 
+def _has_arrived(lines: list[dict], deployment: Deployment, count: int):
+    """Return whether so many requests were placed or are in the queue."""
+    queue = deployment.app.state.driver.gateway.scheduler.queue
+
+    def has_arrived() -> bool:
+        placed = {line["request_id"] for line in lines if line["message_type"] == "request_placed"}
+        return len(placed) + len(queue) >= count
+
+    return has_arrived
+
+
 async def _stay_silent(call: Call) -> None:
     await trio.sleep_forever()
 
@@ -125,10 +138,9 @@
             socks = [connect(deployment.boot) for _ in range(LEAVING_CALLERS)]
             for number, sock in enumerate(socks):
                 sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"first{number}"))
-            await wait_until(lambda: len(deployment.calls()) == LEAVING_CALLERS)
-            await trio.sleep(0.2)
+            for sock in socks:
+                assert b" 200 " in await receive(sock)
             for number, sock in enumerate(socks):
-                assert b" 200 " in sock.recv(65_536)
                 sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"second{number}"))
                 sock.close()
             assert await _count_calls(deployment) == LEAVING_CALLERS
@@ -171,8 +183,9 @@
                 sock.sendall(encode_request(NON_IDEMPOTENT_PATH, f"a{number}"))
                 if number % 2:
                     sock.close()
+            for sock in socks[::2]:
+                assert b" 200 " in await receive(sock)
             assert await _count_calls(deployment) == LEAVING_CALLERS // 2
-            assert all(b" 200 " in sock.recv(65_536) for sock in socks[::2])
 
     trio.run(main)
 
@@ -207,11 +220,15 @@
     async def main() -> None:
         with recorded_log() as lines:
             async with running_deployment(engine_handler=answer_late) as deployment:
+                # Requests that time out meanwhile would keep the queue empty.
+                await deployment.set_timeouts(TIMEOUT_MS)
                 socks = []
                 while not deployment.app.state.driver.gateway.scheduler.queue:
+                    attempt = f"a{len(socks)}"
+                    request = encode_request(STREAM_PATH, attempt, deadline_ms=TIMEOUT_MS)
                     socks.append(connect(deployment.boot))
-                    socks[-1].sendall(encode_request(STREAM_PATH, f"a{len(socks)}"))
-                    await trio.sleep(0.05)
+                    socks[-1].sendall(request)
+                    await wait_until(_has_arrived(lines, deployment, len(socks)))
                     assert len(socks) < 100
                 sent = len(deployment.calls())
                 socks[-1].close()
--- a/tests/front/test_draining.py
+++ b/tests/front/test_draining.py
@@ -14,7 +14,6 @@
     STREAM_PATH,
     Call,
     Deployment,
-    make_config,
     respond_done,
     running_deployment,
     wait_until,
@@ -27,15 +26,6 @@
 TIMEOUT_MS = 8_000
 
 
-def _configure_long_timeouts(deployment: Deployment) -> None:
-    routes = [{**route, "timeout_ms": TIMEOUT_MS} for route in make_config(2)["routes"]]
-    deployment.configure(2, routes=routes)
-
-
-async def _wait_configured(deployment: Deployment) -> None:
-    await wait_until(lambda: deployment.app.state.config.version == 2)
-
-
 async def _send(
     deployment: Deployment, path: str, attempt: str, answers: dict[str, httpx.Response]
 ) -> None:
@@ -51,8 +41,7 @@
 def test_requests_that_wait_in_the_queue_of_a_draining_instance_are_refused():
     async def main() -> None:
         async with running_deployment(engine_handler=_stay_silent) as deployment:
-            _configure_long_timeouts(deployment)
-            await _wait_configured(deployment)
+            await deployment.set_timeouts(TIMEOUT_MS)
             answers: dict[str, httpx.Response] = {}
             queue = deployment.app.state.driver.gateway.scheduler.queue
             async with trio.open_nursery() as nursery:
@@ -77,8 +66,7 @@
 def test_requests_that_run_when_a_draining_instance_ends_are_answered():
     async def main() -> None:
         async with running_deployment(_stay_silent, _stay_silent) as deployment:
-            _configure_long_timeouts(deployment)
-            await _wait_configured(deployment)
+            await deployment.set_timeouts(TIMEOUT_MS)
             answers: dict[str, httpx.Response] = {}
             async with trio.open_nursery() as nursery:
                 for path in (NON_IDEMPOTENT_PATH, STREAM_PATH):
@@ -99,8 +87,7 @@
 
     async def main() -> None:
         async with running_deployment() as deployment:
-            _configure_long_timeouts(deployment)
-            await _wait_configured(deployment)
+            await deployment.set_timeouts(TIMEOUT_MS)
             monkeypatch.setattr(EndpointPool, "acquire", hang)
             answers: dict[str, httpx.Response] = {}
             async with trio.open_nursery() as nursery:
@@ -123,8 +110,7 @@
         async with running_deployment(
             engine_handler=answer_when_released, grace_s=5.0
         ) as deployment:
-            _configure_long_timeouts(deployment)
-            await _wait_configured(deployment)
+            await deployment.set_timeouts(TIMEOUT_MS)
             answers: dict[str, httpx.Response] = {}
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_send, deployment, STREAM_PATH, "a1", answers)
