--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -5,6 +5,7 @@
 import random
 import socket
 from dataclasses import dataclass, field
+from functools import cache
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -27,6 +28,8 @@
 # Below the ephemeral port range of the kernel, and apart from the ports of the examples.
 FIRST_PORT = 23_000
 LAST_PORT = 32_000
+# Each process that runs tests claims a block of the range, so that two of them never share a port.
+PORT_BLOCK_SIZE = 900
 _PORT_RNG = random.SystemRandom()
 
 
@@ -51,10 +54,25 @@
     overlays: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
+@cache
+def _claim_ports() -> tuple[range, socket.socket]:
+    """Claim a block of ports by holding its first one; raise RuntimeError if none is left."""
+    for start in range(FIRST_PORT, LAST_PORT, PORT_BLOCK_SIZE):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", start))
+        except OSError:
+            claim.close()
+            continue
+        return range(start + 1, start + PORT_BLOCK_SIZE), claim
+    raise RuntimeError(f"all blocks of ports from {FIRST_PORT} to {LAST_PORT - 1} are in use")
+
+
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that are free now and outside the ephemeral range."""
+    ports, _ = _claim_ports()
     addresses: list[str] = []
-    for port in _PORT_RNG.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+    for port in _PORT_RNG.sample(ports, len(ports)):
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -65,7 +83,7 @@
         if len(addresses) == count:
             return addresses
     raise RuntimeError(
-        f"found {len(addresses)} free ports from {FIRST_PORT} to {LAST_PORT - 1}, expected {count}"
+        f"found {len(addresses)} free ports from {ports[0]} to {ports[-1]}, expected {count}"
     )
 
 
