Keep the other models of an engine when one of them gets new weights

Since an engine whose entry lacks its service's model counts as down, news of weights of another model of the same engine would have taken it down until the next reading of the list: an update replaced all models that the engine runs by the one that it names. It replaces that one now. Found by reading the change; the test failed before. Whether a deployment has engines of several models is not known.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -137,11 +137,18 @@
         if update.version == 0:
             self._loading_until[key] = now + update.loading_s
             return self._collect_changes(now)
-        reported = replace(known, models=(ModelVersion(update.model, update.version),))
+        others = tuple(item for item in known.models if item.model != update.model)
+        loaded = ModelVersion(update.model, update.version)
+        reported = replace(known, models=(loaded, *others))
         self.endpoints[update.endpoint] = _merge(known, reported)
         self._loading_until.pop(key, None)
         return self._collect_changes(now)
 
+    def running_model(self, endpoint: str) -> ModelVersion | None:
+        """Return the weights that an endpoint runs for its service, None if it names none."""
+        item = self.endpoints.get(endpoint)
+        return None if item is None else _running_model(item, self._services.get(item.service))
+
     def set_min_versions(self, minimum: Mapping[str, int], now: float) -> list[EndpointStatus]:
         """Report endpoints as down that run an older version of a model than its minimum."""
         if minimum == self._min_versions:
@@ -309,10 +316,15 @@
 
 def _weights_version(item: ListedEndpoint, service: Service | None) -> str:
     """Return the version of the weights that an endpoint runs for its service, empty for none."""
+    model = _running_model(item, service)
+    return "" if model is None else str(model.version)
+
+
+def _running_model(item: ListedEndpoint, service: Service | None) -> ModelVersion | None:
     if service is None or not service.models:
-        return str(item.models[0].version) if item.models else ""
-    versions = (item.version_of(model) for model in service.models)
-    return next((str(version) for version in versions if version is not None), "")
+        return item.models[0] if item.models else None
+    by_name = {model.model: model for model in item.models}
+    return next((by_name[name] for name in service.models if name in by_name), None)
 
 
 def _merge(known: ListedEndpoint | None, reported: ListedEndpoint) -> ListedEndpoint:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -64,6 +64,16 @@
     assert (status.state, status.weights_version) == (EndpointState.LIVE, "2")
 
 
+def test_new_weights_of_one_model_keep_an_engine_of_several_models_up():
+    view = make_view()
+    models = (ModelVersion("m", 2), ModelVersion("other", 4))
+    view.update_list([replace(ENGINE, models=models)], 0.0)
+    assert view.update_weights(WeightsUpdate("e1", 100, "other", 5), 1.0) == []
+    (status,) = view.update_weights(WeightsUpdate("e1", 100, "m", 3), 2.0)
+    assert (status.state, status.weights_version) == (EndpointState.LIVE, "3")
+    assert view.endpoints["e1"].version_of("other") == 5
+
+
 def test_an_endpoint_that_left_is_leaving_if_it_is_listed_again_until_that_is_forgotten():
     view = make_view()
     view.update_list([replace(ENGINE, is_leaving=True)], 0.0)
