Judge a refusal by the model of the service, not by the first in the entry

An engine of several models that refused for want of room was taken for one that loads weights for a second, if the first model in its entry was outdated. The model of its service counts now, by the same function as for the weights version.

--- a/rattangate/front/endpoint_reports.py
+++ b/rattangate/front/endpoint_reports.py
@@ -41,10 +41,9 @@
             self._state.driver.feed(RequestRejected(dispatch.endpoint, dispatch.incarnation))
         if response.status == SERVICE_UNAVAILABLE and response.retry_after_s is not None:
             self._state.back_off(dispatch.endpoint, dispatch.incarnation, response.retry_after_s)
-        listed = self._state.view.endpoints.get(dispatch.endpoint)
-        if listed is None or not listed.models:
+        model = self._state.view.running_model(dispatch.endpoint)
+        if model is None:
             return
-        model = listed.models[0]
         is_outdated = model.version < (self._state.desired_versions.newest(model.model) or 0)
         if is_outdated or response.status == MISDIRECTED_REQUEST:
             self._state.apply_weights(
--- a/tests/front/test_leaving_and_rest.py
+++ b/tests/front/test_leaving_and_rest.py
@@ -11,10 +11,13 @@
 from rattangate.peers.codec import decode_update, encode_update, make_update
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
+    MODEL,
     NON_IDEMPOTENT_PATH,
+    STREAM_PATH,
     Call,
     respond_done,
     running_deployment,
+    stream_events,
     wait_until,
 )
 
@@ -60,6 +63,30 @@
     trio.run(main)
 
 
+def test_a_refusal_concerns_the_model_of_the_service_though_the_entry_names_another_first():
+    refusals = iter([True])
+
+    async def refuse_once(call: Call) -> None:
+        await (call.refuse() if next(refusals, False) else stream_events(call))
+
+    async def main() -> None:
+        async with running_deployment(
+            engine_handler=refuse_once, replicas_per_service=1
+        ) as deployment:
+            state = deployment.app.state
+            models = [{"name": "other", "version": 1}, {"name": MODEL, "version": 2}]
+            deployment.platform.store.put("op", "version/other", {"model": "other", "version": 2})
+            deployment.write_replica_entry("llm-0", "llm", models=models)
+            await wait_until(lambda: len(state.view.endpoints["llm-0"].models) == 2)
+            await wait_until(lambda: state.desired_versions.newest("other") == 2)
+            await deployment.request(STREAM_PATH)
+            # Refused for want of room, and not because it loads weights.
+            endpoints = state.driver.gateway.endpoints
+            assert endpoints["llm-0"].status.state is EndpointState.LIVE
+
+    trio.run(main)
+
+
 def test_a_restarted_replica_gets_requests_again():
     async def announce_leaving(call: Call) -> None:
         await call.respond(200, b"done", Server_Leaving="1")
