Name the request in the log line of an internal fault

A request that an unexpected exception ended had no final line of its own: the fault was logged without the request's id, and explain said that there is no final line. The line has the id now and counts as final. Both new tests failed before.

--- a/rattangate/core/request_stage.py
+++ b/rattangate/core/request_stage.py
@@ -18,3 +18,8 @@
     CONNECTING = "connecting"
     SENT = "sent"
     ANSWERING = "answering"
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether no endpoint has the request."""
+        return self in (RequestStage.ARRIVED, RequestStage.QUEUED, RequestStage.CONNECTING)
--- a/rattangate/explain/causes.py
+++ b/rattangate/explain/causes.py
@@ -14,7 +14,12 @@
     from rattangate.explain.lines import LogLine
 
 FINAL_EVENTS = frozenset(
-    {LogEvent.REQUEST_DONE, LogEvent.REQUEST_REFUSED, LogEvent.REQUEST_ABANDONED}
+    {
+        LogEvent.REQUEST_DONE,
+        LogEvent.REQUEST_REFUSED,
+        LogEvent.REQUEST_ABANDONED,
+        LogEvent.INTERNAL_FAULT,
+    }
 )
 
 
@@ -31,6 +36,8 @@
         return _explain_done(explanation, last)
     if last.event is LogEvent.REQUEST_ABANDONED:
         return _explain_abandoned(last)
+    if last.event is LogEvent.INTERNAL_FAULT:
+        return f"An internal fault of {last.instance} ended it: {last.text('error')}."
     kind = ErrorKind(last.text("kind"))
     return _EXPLAINERS.get(kind, _explain_other)(explanation, last)
 
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -8,12 +8,14 @@
 
 from rattangate.clock import boottime_now
 from rattangate.log_events import LogEvent, log
+from rattangate.platform.requests import decode_request
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
     from rattangate.core.messages import AttemptResult, Dispatch
     from rattangate.errors import Failure
     from rattangate.front.admission import AdmittedRequest
+    from rattangate.front.caller_conn import CallerRequest
     from rattangate.front.state import FrontState
 
 
@@ -85,6 +87,17 @@
     )
 
 
+def log_fault(req: CallerRequest, exc: Exception) -> None:
+    """Log an unexpected exception that ended a request."""
+    head = decode_request(req.headers)
+    log(
+        LogEvent.INTERNAL_FAULT,
+        where="forward",
+        error=repr(exc),
+        request_id="" if head is None else head.attempt_id,
+    )
+
+
 def log_refused(
     state: FrontState,
     attempt_id: str,
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -21,6 +21,7 @@
     log_abandoned,
     log_done,
     log_failed,
+    log_fault,
     log_placed,
     log_refused,
 )
@@ -33,7 +34,6 @@
 from rattangate.front.endpoint_reports import SERVICE_UNAVAILABLE, EndpointReports
 from rattangate.front.refusals import MIN_SERVER_ERROR, refuse
 from rattangate.front.translate import make_outbound_request, make_request_arrived
-from rattangate.log_events import LogEvent, log
 from rattangate.platform.requests import decode_request, returned_headers
 
 if TYPE_CHECKING:
@@ -54,8 +54,6 @@
 SHUTDOWN_RETRY_AFTER_S = 0.05
 # A response with one of these statuses is valid only if it states that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-# Stages in which no endpoint has the request.
-WAITING_STAGES = frozenset({RequestStage.ARRIVED, RequestStage.QUEUED, RequestStage.CONNECTING})
 
 
 class Forwarder:
@@ -91,7 +89,7 @@
         except CallerDisconnected:
             return
         except Exception as exc:  # noqa: BLE001 - a fault in one request must not end the others
-            log(LogEvent.INTERNAL_FAULT, where="forward", error=repr(exc))
+            log_fault(req, exc)
         finally:
             self.in_flight -= 1
 
@@ -99,7 +97,7 @@
         """Refuse the requests that no endpoint has, and send none from now on."""
         self.sends_no_more = True
         for scope, admitted in self._scopes.items():
-            if admitted.stage in WAITING_STAGES:
+            if admitted.stage.is_waiting:
                 scope.cancel()
 
     def end_all(self) -> None:
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -33,7 +33,11 @@
     INSTANCE_STARTED = (100, "The instance accepts requests.", ("instance", "version", "address"))
     INSTANCE_DRAINING = (101, "The instance accepts no new requests.", ("instance", "streams"))
     INSTANCE_STOPPED = (102, "The instance finished its last stream.", ("instance", "streams_cut"))
-    INTERNAL_FAULT = (103, "An unexpected exception was caught.", ("where", "error"))
+    INTERNAL_FAULT = (
+        103,
+        "An unexpected exception was caught.",
+        ("where", "error", "request_id"),
+    )
     LOG_LINES_DROPPED = (
         104,
         "Log lines were dropped: over the rate limit, or standard output was blocked.",
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -120,6 +120,10 @@
     [
         (make_line(1.0, "e1", "request_placed", request_id="a1"), "no final line"),
         (make_line(1.0, "e1", "request_abandoned", request_id="a1"), "disconnected before"),
+        (
+            make_line(1.0, "e1", "internal_fault", request_id="a1", error="KeyError('x')"),
+            "An internal fault of e1 ended it: KeyError('x').",
+        ),
         (
             make_line(1.0, "e1", "request_done", request_id="a1", endpoint="l", attempts=2),
             "answered",
--- a/tests/front/test_logging.py
+++ b/tests/front/test_logging.py
@@ -6,11 +6,14 @@
 from contextlib import contextmanager
 
 import eliot
+import httpx
+import pytest
 import trio
 
 from rattangate.clock import boottime_now
 from rattangate.explain.explanation import explain_request
 from rattangate.explain.lines import read_log
+from rattangate.front import forward
 from rattangate.log_events import LineWriter, LogEvent
 from tests.front.deployment import NON_IDEMPOTENT_PATH, Call, running_deployment, wait_until
 
@@ -71,6 +74,24 @@
     trio.run(main)
 
 
+def test_a_request_that_an_internal_fault_ended_is_explained(monkeypatch):
+    def fail(*args):
+        raise KeyError("unexpected")
+
+    async def main() -> None:
+        with logged_to_pipe(1000) as (writer, reader):
+            async with running_deployment(log_writer=writer) as deployment:
+                monkeypatch.setattr(forward, "make_outbound_request", fail)
+                with pytest.raises(httpx.RemoteProtocolError):
+                    await deployment.request(NON_IDEMPOTENT_PATH)
+                log = read_log(read_pipe(writer, reader).splitlines())
+                explanation = explain_request("a1", log)
+                assert explanation is not None
+                assert "internal fault" in explanation.cause
+
+    trio.run(main)
+
+
 def test_a_request_whose_replica_failed_is_explained():
     async def close(call: Call) -> None:
         await call.stream.aclose()
