--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -133,8 +133,9 @@
     Raise TunnelRefused if the peer opens none, and one of `CONNECTION_ERRORS` without an answer.
     """
     host, port = address.rsplit(":", 1)
-    stream = await trio.open_tcp_stream(host, int(port))
-    try:
+    async with AsyncExitStack() as stack:
+        stream = await trio.open_tcp_stream(host, int(port))
+        stack.push_async_callback(trio.aclose_forcefully, stream)
         set_socket_options(stream.socket)
         reader = FrameReader(stream)
         await authenticate_to_server(identity, reader, stream, Purpose.TUNNEL)
@@ -142,9 +143,7 @@
         answer: TunnelAnswer = decode_frame(decode_answer, await reader.read())
         if answer.outcome is not TunnelOutcome.OPENED:
             raise TunnelRefused(answer)
-    except BaseException:
-        await trio.aclose_forcefully(stream)
-        raise
+        stack.pop_all()
     return TunnelStream(stream, reader)
 
 
