Make the test of an unreachable endpoint send that endpoint requests

Cause, by a trace of the same steps: the endpoint's new address is known after 0.1 to 0.7 s, but no request is placed there. The stand-ins answer at once, so that one endpoint is free again before the next request is placed, and the least cost may be at the other endpoint each time: in one traced run 1,925 of 1,968 requests went there, the 43 others to the old address, and the fault was found after 16 s. Twelve runs of the trace took 0.1 s to 27 s, one more than 30 s. An endpoint that gets no requests is not found to be unreachable, and no caller is harmed by it.

Ruled out: a port that another process took (the test holds it without listening), and tunnels (the peer answers 'unreachable' within 20 ms of the first request).

Now the requests last 50 ms, so that one endpoint with 4 slots cannot run the 8 that are sent at the same time. The bound of 30 s stays.

--- a/tests/front/test_cut_links.py
+++ b/tests/front/test_cut_links.py
@@ -184,7 +184,8 @@
 
 def test_an_endpoint_that_no_instance_reaches_is_down(monkeypatch):
     async def main() -> None:
-        async with running_pair(monkeypatch) as (deployment, links):
+        # Slow enough that one endpoint alone cannot run the simultaneous requests.
+        async with running_pair(monkeypatch, _respond_slowly) as (deployment, links):
             await _request_all(deployment, "before", 1)
             # Bound without listening: connections are refused, and no other process gets the port.
             with socket.socket() as unused:
