Hand out each test port once before any of them again

Each call drew ports at random from the block of its process, so that a second call could return one that the first had handed out and whose process does not listen yet. Now the ports of a block come up in turn.

--- a/tests/small_deployment.py
+++ b/tests/small_deployment.py
@@ -6,6 +6,7 @@
 import socket
 from dataclasses import dataclass, field
 from functools import cache
+from itertools import cycle, islice
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -16,6 +17,7 @@
 from rattangate.standins.text import expected_text
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
     import httpx
@@ -54,9 +56,20 @@
     overlays: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
+@dataclass(frozen=True)
+class _ClaimedPorts:
+    """Hold a block of ports, which no other process draws from while `claim` is open."""
+
+    claim: socket.socket
+    sequence: Iterator[int]
+
+
 @cache
-def _claim_ports() -> tuple[range, socket.socket]:
-    """Claim a block of ports by holding its first one; raise RuntimeError if none is left."""
+def _claim_ports() -> _ClaimedPorts:
+    """Claim a block of ports by holding its first one; raise RuntimeError if none is left.
+
+    Its ports come up in turn: one that was just handed out is not yet in use.
+    """
     for start in range(FIRST_PORT, LAST_PORT, PORT_BLOCK_SIZE):
         claim = socket.socket()
         try:
@@ -64,15 +77,15 @@
         except OSError:
             claim.close()
             continue
-        return range(start + 1, start + PORT_BLOCK_SIZE), claim
+        ports = range(start + 1, start + PORT_BLOCK_SIZE)
+        return _ClaimedPorts(claim, cycle(_PORT_RNG.sample(ports, len(ports))))
     raise RuntimeError(f"all blocks of ports from {FIRST_PORT} to {LAST_PORT - 1} are in use")
 
 
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that are free now and outside the ephemeral range."""
-    ports, _ = _claim_ports()
     addresses: list[str] = []
-    for port in _PORT_RNG.sample(ports, len(ports)):
+    for port in islice(_claim_ports().sequence, PORT_BLOCK_SIZE):
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -83,7 +96,7 @@
         if len(addresses) == count:
             return addresses
     raise RuntimeError(
-        f"found {len(addresses)} free ports from {ports[0]} to {ports[-1]}, expected {count}"
+        f"found {len(addresses)} free ports in a block of {PORT_BLOCK_SIZE}, expected {count}"
     )
 
 
