Wait for the guard time of orders after the store has returned

What a replica saw: after the store returned from an older copy while the holder of the orders lease was cut off from it, a new holder ordered a replica 2.7 s after the one before, where orders of two holders must be `lease_ms` (3 s) apart (ONE).

Cause: a candidate that cannot know the claims of the earlier era waited for one term of the lease and then for one more, in place of the guard time of orders, which is longer on the hosting platform (3 s against 1.2 s). Class: two bounds for one matter. The controller now gives the lease the guard time that it uses for claims, and a candidate waits for a term and the longer of the two.

Evidence: test_no_holder_takes_over_after_a_return_while_orders_of_an_unknown_one_count failed before with a guard of 2.5 terms (taken over 10.6 s after the last moment of the earlier holder, guard 25 s), and passes.

Ruled out: a holder that goes on after the return. It may do so for a term after its lease, and the others wait for longer than that, also with a guard of 0.

--- a/rattangate/core/leases.py
+++ b/rattangate/core/leases.py
@@ -98,14 +98,16 @@
 class Lease:
     """Acquire, renew and lose one lease; each effect is answered by one message.
 
-    `poll_s` is the interval, in seconds, at which a candidate reads the record. A previous holder
-    on another instance may have been active until `previous_holder_until`. `inherited_claims` are the endpoints
-    that the record claimed when this holder took it over, `recorded_claims` those that the stored record
-    claims now.
+    `poll_s` is the interval, in seconds, at which a candidate reads the record; `guard_s` is for how
+    many seconds after a holder's last order no other holder may order the same endpoint. A previous
+    holder on another instance may have been active until `previous_holder_until`.
+    `inherited_claims` are the endpoints that the record claimed when this holder took it over,
+    `recorded_claims` those that the stored record claims now.
     """
 
     def __init__(self, holder: Holder, term_s: float) -> None:
         self.poll_s = POLL_SHARE * term_s
+        self.guard_s = 0.0
         self.previous_holder_until = DISTANT_PAST
         self.inherited_claims: tuple[str, ...] = ()
         self.recorded_claims: frozenset[str] = frozenset()
@@ -247,8 +249,10 @@
         """Wait for the end of an unknown holder; this one, if it is the holder, goes on at once."""
         self._last_record = None
         self.previous_holder_until = now + self._term_s
-        # Its claims may be lost, so the time for which its orders count passes too.
-        self._takeover_at = self.previous_holder_until + self._term_s + TAKEOVER_MARGIN_S
+        # Its claims may be lost, so the time for which its orders count passes too. A holder that
+        # goes on may do so for another term.
+        wait_s = max(self.guard_s, self._term_s) + TAKEOVER_MARGIN_S
+        self._takeover_at = self.previous_holder_until + wait_s
         if now < self._deadline:
             self._may_continue_until = self._deadline + self._term_s
             self.wake_at = now
--- a/rattangate/orders.py
+++ b/rattangate/orders.py
@@ -119,6 +119,7 @@
         while True:
             msg: LeaseMessage = LeaseWakeUp()
             self.lease.poll_s = self._adapter.candidate_poll_s(self.lease.last_known_holder)
+            self.lease.guard_s = self._adapter.claim_guard_s()
             while effects := self.lease.handle(msg, self._clock()):
                 msg = await self._row.carry_out(effects[0])
             if self._is_leaving:
--- a/specs/turns.pml
+++ b/specs/turns.pml
@@ -6,6 +6,10 @@
  * to all others immediately. The lease itself is modelled in leases_and_orders.pml: here a new holder
  * starts when the previous one has ended.
  *
+ * The store may return from an older copy at any moment: the names in the record are lost then. A
+ * holder that has not noticed sends orders to the endpoints that it recorded before. A holder that
+ * takes over before the names are written again waits for the guard time before it begins.
+ *
  * Time is not modelled: an order is recent until the guard time after it has passed. That is the case
  * at the latest when the guard time of the next holder ends, since it started after the order.
  *
@@ -16,6 +20,7 @@
  *   DROP_EARLY        a name is removed while an order of its holder is recent
  *   FORGET_INHERITED  a new holder's record omits the names of the previous one
  *   NO_GUARD          a new holder sends orders to inherited endpoints immediately
+ *   NO_RETURN_WAIT    a new holder begins immediately although the names were lost
  *   NEVER_ORDERED     reachability: asserts that no second holder sends an order
  */
 
@@ -26,13 +31,17 @@
 byte holder = NOBODY;           /* holder of the lease; each process acquires it once, in order */
 byte next = 0;
 bool recorded[ENDPOINTS];       /* the names in the stored record */
+bool lost = false;              /* the store has returned without the names */
 bool recent[HOLDERS * ENDPOINTS];
 #define RECENT(h, e) recent[(h) * ENDPOINTS + (e)]
 
 inline store_names()
 {
+    lost = false;
     recorded[0] = names[0];
-    recorded[1] = names[1]
+    recorded[1] = names[1];
+    stored[0] = names[0];
+    stored[1] = names[1]
 }
 
 inline let_guard_pass(me, e)
@@ -50,9 +59,19 @@
     other = 0
 }
 
+proctype Store()
+{
+    atomic {
+        lost = true;
+        recorded[0] = false;
+        recorded[1] = false
+    }
+}
+
 proctype Holder(byte me)
 {
     bool names[ENDPOINTS];
+    bool stored[ENDPOINTS];     /* the names in the record as this holder wrote it last */
     bool guarded[ENDPOINTS];
     byte e = 0;
 
@@ -61,6 +80,14 @@
         holder == NOBODY && next == me ->
         holder = me;
         next = me + 1;
+#ifndef NO_RETURN_WAIT
+        if
+        :: lost ->
+           let_guard_pass(me, 0);
+           let_guard_pass(me, 1)
+        :: else
+        fi;
+#endif
         guarded[0] = recorded[0];
         guarded[1] = recorded[1];
 #ifndef FORGET_INHERITED
@@ -98,9 +125,9 @@
         :: names[e] && !guarded[e] ->
 #else
 #ifdef NO_GUARD
-        :: recorded[e] && names[e] ->
+        :: stored[e] && names[e] ->
 #else
-        :: recorded[e] && names[e] && !guarded[e] ->
+        :: stored[e] && names[e] && !guarded[e] ->
 #endif
 #endif
            assert(!RECENT((me + 1) % HOLDERS, e) && !RECENT((me + 2) % HOLDERS, e));
@@ -122,6 +149,7 @@
         do
         :: i < HOLDERS -> run Holder(i); i++
         :: else -> break
-        od
+        od;
+        run Store()
     }
 }
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -186,6 +186,26 @@
     assert swap.record.fence > lowest_fence(1)
 
 
+@pytest.mark.parametrize("guard_s", [0.0, TERM_S, 2.5 * TERM_S])
+def test_no_holder_takes_over_after_a_return_while_orders_of_an_unknown_one_count(guard_s):
+    holder, candidate = Lease(HOLDER_A, TERM_S), Lease(Holder("b", 1), TERM_S)
+    candidate.guard_s = guard_s
+    request_lease(holder)
+    holder.handle(LeaseSwapped(CompareAndSwapResult.APPLIED, 1), 0.0)
+    returned = make_version(1, 0)
+    now = last_held_at = 0.0
+    while candidate.fence_at(now) is None:
+        now += 0.1
+        if holder.fence_at(now) is not None:
+            last_held_at = now
+        for effect in candidate.handle(LeaseWakeUp(), now):
+            assert effect == ReadLease()
+            if candidate.handle(LeaseRead(True, returned, None), now):
+                applied = LeaseSwapped(CompareAndSwapResult.APPLIED, make_version(1, 1))
+                candidate.handle(applied, now)
+    assert now > last_held_at + guard_s
+
+
 def test_restarted_instance_reacquires_its_own_lease_at_once():
     lease = Lease(Holder("a", 2), 2.0)
     assert lease.handle(LeaseWakeUp(), 0.0) == [ReadLease()]
