Pass on the endpoint entries that are written again after the store has returned

Cause: a relay passes on only the entries that changed in more than their heartbeat. An entry that its replica writes again after the return is the same for the relay, which still lists it, but the others wait for it and drop the replica after 3 s. The relay's update still moved their position past it. Now an entry that was not confirmed since the return counts as changed.

Evidence: test_an_entry_that_is_written_again_after_a_return_of_the_store_is_published failed before.

--- a/rattangate/front/store_watchers.py
+++ b/rattangate/front/store_watchers.py
@@ -135,8 +135,10 @@
             self._unconfirmed_until = now + ENTRIES_BACK_S
         elif update.is_snapshot:
             self._listed.clear()
-        self._changed.clear()
-        self._unconfirmed.difference_update(row.key for row in update.rows)
+        written = {row.key for row in update.rows}
+        # Peers that noticed the return wait for the entries that are written again, too.
+        self._changed = self._unconfirmed & written
+        self._unconfirmed -= written
         if now >= self._unconfirmed_until:
             self._drop_unconfirmed()
         for row in update.rows:
@@ -154,7 +156,7 @@
         self._unconfirmed.clear()
 
     def _publish(self, rows_update: TableDelta) -> None:
-        """Send peers the rows that changed in more than their heartbeat."""
+        """Send peers the rows that changed in more than their heartbeat, or that were lost."""
         rows = tuple(row for row in rows_update.rows if row.key in self._changed)
         self._peers.publish_rows(replace(rows_update, rows=rows))
 
--- /dev/null
+++ b/tests/front/test_store_watchers.py
@@ -0,0 +1,101 @@
+"""An instance that reads the endpoint list for others passes on what they need."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import trio
+import trio.testing
+
+from rattangate.core.store_version import make_version
+from rattangate.front.store_watchers import EndpointListWatcher
+from rattangate.platform.boot import BootSettings, Bounds
+from rattangate.platform.outcomes import HistoryLost, StoreRow, StoreRows
+from tests.front.test_table_watcher import ScriptedStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from rattangate.core.fleet import ListedEndpoint
+    from rattangate.peers.codec import TableDelta
+
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:8000",
+    "zone": "riverside",
+    "slots": 4,
+    "state": "ready",
+    "born": 1000,
+}
+
+
+@dataclass
+class RelayPeers:
+    """Record what a relay publishes to its peers."""
+
+    published: list[TableDelta] = field(default_factory=list)
+    table_update_handlers: dict[str, Callable[[TableDelta], None]] = field(default_factory=dict)
+
+    def delegates_endpoint_list(self) -> bool:
+        """Tell that this instance reads the list itself."""
+        return False
+
+    def publish_rows(self, update: TableDelta) -> None:
+        """Record an update."""
+        self.published.append(update)
+
+
+@dataclass
+class ListState:
+    """Record the names of the endpoints that were listed last."""
+
+    boot: BootSettings
+    names: list[str] = field(default_factory=list)
+
+    def apply_endpoint_list(self, listed: Iterable[ListedEndpoint], asked_at: float) -> None:
+        """Record a list."""
+        self.names = [item.endpoint for item in listed]
+
+
+def _entry_row(number: int, era: int = 0, **changes: object) -> StoreRow:
+    value = json.dumps({**ENTRY, **changes}).encode()
+    return StoreRow("desk-0", make_version(era, number), value)
+
+
+def _published_rows(*responses: StoreRows | HistoryLost) -> list[tuple[StoreRow, ...]]:
+    """Return the rows of the updates that a relay publishes while it reads these responses."""
+    peers = RelayPeers()
+    state = ListState(
+        BootSettings("a", "riverside", "127.0.0.1", "", "", 0, "", Bounds(drain_s=2.0))
+    )
+
+    async def main() -> None:
+        watcher = EndpointListWatcher(ScriptedStore(list(responses)), state, peers)
+        with trio.move_on_after(60.0):
+            await watcher.run()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert state.names == ["desk-0"]
+    return [update.rows for update in peers.published]
+
+
+def test_an_entry_that_only_repeats_itself_is_not_published():
+    heartbeat = _entry_row(6)
+    drained = _entry_row(7, state="draining")
+    assert _published_rows(
+        StoreRows((_entry_row(5),), 5), StoreRows((heartbeat,), 6), StoreRows((drained,), 7)
+    ) == [(), (drained,)]
+
+
+def test_an_entry_that_is_written_again_after_a_return_of_the_store_is_published():
+    written_again = _entry_row(2, era=1)
+    heartbeat = _entry_row(3, era=1)
+    assert _published_rows(
+        StoreRows((_entry_row(5),), 5),
+        HistoryLost(),
+        StoreRows((), make_version(1, 1)),
+        StoreRows((written_again,), make_version(1, 2)),
+        StoreRows((heartbeat,), make_version(1, 3)),
+    ) == [(written_again,), ()]
