Let an odd row of an instance or of a named version cost that row alone

Rows with other values that cannot be used (a port above 65535, a host that is no address, incarnations and versions beyond 63 bits or below 0, negative cores) were taken for peers and versions; such numbers do not fit into the messages between instances.

The checks are in rattangate/value_checks.py now, used by all three tables. The entry of an instance has its own module, as front/peers.py was too long.

Not looked at: values of routes, services and limits in the operator's configuration beyond its version.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -13,9 +13,14 @@
 from rattangate.core.messages import PeerLost, PeerUpdateReceived
 from rattangate.core.peer_registry import PeerRegistry, PeerStatus
 from rattangate.core.relays import RelayPlan
+from rattangate.front.instance_entry import (
+    INSTANCE_ROW_PREFIX,
+    INSTANCE_TABLE,
+    InstanceEntry,
+    decode_instance_entry,
+)
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.front.tunnels import TunnelPeer
-from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import encode_update, make_update
 from rattangate.peers.handshake import PeerIdentity
@@ -34,9 +39,7 @@
     from rattangate.peers.link import ReceivedUpdate
     from rattangate.platform.store import Store
 
-INSTANCE_TABLE = "rattangate-instances"
 SECRET_ROW_KEY = "secret"
-INSTANCE_ROW_PREFIX = "instance/"
 SECRET_BYTES = 32
 WATCHER_CFG = TableWatcherCfg(INSTANCE_TABLE, wait_s=10.0, min_interval_s=1.0, peer_timeout_s=15.0)
 RETRY_DELAY_S = 0.3
@@ -58,17 +61,6 @@
 MIN_RETRY_SHARES = 8
 
 
-class InstanceEntry(msgspec.Struct, frozen=True):
-    """Hold one instance's row in the store."""
-
-    address: str
-    data_centre: str
-    incarnation: int
-    cores: float = 0.0
-    serves_tunnels: bool = False
-    is_leaving: bool = False
-
-
 class Peers:
     """Track the other instances and exchange peer updates with them."""
 
@@ -246,7 +238,7 @@
                 self._row_version = row.version
             if name in (row.key, self._name):
                 continue
-            entry = None if row.value is None else _decode_entry(row)
+            entry = None if row.value is None else decode_instance_entry(row)
             instances.pop(name, None)
             leaving.pop(name, None)
             if entry is not None and entry.address != self._address:
@@ -406,11 +398,3 @@
     def _log_found(self, name: str, incarnation: int) -> None:
         data_centre = self._instances[name].data_centre
         log(LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre)
-
-
-def _decode_entry(row: StoreRow) -> InstanceEntry | None:
-    try:
-        return decode_json(row.value or b"", InstanceEntry)
-    except msgspec.DecodeError as exc:
-        log(LogEvent.ENTRY_MALFORMED, table=INSTANCE_TABLE, row=row.key, error=str(exc))
-        return None
--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -20,19 +19,15 @@
 )
 from rattangate.json_decoding import decode_json
 from rattangate.units import MS_PER_S
+from rattangate.value_checks import UInt63, is_address
 
 OPERATOR_TABLE = "op"
 ENDPOINT_TABLE = "servers"
 CONFIG_KEY = "config"
 VERSION_PREFIX = "version/"
 MAX_SLOTS = 1_000_000
-MAX_INT64 = 2**63 - 1
-MAX_PORT = 65_535
 MAX_REASON_CHARS = 200
 
-# What fits into the messages between instances.
-_UInt63 = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
-
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -89,7 +84,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: UInt63
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Workspace] = []
@@ -98,7 +93,7 @@
 
 class _RunningModel(msgspec.Struct):
     name: str
-    version: _UInt63
+    version: UInt63
 
 
 class _EndpointEntry(msgspec.Struct):
@@ -107,14 +102,14 @@
     zone: str
     state: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-    born: _UInt63
+    born: UInt63
     version: str = ""
     models: list[_RunningModel] = []
 
 
 class _DesiredVersion(msgspec.Struct):
     model: str
-    version: int
+    version: UInt63
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,7 +147,7 @@
         return MalformedEntry(str(exc)[:MAX_REASON_CHARS])
     if raw.state not in ("ready", "draining"):
         return MalformedEntry("unknown state")
-    if not _is_address(raw.address):
+    if not is_address(raw.address):
         return MalformedEntry("the address is not an IPv4 address with a port")
     return ListedEndpoint(
         name,
@@ -231,16 +226,5 @@
     return Workspace(raw.name, raw.priority, raw.isolated, tuple(raw.api_keys))
 
 
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
-        return False
-    try:
-        ipaddress.IPv4Address(host)
-    except ipaddress.AddressValueError:
-        return False
-    return 1 <= int(port) <= MAX_PORT
-
-
 def _is_header_value(text: str) -> bool:
     return text.isascii() and text.isprintable() and bool(text.strip())
--- a/tests/front/test_registration.py
+++ b/tests/front/test_registration.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from rattangate.front.peers import INSTANCE_ROW_PREFIX, INSTANCE_TABLE
+from rattangate.front.instance_entry import INSTANCE_ROW_PREFIX, INSTANCE_TABLE
 from tests.front.deployment import running_deployment, wait_until
 
 
--- a/tests/front/test_store_return.py
+++ b/tests/front/test_store_return.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from rattangate.front.peers import INSTANCE_TABLE
+from rattangate.front.instance_entry import INSTANCE_TABLE
 from rattangate.front.store_watchers import ENTRIES_BACK_S
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
