Contain a fault on a connection between instances in that connection

Evidence: test_a_fault_on_a_connection_ends_that_connection_alone failed before in both cases. Resets at six steps of the handshake (test_connections_that_are_reset_at_any_step_do_not_end_the_links) ended nothing before either: that test passed at once.

--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -159,10 +159,13 @@
                     set_socket_options(stream.socket)
                     await self._run_connection(stream, frames)
             except CONNECTION_ERRORS:
-                _discard_queued(frames)
-                self._reconnect_events[name] = trio.Event()
-                with trio.move_on_after(RECONNECT_DELAY_S):
-                    await self._reconnect_events[name].wait()
+                pass
+            except Exception as exc:  # noqa: BLE001 - one connection must not end the others
+                _log_fault(exc)
+            _discard_queued(frames)
+            self._reconnect_events[name] = trio.Event()
+            with trio.move_on_after(RECONNECT_DELAY_S):
+                await self._reconnect_events[name].wait()
 
     async def _run_connection(
         self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
@@ -193,6 +196,8 @@
             log(LogEvent.PEER_REFUSED, address=f"{_remote_address(stream)} {exc}")
         except (OSError, trio.BrokenResourceError, EOFError):
             return
+        except Exception as exc:  # noqa: BLE001 - one connection must not end the others
+            _log_fault(exc)
 
     async def _authenticate_client(self, reader: FrameReader, stream: trio.SocketStream) -> Client:
         client = await authenticate_client(self._identity, reader, stream)
@@ -218,6 +223,10 @@
         self._on_update(ReceivedUpdate(name, update, frame))
 
 
+def _log_fault(exc: Exception) -> None:
+    log(LogEvent.INTERNAL_FAULT, where="peer connection", error=repr(exc))
+
+
 def _discard_queued(frames: trio.MemoryReceiveChannel[bytes]) -> None:
     while True:
         try:
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -4,15 +4,23 @@
 
 import hmac
 import random
+import socket
+from typing import TYPE_CHECKING
 
+import eliot
+import pytest
 import trio
 
 from rattangate.peers.codec import encode_message, idl, make_update
 from rattangate.peers.framing import FRAME_HEADER
 from rattangate.peers.handshake import PeerIdentity
 from rattangate.peers.link import PeerLinks
+from tests.front.callers import reset
 from tests.small_deployment import free_addresses
 
+if TYPE_CHECKING:
+    from rattangate.peers.codec import PeerUpdate
+
 SECRET = b"secret"
 
 
@@ -86,6 +94,79 @@
     assert received.is_set()
 
 
+@pytest.mark.parametrize("fails_at", ["receiver", "sender"])
+def test_a_fault_on_a_connection_ends_that_connection_alone(fails_at):
+    own_address, peer_address = free_addresses(2)
+    lines: list[dict] = []
+    eliot.add_destinations(lines.append)
+    faults = iter([ValueError("a fault")])
+    received = trio.Event()
+
+    def fail_once() -> None:
+        for fault in faults:
+            raise fault
+
+    def receive(update: object) -> None:
+        if fails_at == "receiver":
+            fail_once()
+        received.set()
+
+    async def main() -> None:
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                links = make_links("a", {"b": peer_address}, receive)
+                nursery.start_soon(links.run, own_address)
+                peer = make_links("b", {"a": own_address}, lambda update: None)
+                make_initial_update = peer._make_initial_update
+
+                def make_update_or_fail() -> PeerUpdate:
+                    if fails_at == "sender":
+                        fail_once()
+                    return make_initial_update()
+
+                peer._make_initial_update = make_update_or_fail
+                nursery.start_soon(peer.run, peer_address)
+                while not received.is_set():
+                    peer.send(make_update(None, "b", 1, 7, False))
+                    await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+
+    try:
+        trio.run(main)
+    finally:
+        eliot.remove_destination(lines.append)
+    logged = [line for line in lines if line["message_type"] == "internal_fault"]
+    assert [line["where"] for line in logged] == ["peer connection"]
+
+
+def test_connections_that_are_reset_at_any_step_do_not_end_the_links():
+    own_address, peer_address = free_addresses(2)
+    host, port = own_address.rsplit(":", 1)
+    hello = authenticate(HELLO)
+    data = FRAME_HEADER.pack(len(hello)) + hello
+
+    async def main() -> None:
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                links = make_links("a", {"b": peer_address}, lambda update: received.set())
+                nursery.start_soon(links.run, own_address)
+                await trio.sleep(0.1)
+                for size in (0, 1, FRAME_HEADER.size, len(data) - 1, len(data), 2 * len(data)):
+                    for pause_s in (0.0, 0.005, 0.05):
+                        sock = socket.create_connection((host, int(port)))
+                        sock.sendall((data * 2)[:size])
+                        await trio.sleep(pause_s)
+                        reset(sock)
+                peer = make_links("b", {"a": own_address}, lambda update: None)
+                nursery.start_soon(peer.run, peer_address)
+                await received.wait()
+                nursery.cancel_scope.cancel()
+
+    received = trio.Event()
+    trio.run(main)
+    assert received.is_set()
+
+
 def test_instance_keeps_reconnecting_to_a_server_that_answers_with_garbage():
     own_address, peer_address = free_addresses(2)
     frames = iter([*invalid_frames()[:12]])
