Ignore SIGHUP until the instance handles it

An operator who reloads all instances while one of them restarts ended that one.

Evidence: test_a_reload_signal_during_the_start_does_not_end_the_process holds the start at the reading of its settings; the process was ended by the signal before, and goes on now.

What remains: the start of the interpreter itself, before any statement of ours, and `rattangate serve` and `rattangate serve-platform`, whose imports come first.

--- a/rattangate/front/__main__.py
+++ b/rattangate/front/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import sys
 
 from rattangate.exit_codes import ExitCode
@@ -10,6 +11,8 @@
 
 def main() -> ExitCode:
     """Serve until SIGTERM."""
+    # The settings are read later in any case; by default the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Objects allocated by imports stay alive; collecting them only delays the first response.
     gc.disable()
     from rattangate.front.daemon import run_daemon
--- a/tests/front/test_start.py
+++ b/tests/front/test_start.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -9,6 +11,7 @@
 import black
 import pytest
 
+from rattangate.exit_codes import ExitCode
 from tools.build_thrift import PROTOCOLS, module_path, render_module
 
 ROOT = Path(__file__).parents[2]
@@ -51,6 +54,21 @@
     assert unused == []
 
 
+def test_a_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
+    settings = tmp_path / "settings.json"
+    os.mkfifo(settings)
+    command = [sys.executable, "-m", "rattangate.front"]
+    environment = {"RATTANGATE_BOOT": str(settings)}
+    with subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, env=environment) as process:
+        # Opening it waits until the process reads its settings.
+        with settings.open("wb") as file:
+            process.send_signal(signal.SIGHUP)
+            file.write(b"not settings")
+        _, errors = process.communicate()
+    assert process.returncode == ExitCode.CONFIG_INVALID
+    assert b"cannot serve" in errors
+
+
 def test_a_missing_settings_file_fails_the_start_with_a_clear_error():
     command = [sys.executable, "-m", "rattangate.front"]
     run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, env={}, check=False)
