Refuse a request whose token counts are out of range

What an operator saw (by a trial on the code before): one request with `X-Token-Counts: 9,` and 23 nines ended the instance, as the number does not fit into its update to peers (TDecodeException out of the task of the tick); one with `X-Prefix-Hash: aa:` and 20 nines kept the instance's only task busy making block hashes until its memory was used up. Any caller with a key could do both, on any stream route. Negative counts were accepted and shortened the estimated wait at an endpoint.

Counts below 0 or above 1,000,000 are malformed now, also the sum of a prompt's parts, and get 400 as other malformed headers do.

Also tried, without a fault: deadlines inf, nan, negative and 1e308, Last-Event-Id of 4,000 digits and negative, 300 parts.

--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -32,6 +32,9 @@
 )
 BEARER = b"bearer "
 DEFAULT_DEADLINE_S = 60.0
+# More than any engine holds; the work for a prompt grows with its tokens.
+MAX_PROMPT_TOKENS = 1_000_000
+MAX_OUTPUT_TOKENS = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +109,7 @@
 
 
 def decode_request(headers: Iterable[Header]) -> RequestHead | None:
-    """Decode a caller's headers; return None if a number is malformed."""
+    """Decode a caller's headers; return None if a number is malformed or out of range."""
     values = dict(headers)
     try:
         timeout_s = float(values.get(wire.DEADLINE_MS, b"0")) / MS_PER_S
@@ -215,7 +218,10 @@
     if value is None:
         return 0, 0
     prompt, _, output = value.partition(b",")
-    return int(prompt), int(output or b"0")
+    return (
+        _decode_tokens(prompt, MAX_PROMPT_TOKENS),
+        _decode_tokens(output or b"0", MAX_OUTPUT_TOKENS),
+    )
 
 
 def _decode_parts(value: bytes) -> tuple[PromptPart, ...]:
@@ -223,10 +229,21 @@
     for item in value.split(b","):
         if item.strip():
             part_id, _, tokens = item.strip().rpartition(b":")
-            parts.append(PromptPart(part_id.decode("latin-1"), int(tokens)))
+            parts.append(
+                PromptPart(part_id.decode("latin-1"), _decode_tokens(tokens, MAX_PROMPT_TOKENS))
+            )
+    if sum(part.tokens for part in parts) > MAX_PROMPT_TOKENS:
+        raise ValueError(f"more than {MAX_PROMPT_TOKENS} tokens in all parts")
     return tuple(parts)
 
 
+def _decode_tokens(value: bytes, maximum: int) -> int:
+    tokens = int(value)
+    if not 0 <= tokens <= maximum:
+        raise ValueError(f"{tokens} tokens, expected 0 to {maximum}")
+    return tokens
+
+
 def _decode_bearer_token(value: bytes | None) -> str | None:
     if value is None or value[: len(BEARER)].lower() != BEARER:
         return None
