--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from functools import partial
 
+import pytest
 import trio
 
 from rattangate.core.store_version import make_version, number_of
@@ -113,6 +115,39 @@
     trio.run(main)
 
 
+ODD_ANSWERS = {
+    "a list": b"[]",
+    "a number": b"1",
+    "no rows": b'{"ver":1,"now_ms":1}',
+    "no version": b'{"rows":[],"now_ms":1}',
+    "a version that is a text": b'{"rows":[],"ver":"x","now_ms":1}',
+    "no time": b'{"rows":[],"ver":1}',
+    "a row without a key": b'{"rows":[{"ver":1,"value":"AA=="}],"ver":1,"now_ms":1}',
+    "a value that is no base64": b'{"rows":[{"key":"k","ver":1,"value":"A"}],"ver":1,"now_ms":1}',
+}
+
+
+@pytest.mark.parametrize("body", ODD_ANSWERS.values(), ids=ODD_ANSWERS)
+def test_an_answer_without_the_expected_fields_is_returned_as_unavailable(body):
+    (address,) = free_addresses(1)
+
+    async def answer(stream: trio.SocketStream) -> None:
+        while await stream.receive_some():
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await stream.send_all(head + body)
+
+    async def main() -> None:
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery, Store(address) as store:
+                host, port = address.rsplit(":", 1)
+                await nursery.start(partial(trio.serve_tcp, answer, int(port), host=host))
+                assert isinstance(await store.read_table("t"), Unavailable)
+                assert isinstance(await store.watch_table("t", 1, 0.0), Unavailable)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_existing_blob_is_overwritten_only_with_replaces():
     async def main() -> None:
         async with connected_store() as (_, store):
