Pass no request on whose client has left its tunnel

A caller leaves, the instance resets the tunnel, and a peer that comes late to its connections reads the request first, which the kernel still has, and the end of the client after it: it passed the request on, long after the caller had left.

The peer asks for the hang-up of the client's connection before it passes each piece on.

Evidence: test_a_request_whose_client_left_before_it_was_read_is_not_passed_on failed in both cases in three runs of three before, and passes in three of three. Ruled out: a client that ends its half of a tunnel and waits for the answer; tunnels are only closed as a whole.

--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -34,7 +34,7 @@
     encode_request,
 )
 from rattangate.peers.tunnel_codec import decode_frame as decode_tunnel_frame
-from rattangate.sockets import reset_on_close, set_socket_options
+from rattangate.sockets import has_hung_up, reset_on_close, set_socket_options
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -255,9 +255,10 @@
 
 
 async def _pass_requests(tunnel: _ServedTunnel) -> None:
-    """Pass the queued bytes on until the endpoint takes no more."""
+    """Pass the queued bytes on until the endpoint takes no more or the client has left."""
     async for data in tunnel.queue.receiver:
-        if not await _try_send(tunnel.endpoint, data):
+        # The client's end may not be read yet, as it lies behind the bytes that it sent before.
+        if has_hung_up(tunnel.peer.socket) or not await _try_send(tunnel.endpoint, data):
             break
     # The endpoint may have answered before it closed, so the rest is read and dropped.
     async for _ in tunnel.queue.receiver:
--- a/tests/peers/test_tunnels.py
+++ b/tests/peers/test_tunnels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 import struct
@@ -11,11 +12,18 @@
 import trio
 import trio.testing
 
-from rattangate.peers.framing import CONNECTION_ERRORS
+from rattangate.peers.framing import CONNECTION_ERRORS, pack_frame
 from rattangate.peers.handshake import PeerIdentity
 from rattangate.peers.link import PeerLinks
-from rattangate.peers.tunnel_codec import TunnelAnswer, TunnelOutcome, TunnelRequest
+from rattangate.peers.tunnel_codec import (
+    TunnelAnswer,
+    TunnelFrame,
+    TunnelOutcome,
+    TunnelRequest,
+    encode_frame,
+)
 from rattangate.peers.tunnels import TunnelRefused, TunnelServer, open_tunnel
+from rattangate.sockets import reset_on_close
 from tests.small_deployment import free_addresses
 
 REQUEST = TunnelRequest("e1", 7)
@@ -178,6 +186,26 @@
     run(test)
 
 
+@pytest.mark.parametrize("leaves", ["by a reset", "by a close"])
+def test_a_request_whose_client_left_before_it_was_read_is_not_passed_on(leaves):
+    async def test(tunnels: Tunnels) -> None:
+        passed_on = 0
+        for _ in range(10):
+            stream, endpoint = await tunnels.open()
+            # Without a turn of the loop between, as for a server that reads its connections late.
+            with socket.socket(fileno=os.dup(stream.socket.fileno())) as sock:
+                sock.sendall(pack_frame(encode_frame(TunnelFrame(data=b"request"))))
+                if leaves == "by a reset":
+                    reset_on_close(sock)
+                stream.socket.close()
+            with pytest.raises(trio.BrokenResourceError):
+                passed_on += bool(await endpoint.receive_some())
+                await endpoint.receive_some()
+        assert passed_on == 0
+
+    run(test)
+
+
 def test_a_refusal_tells_why():
     async def test(tunnels: Tunnels) -> None:
         for answer in (
