Let an odd answer of the store count as no answer

Cause: the client used the fields unchecked; nothing above it catches KeyError, TypeError or binascii.Error. Found beside it: an era header of 5,000 digits raises ValueError, an era above 23 bits makes versions that no message to a peer can hold, and a page that repeats itself is read without end.

The answers are declared with types and ranges (platform/store_answers.py). One that does not fit is Unavailable; a write with such an answer may have been applied. A next page must go on after the last.

Ruled out: status 410 to a plain read is Unavailable, as is any other status.

--- a/rattangate/core/store_version.py
+++ b/rattangate/core/store_version.py
@@ -8,6 +8,9 @@
 from __future__ import annotations
 
 NUMBER_BITS = 40
+ERA_BITS = 23
+MAX_NUMBER = (1 << NUMBER_BITS) - 1
+MAX_ERA = (1 << ERA_BITS) - 1
 # Fencing numbers that are given out in one era.
 FENCE_BITS = 32
 
@@ -24,7 +27,7 @@
 
 def number_of(version: int) -> int:
     """Return the number of a version within its era, 0 for a missing row."""
-    return version & ((1 << NUMBER_BITS) - 1)
+    return version & MAX_NUMBER
 
 
 def lowest_fence(era: int) -> int:
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -4,7 +4,7 @@
 
 import base64
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import httpx
 import msgspec
@@ -16,7 +16,7 @@
 from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.plain_http import EMPTY_TRUST_STORE
-from rattangate.platform import wire
+from rattangate.platform import store_answers, wire
 from rattangate.platform.outcomes import (
     BlobRead,
     BlobStored,
@@ -40,7 +40,8 @@
 PAGE_ROWS = 500
 MAX_CONNECTIONS = 64
 MAX_IDLE_CONNECTIONS = 8
-EMPTY_BODY: dict[str, Any] = {}
+MAX_DETAIL_CHARS = 200
+T = TypeVar("T")
 # The store sends these statuses only if it has applied nothing.
 _NOT_APPLIED_STATUSES = (429, 503)
 
@@ -91,25 +92,26 @@
             params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 params["from"] = start
-            answer = await self._call_rows("GET", "/rows-get", params=params)
+            answer = await self._read_page(params)
             if isinstance(answer, Unavailable):
                 return answer
             if rows and answer.era != era_of(rows[0].version):
                 return Unavailable("the store returned during the read", may_have_applied=False)
-            rows.extend(_decode_row(raw, answer.era) for raw in answer.body["rows"])
-            if not answer.body.get("has_more") or not rows:
-                version = make_version(answer.era, answer.body["ver"])
-                return StoreRows(tuple(rows), version, _answered_at(answer))
-            start = rows[-1].key + "\x00"
+            rows.extend(answer.rows)
+            if not answer.has_more or not answer.rows:
+                return StoreRows(tuple(rows), answer.version, answer.answered_at)
+            if answer.rows[-1].key < start:
+                return Unavailable("the next page has earlier rows", may_have_applied=False)
+            start = answer.rows[-1].key + "\x00"
 
     async def read_row(self, table: str, key: str) -> StoreRow | Unavailable:
         """Read one row; a missing one has the number 0."""
         params = {"table": table, "part": "", "from": key, "to": key + "\x00", "limit": "1"}
-        answer = await self._call_rows("GET", "/rows-get", params=params)
+        answer = await self._read_page(params)
         if isinstance(answer, Unavailable):
             return answer
-        for raw in answer.body["rows"]:
-            return _decode_row(raw, answer.era)
+        for row in answer.rows:
+            return row
         return StoreRow(key, make_version(answer.era, 0), None)
 
     async def read_rows(
@@ -135,19 +137,21 @@
             return HistoryLost()
         wait_ms = int(wait_s * MS_PER_S)
         params = {"table": table, "after": str(number_of(after)), "wait_ms": str(wait_ms)}
-        answer: _Answer | Unavailable | None = None
+        resp: httpx.Response | Unavailable | None = None
         with trio.CancelScope() as scope:
             self._era_scopes.add(scope)
             try:
-                answer = await self._call_rows("GET", "/rows-feed", params=params, wait_s=wait_s)
+                resp = await self._call("GET", "/rows-feed", params=params, wait_s=wait_s)
             finally:
                 self._era_scopes.discard(scope)
-        if isinstance(answer, Unavailable):
-            return answer
-        if answer is None or answer.status == httpx.codes.GONE or answer.era != era_of(after):
+        if isinstance(resp, Unavailable):
+            return resp
+        if resp is None or resp.status_code == httpx.codes.GONE or self._era != era_of(after):
             return HistoryLost()
-        rows = tuple(_decode_row(raw, answer.era) for raw in answer.body["rows"])
-        return StoreRows(rows, make_version(answer.era, answer.body["ver"]), _answered_at(answer))
+        page = self._decode_page(resp)
+        if isinstance(page, Unavailable):
+            return page
+        return StoreRows(page.rows, page.version, page.answered_at)
 
     async def write_row(
         self, table: str, key: str, value: bytes, expected_version: int | None = None
@@ -219,30 +223,40 @@
             if names:
                 params["after"] = names[-1]
             resp = await self._call("GET", "/blob-list", params=params)
-            answer = (
-                resp
-                if isinstance(resp, Unavailable)
-                else _decode(resp, may_have_applied=False, era=self._era)
-            )
+            if isinstance(resp, Unavailable):
+                return resp
+            answer = _decode(resp, store_answers.NamesAnswer, may_have_applied=False)
             if isinstance(answer, Unavailable):
                 return answer
-            names.extend(answer.body["names"])
-            if not answer.body.get("has_more") or not names:
+            if names and answer.names and answer.names[-1] <= names[-1]:
+                return Unavailable("the next page has earlier names", may_have_applied=False)
+            names.extend(answer.names)
+            if not answer.has_more or not answer.names:
                 return tuple(names)
 
     async def _transact(
         self, body: object, expected: tuple[ExpectedVersion, ...]
     ) -> Written | StoreConflict | Unavailable:
-        answer = await self._call_rows("POST", "/rows-tx", body=body)
-        if isinstance(answer, Unavailable):
-            return answer
-        if any(_is_of_earlier_era(item.version, answer.era) for item in expected):
+        content = msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"}
+        resp = await self._call("POST", "/rows-tx", content=content, headers=headers)
+        if isinstance(resp, Unavailable):
+            return resp
+        era = self._era
+        if any(_is_of_earlier_era(item.version, era) for item in expected):
             # The store returned while the write was on its way; its numbers may match by chance.
             return Unavailable("answer of a later era", may_have_applied=True)
-        if answer.status == httpx.codes.PRECONDITION_FAILED:
-            rows = [_decode_row(raw, answer.era) for raw in answer.body.get("rows", ())]
-            return StoreConflict(_with_missing_rows(rows, expected, answer.era))
-        return Written(make_version(answer.era, answer.body["ver"]))
+        if resp.status_code == httpx.codes.PRECONDITION_FAILED:
+            conflict = _decode(resp, store_answers.ConflictAnswer, may_have_applied=True)
+            if isinstance(conflict, Unavailable):
+                return conflict
+            rows = [store_answers.make_row(row, era) for row in conflict.rows]
+            return StoreConflict(_with_missing_rows(rows, expected, era))
+        written = _decode(resp, store_answers.WrittenAnswer, may_have_applied=True)
+        if isinstance(written, Unavailable):
+            return written
+        self._observe_time(written.now_ms)
+        return Written(make_version(era, written.ver))
 
     async def _read_conflict(
         self, table: str, expected: tuple[ExpectedVersion, ...]
@@ -253,23 +267,22 @@
             return Unavailable(rows.detail, may_have_applied=False)
         return StoreConflict(rows)
 
-    async def _call_rows(
-        self,
-        method: str,
-        path: str,
-        params: dict[str, str] | None = None,
-        body: object | None = None,
-        wait_s: float = 0.0,
-    ) -> _Answer | Unavailable:
-        content = None if body is None else msgspec.json.encode(body)
-        headers = {} if body is None else {"Content-Type": "application/json"}
-        resp = await self._call(method, path, params, content, headers, wait_s)
-        if isinstance(resp, Unavailable):
-            return resp
-        answer = _decode(resp, may_have_applied=method != "GET", era=self._era)
-        if isinstance(answer, _Answer) and "now_ms" in answer.body:
-            self.clock.observe(_answered_at(answer), boottime_now())
-        return answer
+    async def _read_page(self, params: dict[str, str]) -> _Page | Unavailable:
+        resp = await self._call("GET", "/rows-get", params=params)
+        return resp if isinstance(resp, Unavailable) else self._decode_page(resp)
+
+    def _decode_page(self, resp: httpx.Response) -> _Page | Unavailable:
+        answer = _decode(resp, store_answers.RowsAnswer, may_have_applied=False)
+        if isinstance(answer, Unavailable):
+            return answer
+        self._observe_time(answer.now_ms)
+        rows = tuple(store_answers.make_row(row, self._era) for row in answer.rows)
+        version = make_version(self._era, answer.ver)
+        return _Page(rows, version, self._era, answer.now_ms / MS_PER_S, answer.has_more)
+
+    def _observe_time(self, now_ms: float | None) -> None:
+        if now_ms is not None:
+            self.clock.observe(now_ms / MS_PER_S, boottime_now())
 
     async def _call(
         self,
@@ -286,7 +299,8 @@
         )
         resp = await self._send(request)
         if isinstance(resp, httpx.Response) and not self._record_era(resp):
-            resp = Unavailable("answer of an earlier era", may_have_applied=method != "GET")
+            detail = "answer of an earlier era or of a malformed one"
+            resp = Unavailable(detail, may_have_applied=method != "GET")
         self._log_availability(resp.detail if isinstance(resp, Unavailable) else "")
         return resp
 
@@ -306,8 +320,10 @@
 
     def _record_era(self, resp: httpx.Response) -> bool:
         """Note the era of an answer; tell whether it is the current one."""
-        value = resp.headers.get(wire.STORE_ERA, "")
-        era = int(value) if value.isascii() and value.isdigit() else self._era
+        value = resp.headers.get(wire.STORE_ERA)
+        era = self._era if value is None else store_answers.decode_era(value)
+        if era is None:
+            return False
         if era > self._era:
             if self._has_era:
                 log(LogEvent.STORE_RETURNED, era_before=self._era, era=era)
@@ -327,39 +343,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Answer:
-    status: int
-    body: dict[str, Any]
+class _Page:
+    """Hold the rows of one answer; `version` is that of the store, in the era `era`."""
+
+    rows: tuple[StoreRow, ...]
+    version: int
     era: int
+    answered_at: float
+    has_more: bool
 
 
-def _decode(resp: httpx.Response, may_have_applied: bool, era: int) -> _Answer | Unavailable:
-    expected_statuses = (httpx.codes.OK, httpx.codes.GONE, httpx.codes.PRECONDITION_FAILED)
-    if resp.status_code not in expected_statuses:
+def _decode(resp: httpx.Response, cls: type[T], may_have_applied: bool) -> T | Unavailable:
+    """Decode the body of an answer that has the status of a success or of a conflict."""
+    if resp.status_code not in (httpx.codes.OK, httpx.codes.PRECONDITION_FAILED):
         return Unavailable(f"status {resp.status_code}", may_have_applied=may_have_applied)
-    if resp.status_code == httpx.codes.GONE:
-        return _Answer(resp.status_code, EMPTY_BODY, era)
     try:
-        return _Answer(resp.status_code, decode_json(resp.content), era)
+        return decode_json(resp.content, cls)
     except msgspec.DecodeError as exc:
-        return Unavailable(f"answer is not valid JSON: {exc}", may_have_applied=may_have_applied)
-
-
-def _answered_at(answer: _Answer) -> float:
-    return float(answer.body["now_ms"]) / MS_PER_S
+        detail = f"malformed answer: {exc}"[:MAX_DETAIL_CHARS]
+        return Unavailable(detail, may_have_applied=may_have_applied)
 
 
 def _row_id(table: str, key: str) -> dict[str, Any]:
     return {"table": table, "part": "", "key": key}
 
 
-def _decode_row(raw: dict[str, Any], era: int) -> StoreRow:
-    version = make_version(era, raw["ver"])
-    if raw.get("tombstone") or raw.get("value") is None:
-        return StoreRow(raw["key"], version, None)
-    return StoreRow(raw["key"], version, base64.b64decode(raw["value"]))
-
-
 def _is_of_earlier_era(version: int, era: int) -> bool:
     """Tell whether an expected version is of an earlier era; 0, a missing row, is of any."""
     return version != 0 and era_of(version) != era
--- a/rattangate/standins/platform.py
+++ b/rattangate/standins/platform.py
@@ -31,11 +31,13 @@
 
     `down` aborts every response. `refuses` answers 503 without an effect. `lose_requests` and
     `lose_replies` count the next calls that are aborted before and after they take effect.
-    `instance_lag_s` delays changes of the instance list.
+    `answer` is the body, with status 200, that all calls get, without an effect, unless it is
+    empty. `instance_lag_s` delays changes of the instance list.
     """
 
     down: bool = False
     refuses: bool = False
+    answer: str = ""
     delay_s: float = 0.0
     lose_replies: int = 0
     lose_requests: int = 0
@@ -255,6 +257,8 @@
     await trio.sleep(faults.delay_s)
     if faults.refuses:
         return json_response({}, 503)
+    if faults.answer:
+        return Response(faults.answer, content_type="application/json")
     if faults.lose_requests > 0:
         faults.lose_requests -= 1
         return aborted_response()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -124,26 +124,79 @@
     "no time": b'{"rows":[],"ver":1}',
     "a row without a key": b'{"rows":[{"ver":1,"value":"AA=="}],"ver":1,"now_ms":1}',
     "a value that is no base64": b'{"rows":[{"key":"k","ver":1,"value":"A"}],"ver":1,"now_ms":1}',
+    "null": b"null",
+    "a version above 40 bits": b'{"rows":[],"ver":1099511627776,"now_ms":1}',
+    "a negative version": b'{"rows":[],"ver":-1,"now_ms":1}',
+    "a time of many digits": b'{"rows":[],"ver":1,"now_ms":' + b"9" * 5_000 + b"}",
 }
 
 
-@pytest.mark.parametrize("body", ODD_ANSWERS.values(), ids=ODD_ANSWERS)
-def test_an_answer_without_the_expected_fields_is_returned_as_unavailable(body):
+@asynccontextmanager
+async def store_that_answers(body: bytes, headers: str = ""):
+    """Yield a client of a store that answers all calls with a body and status 200."""
     (address,) = free_addresses(1)
 
     async def answer(stream: trio.SocketStream) -> None:
         while await stream.receive_some():
-            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-            await stream.send_all(head + body)
+            head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+            await stream.send_all(head.encode() + body)
+
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery, Store(address) as store:
+            host, port = address.rsplit(":", 1)
+            await nursery.start(partial(trio.serve_tcp, answer, int(port), host=host))
+            yield store
+            nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("body", ODD_ANSWERS.values(), ids=ODD_ANSWERS)
+def test_an_answer_without_the_expected_fields_is_returned_as_unavailable(body):
+    async def main() -> None:
+        async with store_that_answers(body) as store:
+            assert isinstance(await store.read_table("t"), Unavailable)
+            assert isinstance(await store.watch_table("t", 1, 0.0), Unavailable)
 
+    trio.run(main)
+
+
+@pytest.mark.parametrize("body", [b"[]", b"null", b"{}", b'{"ver":"x"}', b'{"ver":-1}'])
+def test_a_write_with_an_odd_answer_may_have_applied(body):
     async def main() -> None:
-        with trio.fail_after(20):
-            async with trio.open_nursery() as nursery, Store(address) as store:
-                host, port = address.rsplit(":", 1)
-                await nursery.start(partial(trio.serve_tcp, answer, int(port), host=host))
-                assert isinstance(await store.read_table("t"), Unavailable)
-                assert isinstance(await store.watch_table("t", 1, 0.0), Unavailable)
-                nursery.cancel_scope.cancel()
+        async with store_that_answers(body) as store:
+            written = await store.write_row("t", "k", b"v")
+            assert isinstance(written, Unavailable)
+            assert written.may_have_applied
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("body", [b"[]", b"{}", b'{"names":[1]}', b'{"names":["a"],"has_more":1}'])
+def test_an_odd_list_of_blobs_is_returned_as_unavailable(body):
+    async def main() -> None:
+        async with store_that_answers(body) as store:
+            assert isinstance(await store.list_blobs("a"), Unavailable)
+
+    trio.run(main)
+
+
+def test_a_next_page_that_repeats_the_last_one_ends_the_read():
+    rows = b'{"rows":[{"key":"k","ver":1}],"ver":1,"now_ms":1,"has_more":true,"names":["k"]}'
+
+    async def main() -> None:
+        async with store_that_answers(rows) as store:
+            assert isinstance(await store.read_table("t"), Unavailable)
+            assert isinstance(await store.list_blobs(""), Unavailable)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "9" * 5_000, str(2**23), ""])
+def test_an_answer_of_an_odd_era_is_returned_as_unavailable(era):
+    rows = b'{"rows":[],"ver":1,"now_ms":1}'
+
+    async def main() -> None:
+        async with store_that_answers(rows, f"Store-Era: {era}\r\n") as store:
+            assert isinstance(await store.read_table("t"), Unavailable)
 
     trio.run(main)
 
