Bound the size and the time of the store's answers

An answer of the store that does not end was read until the memory limit ended the process, and one that drips a byte now and then held up its reader for good, so that the configuration, the keys or the endpoint list were not followed any more.

The bounded read of the order client is shared now (plain_http.send_bounded). 16 MiB are twice the largest blob; 5 s are for a whole answer beside the wait of a long poll, each wait for more bytes keeps its 1 s.

Evidence: test_an_answer_without_end_is_given_up_at_a_bound, both cases failed before (30 s), both pass.

--- a/rattangate/plain_http.py
+++ b/rattangate/plain_http.py
@@ -1,8 +1,48 @@
-"""The TLS trust store of HTTP clients that never use TLS."""
+"""What the HTTP clients for the platform share: no TLS, and answers of bounded size and time."""
 
 from __future__ import annotations
 
 import ssl
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    import httpx
 
 # Without trusted certificates, TLS connections fail and no CA bundle is unpacked to disk.
 EMPTY_TRUST_STORE = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
+class AnswerTooLong(Exception):  # noqa: N818
+    """Report an answer that exceeds the size limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class BoundedAnswer:
+    """Hold a complete answer."""
+
+    status: int
+    headers: httpx.Headers
+    body: bytes
+
+
+async def send_bounded(
+    client: httpx.AsyncClient, req: httpx.Request, timeout_s: float, max_bytes: int
+) -> BoundedAnswer:
+    """Send a request and read its whole answer within `timeout_s` seconds.
+
+    Raise AnswerTooLong above `max_bytes`, TooSlowError if it takes too long, and HTTPError.
+    """
+    body = bytearray()
+    with trio.fail_after(timeout_s):
+        resp = await client.send(req, stream=True)
+        try:
+            async for data in resp.aiter_raw():
+                body += data
+                if len(body) > max_bytes:
+                    raise AnswerTooLong(f"answer is longer than {max_bytes} bytes")
+        finally:
+            await resp.aclose()
+    return BoundedAnswer(resp.status_code, resp.headers, bytes(body))
--- a/rattangate/platform/orders.py
+++ b/rattangate/platform/orders.py
@@ -12,7 +12,7 @@
 from rattangate.core.fleet import ModelVersion
 from rattangate.core.orders import OrderResult
 from rattangate.json_decoding import decode_json
-from rattangate.plain_http import EMPTY_TRUST_STORE
+from rattangate.plain_http import EMPTY_TRUST_STORE, AnswerTooLong, send_bounded
 from rattangate.platform import wire
 from rattangate.platform.operator import encode_load_order
 
@@ -80,17 +80,7 @@
     """Cancel an order before its first byte is sent."""
 
 
-class _AnswerTooLong(Exception):  # noqa: N818
-    """Report an answer that exceeds the size limit."""
-
-
-_CALL_FAILURES = (httpx.HTTPError, trio.TooSlowError, _AnswerTooLong)
-
-
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    status: int
-    body: bytes
+_CALL_FAILURES = (httpx.HTTPError, trio.TooSlowError, AnswerTooLong)
 
 
 class _RunningModel(msgspec.Struct):
@@ -155,7 +145,8 @@
             extensions={"trace": cancel_if_not_allowed},
         )
         try:
-            answer = await self._send(req, ORDER_TIMEOUT_S + CONNECT_TIMEOUT_S)
+            timeout_s = ORDER_TIMEOUT_S + CONNECT_TIMEOUT_S
+            answer = await send_bounded(self._client, req, timeout_s, MAX_ANSWER_BYTES)
         except (*_CALL_FAILURES, _OrderCancelled) as exc:
             return OrderOutcome(OrderResult.LOST, repr(exc))
         result = _RESULT_BY_STATUS.get(answer.status, OrderResult.LOST)
@@ -167,23 +158,10 @@
         url = f"http://{address}{wire.REPORT_PATH}"
         req = self._client.build_request("GET", url, timeout=timeout)
         try:
-            answer = await self._send(req, REPORT_TIMEOUT_S + CONNECT_TIMEOUT_S)
+            timeout_s = REPORT_TIMEOUT_S + CONNECT_TIMEOUT_S
+            answer = await send_bounded(self._client, req, timeout_s, MAX_ANSWER_BYTES)
             raw = decode_json(answer.body, _Report)
         except (*_CALL_FAILURES, msgspec.DecodeError) as exc:
             return NoReport(repr(exc))
         models = tuple(ModelVersion(item.name, item.version) for item in raw.models)
         return Report(raw.born, models, raw.busy, raw.seq)
-
-    async def _send(self, req: httpx.Request, timeout_s: float) -> _Answer:
-        """Send a request; raise one of `_CALL_FAILURES` if the answer is late or too long."""
-        body = bytearray()
-        with trio.fail_after(timeout_s):
-            resp = await self._client.send(req, stream=True)
-            try:
-                async for data in resp.aiter_raw():
-                    body += data
-                    if len(body) > MAX_ANSWER_BYTES:
-                        raise _AnswerTooLong(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
-            finally:
-                await resp.aclose()
-        return _Answer(resp.status_code, bytes(body))
--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -15,7 +15,12 @@
 from rattangate.core.store_version import era_of, make_version, number_of
 from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
-from rattangate.plain_http import EMPTY_TRUST_STORE
+from rattangate.plain_http import (
+    EMPTY_TRUST_STORE,
+    AnswerTooLong,
+    BoundedAnswer,
+    send_bounded,
+)
 from rattangate.platform import store_answers, wire
 from rattangate.platform.outcomes import (
     BlobRead,
@@ -37,6 +42,11 @@
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+# Of a whole answer, beside the time for which a long poll waits; `CALL_TIMEOUT_S` bounds each wait
+# for more of it.
+ANSWER_TIMEOUT_S = 5.0
+# Twice the largest blob that the store keeps.
+MAX_ANSWER_BYTES = 16_777_216
 PAGE_ROWS = 500
 MAX_CONNECTIONS = 64
 MAX_IDLE_CONNECTIONS = 8
@@ -70,7 +80,11 @@
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_IDLE_CONNECTIONS
         )
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", trust_env=False, verify=EMPTY_TRUST_STORE, limits=limits
+            base_url=f"http://{address}",
+            trust_env=False,
+            verify=EMPTY_TRUST_STORE,
+            limits=limits,
+            headers={"Accept-Encoding": "identity"},
         )
 
     async def __aenter__(self) -> Store:
@@ -137,7 +151,7 @@
             return HistoryLost()
         wait_ms = int(wait_s * MS_PER_S)
         params = {"table": table, "after": str(number_of(after)), "wait_ms": str(wait_ms)}
-        resp: httpx.Response | Unavailable | None = None
+        resp: BoundedAnswer | Unavailable | None = None
         with trio.CancelScope() as scope:
             self._era_scopes.add(scope)
             try:
@@ -146,7 +160,7 @@
                 self._era_scopes.discard(scope)
         if isinstance(resp, Unavailable):
             return resp
-        if resp is None or resp.status_code == httpx.codes.GONE or self._era != era_of(after):
+        if resp is None or resp.status == httpx.codes.GONE or self._era != era_of(after):
             return HistoryLost()
         page = self._decode_page(resp)
         if isinstance(page, Unavailable):
@@ -198,10 +212,10 @@
         resp = await self._call("PUT", f"/blob-put/{name}", content=body, headers=headers)
         if isinstance(resp, Unavailable):
             return resp
-        if resp.status_code == httpx.codes.PRECONDITION_FAILED:
+        if resp.status == httpx.codes.PRECONDITION_FAILED:
             return BlobStored(already_existed=True)
-        if not resp.is_success:
-            return Unavailable(f"status {resp.status_code}", may_have_applied=False)
+        if not httpx.codes.is_success(resp.status):
+            return Unavailable(f"status {resp.status}", may_have_applied=False)
         return BlobStored(already_existed=False)
 
     async def get_blob(self, name: str) -> BlobRead | Unavailable:
@@ -209,11 +223,11 @@
         resp = await self._call("GET", f"/blob-get/{name}")
         if isinstance(resp, Unavailable):
             return resp
-        if resp.status_code == httpx.codes.NOT_FOUND:
+        if resp.status == httpx.codes.NOT_FOUND:
             return BlobRead(None)
-        if not resp.is_success:
-            return Unavailable(f"status {resp.status_code}", may_have_applied=False)
-        return BlobRead(resp.content)
+        if not httpx.codes.is_success(resp.status):
+            return Unavailable(f"status {resp.status}", may_have_applied=False)
+        return BlobRead(resp.body)
 
     async def list_blobs(self, prefix: str) -> tuple[str, ...] | Unavailable:
         """List the names of blobs that begin with a prefix, in ascending order."""
@@ -246,7 +260,7 @@
         if any(_is_of_earlier_era(item.version, era) for item in expected):
             # The store returned while the write was on its way; its numbers may match by chance.
             return Unavailable("answer of a later era", may_have_applied=True)
-        if resp.status_code == httpx.codes.PRECONDITION_FAILED:
+        if resp.status == httpx.codes.PRECONDITION_FAILED:
             conflict = _decode(resp, store_answers.ConflictAnswer, may_have_applied=True)
             if isinstance(conflict, Unavailable):
                 return conflict
@@ -271,7 +285,7 @@
         resp = await self._call("GET", "/rows-get", params=params)
         return resp if isinstance(resp, Unavailable) else self._decode_page(resp)
 
-    def _decode_page(self, resp: httpx.Response) -> _Page | Unavailable:
+    def _decode_page(self, resp: BoundedAnswer) -> _Page | Unavailable:
         answer = _decode(resp, store_answers.RowsAnswer, may_have_applied=False)
         if isinstance(answer, Unavailable):
             return answer
@@ -292,33 +306,33 @@
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
         wait_s: float = 0.0,
-    ) -> httpx.Response | Unavailable:
+    ) -> BoundedAnswer | Unavailable:
         timeout = httpx.Timeout(self._call_timeout_s + wait_s, connect=CONNECT_TIMEOUT_S)
         request = self._client.build_request(
             method, path, params=params, content=content, headers=headers, timeout=timeout
         )
-        resp = await self._send(request)
-        if isinstance(resp, httpx.Response) and not self._record_era(resp):
+        resp = await self._send(request, ANSWER_TIMEOUT_S + wait_s)
+        if isinstance(resp, BoundedAnswer) and not self._record_era(resp):
             detail = "answer of an earlier era or of a malformed one"
             resp = Unavailable(detail, may_have_applied=method != "GET")
         self._log_availability(resp.detail if isinstance(resp, Unavailable) else "")
         return resp
 
-    async def _send(self, request: httpx.Request) -> httpx.Response | Unavailable:
+    async def _send(self, request: httpx.Request, timeout_s: float) -> BoundedAnswer | Unavailable:
         may_have_applied = request.method != "GET"
         try:
-            resp = await self._client.send(request)
+            resp = await send_bounded(self._client, request, timeout_s, MAX_ANSWER_BYTES)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             return Unavailable(f"cannot connect: {exc!r}", may_have_applied=False)
-        except httpx.HTTPError as exc:
+        except (httpx.HTTPError, trio.TooSlowError, AnswerTooLong) as exc:
             return Unavailable(f"no answer: {exc!r}", may_have_applied=may_have_applied)
-        if resp.status_code in _NOT_APPLIED_STATUSES:
-            return Unavailable(f"status {resp.status_code}", may_have_applied=False)
-        if resp.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
-            return Unavailable(f"status {resp.status_code}", may_have_applied=may_have_applied)
+        if resp.status in _NOT_APPLIED_STATUSES:
+            return Unavailable(f"status {resp.status}", may_have_applied=False)
+        if resp.status >= httpx.codes.INTERNAL_SERVER_ERROR:
+            return Unavailable(f"status {resp.status}", may_have_applied=may_have_applied)
         return resp
 
-    def _record_era(self, resp: httpx.Response) -> bool:
+    def _record_era(self, resp: BoundedAnswer) -> bool:
         """Note the era of an answer; tell whether it is the current one."""
         value = resp.headers.get(wire.STORE_ERA)
         era = self._era if value is None else store_answers.decode_era(value)
@@ -353,12 +367,12 @@
     has_more: bool
 
 
-def _decode(resp: httpx.Response, cls: type[T], may_have_applied: bool) -> T | Unavailable:
+def _decode(resp: BoundedAnswer, cls: type[T], may_have_applied: bool) -> T | Unavailable:
     """Decode the body of an answer that has the status of a success or of a conflict."""
-    if resp.status_code not in (httpx.codes.OK, httpx.codes.PRECONDITION_FAILED):
-        return Unavailable(f"status {resp.status_code}", may_have_applied=may_have_applied)
+    if resp.status not in (httpx.codes.OK, httpx.codes.PRECONDITION_FAILED):
+        return Unavailable(f"status {resp.status}", may_have_applied=may_have_applied)
     try:
-        return decode_json(resp.content, cls)
+        return decode_json(resp.body, cls)
     except msgspec.DecodeError as exc:
         detail = f"malformed answer: {exc}"[:MAX_DETAIL_CHARS]
         return Unavailable(detail, may_have_applied=may_have_applied)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 
 import pytest
@@ -201,6 +201,33 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize(("piece", "pause_s"), [(b"[" * 65_536, 0.0), (b" ", 0.2)])
+def test_an_answer_without_end_is_given_up_at_a_bound(piece, pause_s):
+    (address,) = free_addresses(1)
+
+    async def answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await stream.send_all(b"%x\r\n%b\r\n" % (len(piece), piece))
+                await trio.sleep(pause_s)
+
+    async def main() -> None:
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery, Store(address) as store:
+                host, port = address.rsplit(":", 1)
+                await nursery.start(partial(trio.serve_tcp, answer, int(port), host=host))
+                assert isinstance(await store.read_table("t"), Unavailable)
+                assert isinstance(await store.get_blob("b"), Unavailable)
+                written = await store.write_row("t", "k", b"v")
+                assert isinstance(written, Unavailable)
+                assert written.may_have_applied
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_existing_blob_is_overwritten_only_with_replaces():
     async def main() -> None:
         async with connected_store() as (_, store):
