Ask an endpoint which incarnation it is before it gets a stream that may be resumed

What callers saw: answers that held events of two software versions (ORDER).

Cause: an entry of the list stands for whoever answers at its address. After a restart under the same id a new connection leads to the new incarnation while the list still names the old one and its version; X-Target-Instance names the id only. A stream went on there, or began there and was recorded under the old version.

A replica's report names its incarnation (born). Before its first stream that may be resumed a connection to an engine carries GET /report; another incarnation than the listed one ends the listed one here, and without a usable report the stream goes elsewhere. Nobody can restart behind an open connection, so once is enough. Other ways weighed: an entry that was read after the connection was opened (proves less, as a new incarnation may listen before its entry is written, and most streams are younger than such a read); to wait for such an entry (seconds).

Streams of services without a model have no report; they are sent as before.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -101,6 +101,8 @@
         self._unreachable: set[tuple[str, int]] = set()
         self._via_peer: set[tuple[str, int]] = set()
         self._gone: set[tuple[str, int]] = set()
+        # Replaced by a later incarnation whose entry was not read yet.
+        self._ended: set[tuple[str, int]] = set()
         self._suspended_until: dict[tuple[str, int], float] = {}
         self._last_reported: dict[str, EndpointStatus] = {}
         self._min_versions: Mapping[str, int] = {}
@@ -126,6 +128,7 @@
             if merged.is_leaving:
                 self._remember_leaving(item.endpoint, item.incarnation, now)
             self.endpoints[item.endpoint] = merged
+        self._ended &= {(item.endpoint, item.incarnation) for item in self.endpoints.values()}
         return self._collect_changes(now)
 
     def update_weights(self, update: WeightsUpdate, now: float) -> list[EndpointStatus]:
@@ -207,6 +210,11 @@
         self._gone.add((endpoint, incarnation))
         return self._collect_changes(now)
 
+    def mark_ended(self, endpoint: str, incarnation: int, now: float) -> list[EndpointStatus]:
+        """Report an endpoint as down until an entry of another incarnation is listed."""
+        self._ended.add((endpoint, incarnation))
+        return self._collect_changes(now)
+
     def is_reachable(self, item: ListedEndpoint) -> bool:
         """Tell whether this instance can open connections to an endpoint; true until one failed."""
         return (item.endpoint, item.incarnation) not in self._unreachable
@@ -298,7 +306,7 @@
         if item.is_leaving:
             return EndpointState.LEAVING
         key = (item.endpoint, item.incarnation)
-        if key in self._gone:
+        if key in self._gone or key in self._ended:
             return EndpointState.DOWN
         if key in self._unreachable and key not in self._via_peer:
             return EndpointState.SUSPENDED
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -58,11 +58,15 @@
 
 
 class EndpointConn:
-    """Hold one connection to an endpoint; `exchanges` counts the requests on it."""
+    """Hold one connection to an endpoint; `exchanges` counts the requests on it.
+
+    `is_identified` tells that the endpoint said on it that it is the incarnation of the pool.
+    """
 
     def __init__(self, stream: EndpointStream) -> None:
         self.usable_until = trio.current_time() + DEFAULT_IDLE_TIMEOUT_S
         self.exchanges = 0
+        self.is_identified = False
         self._stream = stream
         self._unread = b""
 
@@ -149,7 +153,7 @@
             if conn.is_reusable():
                 return conn
             await conn.aclose()
-        return await self._open()
+        return await self.open()
 
     async def probe(self) -> bool:
         """Open one direct connection for later use; tell whether that succeeded."""
@@ -180,7 +184,8 @@
         while self._idle:
             await self._idle.pop().aclose()
 
-    async def _open(self) -> EndpointConn:
+    async def open(self) -> EndpointConn:
+        """Open a connection; raise ConnectFailed if that fails."""
         self.opened += 1
         if self._open_path is not None:
             return EndpointConn(await self._open_path())
@@ -249,11 +254,11 @@
     def _answers_request(self, attempt_id: str) -> bool:
         """Tell whether a response is for this request.
 
-        Without an id it may be for an earlier one on a kept connection.
+        Without an id it may be for an earlier one on a kept connection, unless the request has none.
         """
         if attempt_id:
             return attempt_id == self._req.attempt_id
-        if self._conn.exchanges > 1:
+        if self._conn.exchanges > 1 and self._req.attempt_id:
             raise ExchangeLost("response on a kept connection does not name its request")
         return True
 
@@ -296,7 +301,7 @@
         if not self._is_response_complete:
             await self._conn.abort()
             return
-        if not self._is_conn_reusable():
+        if not self.is_conn_reusable():
             await self._conn.aclose()
             return
         idle_s = self.response_head.idle_timeout_s
@@ -304,7 +309,8 @@
         self._conn.usable_until = trio.current_time() + idle_s
         await self._pool.release(self._conn)
 
-    def _is_conn_reusable(self) -> bool:
+    def is_conn_reusable(self) -> bool:
+        """Tell whether the connection can carry another exchange after this one."""
         if not self._is_request_sent:
             return False
         trailing, is_closed = self._parser.trailing_data
@@ -352,7 +358,13 @@
     pool: EndpointPool, req: OutboundRequest, stack: AsyncExitStack
 ) -> Exchange:
     """Take a connection for a request, of which nothing is sent; raise ConnectFailed without one."""
-    conn = await pool.acquire()
+    return begin_exchange(pool, await pool.acquire(), req, stack)
+
+
+def begin_exchange(
+    pool: EndpointPool, conn: EndpointConn, req: OutboundRequest, stack: AsyncExitStack
+) -> Exchange:
+    """Use a connection for a request; the stack ends the exchange."""
     exchange = Exchange(pool, conn, req)
     stack.push_async_callback(exchange.finish)
     return exchange
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -31,6 +31,7 @@
     OutboundRequest,
     open_exchange,
 )
+from rattangate.front.endpoint_identity import OtherIncarnation, open_identified_exchange
 from rattangate.front.endpoint_reports import SERVICE_UNAVAILABLE, EndpointReports
 from rattangate.front.refusals import MIN_SERVER_ERROR, refuse
 from rattangate.front.translate import make_outbound_request, make_request_arrived
@@ -200,6 +201,9 @@
                     return await self._run_exchange(
                         admitted, decisions, dispatch, responder, stack, outbound
                     )
+        except OtherIncarnation as exc:
+            self._state.apply_end(dispatch.endpoint, dispatch.incarnation)
+            return self._log_failed(admitted, AttemptResult.NOT_SENT, str(exc))
         except ConnectFailed as exc:
             self._state.paths.mark_lost(dispatch.endpoint, dispatch.incarnation, str(exc))
             return self._log_failed(admitted, AttemptResult.NOT_SENT, str(exc))
@@ -222,7 +226,11 @@
         pool = self._state.paths.pool_of(dispatch.endpoint, dispatch.incarnation)
         assert pool is not None
         sent_at = trio.current_time()
-        exchange = await open_exchange(pool, outbound, stack)
+        if admitted.route.can_resume and dispatch.weights_version:
+            # Whoever goes on with the stream relies on the version of the software that began it.
+            exchange = await open_identified_exchange(pool, outbound, stack, dispatch.incarnation)
+        else:
+            exchange = await open_exchange(pool, outbound, stack)
         await responder.ensure_connected()
         may_have_run_before = admitted.may_have_run
         admitted.may_have_run = True
--- a/rattangate/front/replica_orders.py
+++ b/rattangate/front/replica_orders.py
@@ -13,7 +13,8 @@
 from rattangate.core.rollout import DesiredVersion, RolloutCfg
 from rattangate.log_events import LogEvent, log
 from rattangate.orders import Observation
-from rattangate.platform.orders import NoReport, OrderFencing
+from rattangate.platform.orders import OrderFencing
+from rattangate.platform.reports import NoReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -102,6 +102,11 @@
             self.view.mark_leaving(endpoint, incarnation, trio.current_time()), source
         )
 
+    def apply_end(self, endpoint: str, incarnation: int) -> None:
+        """Apply that an endpoint runs as another incarnation than the listed one."""
+        log(LogEvent.ENDPOINT_REPLACED, endpoint=endpoint, incarnation=incarnation)
+        self._feed_changes(self.view.mark_ended(endpoint, incarnation, trio.current_time()))
+
     def back_off(self, endpoint: str, incarnation: int, wait_s: float) -> None:
         """Send an endpoint no requests for `wait_s` seconds, its Retry-After."""
         now = trio.current_time()
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -187,6 +187,11 @@
         "An endpoint of a service bears so many rejections a second, null for any number.",
         ("service", "max_rejections_per_s", "source"),
     )
+    ENDPOINT_REPLACED = (
+        315,
+        "An endpoint runs as another incarnation than the listed one.",
+        ("endpoint", "incarnation"),
+    )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
--- a/rattangate/platform/orders.py
+++ b/rattangate/platform/orders.py
@@ -6,20 +6,20 @@
 from typing import TYPE_CHECKING, Any
 
 import httpx
-import msgspec
 import trio
 
-from rattangate.core.fleet import ModelVersion
 from rattangate.core.orders import OrderResult
-from rattangate.json_decoding import decode_json
 from rattangate.plain_http import EMPTY_TRUST_STORE, AnswerTooLong, send_bounded
 from rattangate.platform import wire
 from rattangate.platform.operator import encode_load_order
+from rattangate.platform.reports import MAX_REPORT_BYTES, NoReport, Report, decode_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import TracebackType
 
+    from rattangate.core.fleet import ModelVersion
+
 CONNECT_TIMEOUT_S = 0.4
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.5
@@ -35,26 +35,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
-    """Hold a replica's own report of its weights, which lags by some hundred milliseconds.
-
-    `order_seq` is the number of orders that the replica has accepted.
-    """
-
-    incarnation: int
-    models: tuple[ModelVersion, ...]
-    is_loading: bool
-    order_seq: int
-
-
-@dataclass(frozen=True, slots=True)
-class NoReport:
-    """Report that a replica returned no usable report."""
-
-    detail: str
-
-
 @dataclass(frozen=True, slots=True)
 class OrderFencing:
     """Identify the sender of an order; the replica checks `fence` and `order_seq`.
@@ -83,18 +63,6 @@
 _CALL_FAILURES = (httpx.HTTPError, trio.TooSlowError, AnswerTooLong)
 
 
-class _RunningModel(msgspec.Struct):
-    name: str
-    version: int
-
-
-class _Report(msgspec.Struct):
-    born: int
-    models: list[_RunningModel] = []
-    busy: bool = False
-    seq: int = 0
-
-
 class OrderClient:
     """Send orders to replicas; failures are returned with their reason, never raised."""
 
@@ -159,9 +127,7 @@
         req = self._client.build_request("GET", url, timeout=timeout)
         try:
             timeout_s = REPORT_TIMEOUT_S + CONNECT_TIMEOUT_S
-            answer = await send_bounded(self._client, req, timeout_s, MAX_ANSWER_BYTES)
-            raw = decode_json(answer.body, _Report)
-        except (*_CALL_FAILURES, msgspec.DecodeError) as exc:
+            answer = await send_bounded(self._client, req, timeout_s, MAX_REPORT_BYTES)
+        except _CALL_FAILURES as exc:
             return NoReport(repr(exc))
-        models = tuple(ModelVersion(item.name, item.version) for item in raw.models)
-        return Report(raw.born, models, raw.busy, raw.seq)
+        return decode_report(answer.body)
--- a/tests/front/deployment.py
+++ b/tests/front/deployment.py
@@ -23,6 +23,7 @@
 IDEMPOTENT_PATH = "/lookup/1"
 NON_IDEMPOTENT_PATH = "/book/1"
 MODEL = "daka"
+BORN = 1000
 
 Handler = Callable[["Call"], Awaitable[None]]
 
@@ -82,12 +83,18 @@
 
 @dataclass
 class Replica:
-    """Pass requests to a handler and record them."""
+    """Pass requests to a handler and record them; answer with a report to `GET /report`.
+
+    `born` tells the incarnations of a replica apart; `reports` counts the reports.
+    """
 
     name: str
     address: str
     handler: Handler
     calls: list[Call] = field(default_factory=list)
+    born: int = BORN
+    reports: int = 0
+    report_handler: Handler | None = None
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -112,11 +119,25 @@
                     buffer += await stream.receive_some()
                 body, buffer = buffer[:size], buffer[size:]
                 call = Call(stream, headers, line, body)
+                if line.startswith("GET /report "):
+                    self.reports += 1
+                    await (self.report_handler or self._report)(call)
+                    continue
                 self.calls.append(call)
                 await self.handler(call)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
+    async def _report(self, call: Call) -> None:
+        await respond_report(call, self.born)
+
+
+async def respond_report(call: Call, born: int, headers: str = "") -> None:
+    """Send the report of a replica that was started at `born`."""
+    body = b'{"born":%d,"models":[{"name":"daka","version":1}],"busy":false,"seq":0}' % born
+    head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+    await call.stream.send_all(head.encode() + body)
+
 
 @dataclass
 class Deployment:
@@ -159,7 +180,7 @@
             "zone": "riverside",
             "slots": 4,
             "state": "ready",
-            "born": 1000,
+            "born": BORN,
             "models": models,
         }
         self.platform.store.put("servers", name, {**entry, **changes})
--- a/tests/front/test_endless_responses.py
+++ b/tests/front/test_endless_responses.py
@@ -11,7 +11,8 @@
 
 from rattangate.core.fleet import ModelVersion
 from rattangate.core.orders import OrderResult
-from rattangate.platform.orders import NoReport, OrderClient, OrderFencing
+from rattangate.platform.orders import OrderClient, OrderFencing
+from rattangate.platform.reports import NoReport
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
