Know a stream by the incarnation that began it, and its version once that one is listed

An instance that has read the new entry begins a stream at the new incarnation and tells its peers; a peer that has not read the entry dropped this news, as it concerns no incarnation that it knows, and took the stream up at the only version that it knew, the old one.

Cause: the version of a stream was looked up when the news arrived, and what could not be looked up was forgotten.

Evidence: test_a_stream_that_began_at_an_incarnation_not_yet_listed_here_waits_for_its_version failed before (taken up at once at the old version).

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -363,7 +363,7 @@
             cache_target=target,
             stream=req.stream,
         )
-        self.stream_versions.record_placement(req.stream, endpoint.status.software_version, now)
+        self.stream_versions.record_placement(req.stream, incarnation_key(endpoint), now)
         self._placements.append((now, placement))
         return Dispatch(
             req.req_id,
@@ -451,11 +451,11 @@
 
     def _apply_placement(self, peer: str, placement: Placement, now: float) -> None:
         self.scheduler.take_placement(placement, now)
+        began_at = (placement.endpoint, placement.incarnation)
+        self.stream_versions.record_placement(placement.stream, began_at, now)
         endpoint = self._current(placement.endpoint, placement.incarnation)
         if endpoint is None:
             return
-        version = endpoint.status.software_version
-        self.stream_versions.record_placement(placement.stream, version, now)
         endpoint.place(
             (peer, placement.number),
             placement.blocks,
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -19,9 +19,13 @@
 MAX_STREAMS = 200_000
 
 
+# The name and the incarnation of an endpoint.
+IncarnationKey = tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class _Begun:
-    version: str
+    endpoint: IncarnationKey
     at: float
 
 
@@ -38,9 +42,14 @@
         self._streams: OrderedDict[bytes, _Begun] = OrderedDict()
         self._serving: dict[str, _Serving] = {}
         self._last_served: dict[_Serving, float] = {}
+        self._versions: dict[IncarnationKey, str] = {}
+        self._current: dict[str, IncarnationKey] = {}
+        # When an incarnation was replaced or went down.
+        self._ended_at: dict[IncarnationKey, float] = {}
 
     def record_endpoint(self, status: EndpointStatus, now: float) -> None:
         """Record the version of an endpoint, or that the endpoint is gone."""
+        self._record_version(status, now)
         previous = self._serving.pop(status.endpoint, None)
         if previous is not None:
             self._last_served[previous] = now
@@ -49,11 +58,14 @@
             self._serving[status.endpoint] = serving
             self._last_served[serving] = now
 
-    def record_placement(self, stream: bytes, version: str, now: float) -> None:
-        """Record where a stream was sent last; its first event pins it to that version."""
+    def record_placement(self, stream: bytes, endpoint: IncarnationKey, now: float) -> None:
+        """Record where a stream was sent last; its first event pins it to that version.
+
+        The version of an incarnation that is not listed here yet is known once it is.
+        """
         if not stream:
             return
-        self._streams[stream] = _Begun(version, now)
+        self._streams[stream] = _Begun(endpoint, now)
         self._streams.move_to_end(stream)
         self._prune(now)
 
@@ -64,10 +76,30 @@
         """
         begun = self._streams.get(stream)
         if begun is not None:
-            return begun.version
+            return self._versions.get(begun.endpoint)
         versions = self._recent_versions(service, now)
         return versions.pop() if len(versions) == 1 else None
 
+    def _record_version(self, status: EndpointStatus, now: float) -> None:
+        key = (status.endpoint, status.incarnation)
+        self._versions[key] = status.software_version
+        previous = self._current.get(status.endpoint, key)
+        self._current[status.endpoint] = key
+        if previous != key:
+            self._ended_at.setdefault(previous, now)
+        if status.state is EndpointState.DOWN:
+            self._ended_at.setdefault(key, now)
+        else:
+            self._ended_at.pop(key, None)
+        self._forget_ended(now - STREAM_RETENTION_S)
+
+    def _forget_ended(self, limit: float) -> None:
+        for key in [key for key, at in self._ended_at.items() if at < limit]:
+            del self._ended_at[key]
+            del self._versions[key]
+            if self._current[key[0]] == key:
+                del self._current[key[0]]
+
     def _recent_versions(self, service: str, now: float) -> set[str]:
         limit = now - STREAM_RETENTION_S
         recent = {
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -30,8 +30,8 @@
 VERSIONS = {"a": "v1", "b": "v1.1", "c": "v1", "d": "v1.1"}
 
 
-def status(name, version, state=EndpointState.LIVE):
-    return EndpointStatus(name, 1, "1", state, SERVICE, 64, software_version=version)
+def status(name, version, state=EndpointState.LIVE, incarnation=1):
+    return EndpointStatus(name, incarnation, "1", state, SERVICE, 64, software_version=version)
 
 
 def request(req_id, takes_up, stream=STREAM):
@@ -139,13 +139,40 @@
     for name, version in VERSIONS.items():
         versions.record_endpoint(status(name, version), 0.0)
     for number in range(3):
-        versions.record_placement(bytes([number]), "v1", float(number))
+        versions.record_placement(bytes([number]), ("a", 1), float(number))
     found = [versions.version_of(bytes([number]), SERVICE, 3.0) for number in range(3)]
     assert found == [None, "v1", "v1"]
-    versions.record_placement(b"new", "v1.1", 3.0 + STREAM_RETENTION_S)
+    versions.record_placement(b"new", ("b", 1), 3.0 + STREAM_RETENTION_S)
     assert versions.version_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
 
 
+def test_a_stream_that_began_at_an_incarnation_not_yet_listed_here_waits_for_its_version():
+    first, second = make_gateway({"a": "v1"}), make_gateway({"a": "v1", "b": "v1"})
+    first.handle(status("a", "v1.1", incarnation=2), 0.5)
+    (begun,) = first.handle(request(1, False), 1.0)
+    assert begun.incarnation == 2
+    (update,) = updates_of(first, 1.1)
+    deliver(second, update, 1.2)
+    assert second.handle(request(1, True), 1.3) == []
+    second.handle(status("a", "v1.1", incarnation=2), 1.4)
+    (taken_up,) = (e for e in second.handle(Tick(), 1.5) if isinstance(e, Dispatch))
+    assert (taken_up.endpoint, taken_up.incarnation) == ("a", 2)
+
+
+def test_versions_of_incarnations_are_forgotten_after_the_streams_that_they_began():
+    versions = StreamVersions()
+    versions.record_endpoint(status("a", "v1"), 0.0)
+    versions.record_endpoint(status("a", "v1.1", incarnation=2), 1.0)
+    versions.record_placement(STREAM, ("a", 1), 1.0)
+    assert versions.version_of(STREAM, SERVICE, 2.0) == "v1"
+    versions.record_endpoint(status("a", "v1.1", EndpointState.DOWN, 2), 2.0 + STREAM_RETENTION_S)
+    assert versions.version_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) is None
+    versions.record_placement(STREAM, ("a", 2), 2.0 + STREAM_RETENTION_S)
+    assert versions.version_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) == "v1.1"
+    versions.record_endpoint(status("b", "v1"), 3.0 + 2 * STREAM_RETENTION_S)
+    assert versions.version_of(STREAM, SERVICE, 3.0 + 2 * STREAM_RETENTION_S) is None
+
+
 def test_a_suspect_request_does_not_go_on_before_its_version_is_known():
     gateway = make_gateway()
     assert gateway.handle(request(1, True), 1.0) == []
