Wait for a port that is in use when an instance starts

Cause: an OSError of the listening socket ended the nursery of the whole instance. Ruled out: another port instead, as the settings name them.

--- a/rattangate/front/app.py
+++ b/rattangate/front/app.py
@@ -31,6 +31,7 @@
 from rattangate.front.signals import SignalHandler
 from rattangate.front.state import PIECE_TOKENS, FrontState
 from rattangate.front.store_watchers import EndpointListWatcher, OperatorConfigWatcher
+from rattangate.listeners import listen
 from rattangate.log_events import LogEvent, log
 from rattangate.metrics import METRICS_PATH, METRICS_PORT, Metrics
 from rattangate.orders import OrderController
@@ -91,6 +92,7 @@
         self._listen_scope = trio.CancelScope()
         self._log_writer = log_writer
         self._conns: set[CallerConn] = set()
+        self._listening: set[str] = set()
         self._peers: Peers | None = None
 
     async def run(self) -> None:
@@ -140,7 +142,8 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the load balancer should send new connections here."""
-        return self.state.is_initialized and not self.is_leaving
+        is_listening = self.boot.caller_address in self._listening
+        return is_listening and self.state.is_initialized and not self.is_leaving
 
     def _make_gateway(self) -> Gateway:
         bounds = self.boot.bounds
@@ -213,8 +216,8 @@
     async def _serve(
         self, address: str, handle: Handler, nursery: trio.Nursery | None = None
     ) -> None:
-        host, port = address.rsplit(":", 1)
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        listeners = await listen(address, BACKLOG)
+        self._listening.add(address)
 
         async def serve_conn(stream: trio.SocketStream) -> None:
             set_socket_options(stream.socket)
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -50,6 +50,11 @@
         "Changed settings are invalid; the previous ones stay in force.",
         ("error",),
     )
+    LISTEN_FAILED = (
+        108,
+        "An address cannot be listened on yet; it is tried again.",
+        ("address", "error"),
+    )
     REQUEST_DONE = (
         200,
         "A request was answered.",
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from rattangate.listeners import listen
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import decode_update, encode_update
 from rattangate.peers.framing import (
@@ -122,13 +123,12 @@
 
     async def run(self, address: str) -> None:
         """Accept connections on an address and connect to the peers until cancelled."""
-        host, port = address.rsplit(":", 1)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for name in self._peers:
                 if name in self._connected:
                     self._connect(name)
-            await trio.serve_tcp(self._serve_peer, int(port), host=host)
+            await trio.serve_listeners(self._serve_peer, await listen(address))
 
     def _connect(self, name: str) -> None:
         if self._nursery is None:
