Count a socket that cannot be opened as a failed connection

What callers saw: an instance that has no file descriptor left (or no buffers, or no local port) closed their connections without an answer, and could end altogether (LOST, FAULT).

Cause: open_directly made the socket outside of the try that turns errors of connecting into ConnectFailed. In a request the OSError ended the request's task without an answer; in the probes of endpoints, which run in the instance's nursery, it ended the instance.

--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -195,17 +195,17 @@
 async def open_directly(address: str) -> trio.SocketStream:
     """Connect to an endpoint; raise ConnectFailed if that fails or takes too long."""
     host, port = address.rsplit(":", 1)
-    with ExitStack() as stack:
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stack.callback(sock.close)
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                await sock.connect((host, int(port)))
-        except (OSError, trio.TooSlowError) as exc:
-            raise ConnectFailed(f"connecting to {address} failed: {exc!r}") from exc
-        stack.pop_all()
-    set_socket_options(sock)
-    return trio.SocketStream(sock)
+    try:
+        with ExitStack() as stack, trio.fail_after(CONNECT_TIMEOUT_S):
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            stack.callback(sock.close)
+            await sock.connect((host, int(port)))
+            set_socket_options(sock)
+            stream = trio.SocketStream(sock)
+            stack.pop_all()
+    except (OSError, trio.TooSlowError) as exc:
+        raise ConnectFailed(f"connecting to {address} failed: {exc!r}") from exc
+    return stream
 
 
 @singledispatch
