Answer a request in which an unexpected exception is raised

What callers saw: a kept connection that was closed without an answer, with the request passed on or not (LOST). Each internal fault in a request ended it so: the exception was logged, as internal_fault, and the connection closed.

Cause: the place that contains the exceptions of a request stood outside of the one that can answer it. The fault is now caught where the request's state is known: what was not sent is refused as not run (503, Retry-After), all else is answered 502; an answer that has begun ends cut, as it must. A head that cannot be sent no longer counts as begun.

--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -72,9 +72,10 @@
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
-        self.is_started = True
         closing = [(b"Connection", b"close")] if self._conn.is_closing() else []
-        await self._send(h11.Response(status_code=status, headers=[*headers, *closing], reason=b""))
+        head = h11.Response(status_code=status, headers=[*headers, *closing], reason=b"")
+        self.is_started = True
+        await self._send(head)
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -122,8 +122,16 @@
         self._metrics.count_request(admitted.route.kind.value)
         with self._recording_abandonment(admitted, responder):
             await responder.ensure_connected()
-            with self._serving_scope(admitted) as scope:
-                await self._serve(admitted, responder)
+            try:
+                with self._serving_scope(admitted) as scope:
+                    await self._serve(admitted, responder)
+            except CallerDisconnected:
+                raise
+            except Exception as exc:  # noqa: BLE001 - the caller gets an answer all the same
+                log_fault(req, exc)
+                failure = Failure(ErrorKind.INTERNAL, "internal fault")
+                await self._finish_refused(admitted, failure, responder)
+                return
             if scope.cancelled_caught:
                 await self._finish_cancelled(admitted, responder)
 
