Take a rate that is out of range in an answer's headers for none

What callers saw: one answer of one endpoint with Server-Limit: 1e308 ended each instance that met it, in the tick (OverflowError, FAULT); with 1e9 the instance hung for as long as it made permits for that rate, and nothing else had its turn.

Cause: the header's number was checked for its form only.

--- a/rattangate/platform/requests.py
+++ b/rattangate/platform/requests.py
@@ -35,6 +35,8 @@
 # More than any engine holds; the work for a prompt grows with its tokens.
 MAX_PROMPT_TOKENS = 1_000_000
 MAX_OUTPUT_TOKENS = 1_000_000
+# Above this an endpoint's rate is no limit, and permits for it would cost more than the requests.
+MAX_RATE_PER_S = 10_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,12 +274,12 @@
 
 
 def _decode_rate(value: bytes | None) -> float | None:
-    """Return the number a second, or None for a malformed or negative number."""
+    """Return the number a second, or None for one that is malformed or out of range."""
     try:
         per_s = float(value or b"")
     except ValueError:
         return None
-    return per_s if 0 <= per_s < math.inf else None
+    return per_s if 0 <= per_s <= MAX_RATE_PER_S else None
 
 
 def _decode_idle_timeout(value: bytes | None) -> float | None:
