Refuse a configuration whose numbers are out of range

A priority of a route or a workspace beyond 32 bits ended the instance that told its peers of a request (TDecodeException in the tick); a time limit of a connection below zero ended each connection at its first byte (ValueError), and header_bytes below zero refused all.

Cause: the row was checked for types only. Priorities take 32 bits, sizes 63, times of connections are positive; the row is refused as a whole otherwise, the configuration before it stays in force, and entry_malformed names the field.

--- a/rattangate/platform/operator.py
+++ b/rattangate/platform/operator.py
@@ -19,7 +19,7 @@
 )
 from rattangate.json_decoding import decode_json
 from rattangate.units import MS_PER_S
-from rattangate.value_checks import UInt63, is_address
+from rattangate.value_checks import Int32, UInt63, is_address
 
 OPERATOR_TABLE = "op"
 ENDPOINT_TABLE = "servers"
@@ -28,6 +28,8 @@
 MAX_SLOTS = 1_000_000
 MAX_REASON_CHARS = 200
 
+_PositiveMs = Annotated[float, msgspec.Meta(gt=0.0)]
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -42,7 +44,7 @@
     timeout_ms: float = 30_000
     target_latency_ms: float = 1_000
     max_attempts: int = 1
-    priority: int = 0
+    priority: Int32 = 0
     public: bool = False
     sticky: bool = False
     can_resume: bool = False
@@ -72,15 +74,15 @@
 class _Workspace(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Int32 | None = None
     isolated: bool = False
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    header_bytes: UInt63 = 16_384
+    max_body_bytes: UInt63 = 4_194_304
+    header_timeout_ms: _PositiveMs = 3_000
+    idle_timeout_ms: _PositiveMs = 15_000
 
 
 class _Config(msgspec.Struct):
--- a/rattangate/value_checks.py
+++ b/rattangate/value_checks.py
@@ -10,6 +10,7 @@
 MAX_INT64 = 2**63 - 1
 MAX_PORT = 65_535
 
+Int32 = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
 UInt63 = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 
 
