--- a/rattangate/front/signals.py
+++ b/rattangate/front/signals.py
@@ -10,7 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
 class SignalHandler:
