Add a soak of the platform path with real processes

The instances are processes; the store, the endpoints, the callers and a loopback proxy before the store of each instance run beside them. Seeded faults in overlapping series: SIGTERM with further signals, SIGHUP, kills, pauses, ways to the store that are delayed, silent or cut one way, odd answers of the store, endpoints that restart under their id at another software version, streams that break off anywhere. Checked from what callers and endpoints see: ORDER, MIXED, TWICE, REFUSED, FAULT, the end of stops within the grace period, readiness afterwards.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: setup fix demo test check check-model bench bench-policy bench-capacity bench-control binary soak bench-control
+.PHONY: setup fix demo test check check-model bench bench-policy bench-capacity bench-control binary soak platform-soak
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -46,6 +46,9 @@
 soak: setup
 	$(PY) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+platform-soak: setup
+	$(PY) -m bench.platform_soak --seed $(SEED) --seconds $(SECONDS)
+
 bench: setup
 	$(PY) -m bench.table
 
--- /dev/null
+++ b/bench/platform_soak.py
@@ -0,0 +1,312 @@
+"""Inject a seeded schedule of faults into real processes of the platform path, and check what callers saw.
+
+The instances are processes of their own; the store, the endpoints, the callers and the proxies in
+front of the store run here.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from bench.loopback_proxy import Harm, LoopbackProxy
+from bench.platform_soak_callers import Callers
+from bench.platform_soak_endpoints import SoakEndpoint
+from rattangate.standins.platform import Platform, run_platform
+from tests.front.deployment import make_config
+from tests.small_deployment import free_addresses
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+ROOT = Path(__file__).resolve().parent.parent
+ENGINES = 5
+PLAIN_ENDPOINTS = 3
+GRACE_S = 8
+MAX_PAUSE_S = 2.0
+FURTHER_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+SETTLE_S = 6.0
+KILL_CODES = frozenset({-signal.SIGKILL})
+STOP_CODES = frozenset({-signal.SIGTERM, -signal.SIGINT})
+ODD_ANSWERS = ["{}", "[]", "null", '{"rows":{},"ver":"x"}']
+
+
+@dataclass
+class Instance:
+    """Run one instance as a process; `expected_codes` are those with which it may end now."""
+
+    name: str
+    caller: str
+    ready: str
+    proxy: LoopbackProxy
+    settings: Path
+    log_path: Path
+    process: trio.Process | None = None
+    expected_codes: frozenset[int] = frozenset()
+    _starts: int = 0
+
+    async def start(self) -> None:
+        """Start the process without waiting for it to be ready."""
+        self.expected_codes = frozenset()
+        self._starts += 1
+        with self.log_path.open("ab") as log:
+            self.process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "rattangate.front"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env={"RATTANGATE_BOOT": str(self.settings), "PATH": "/usr/bin"},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether the process was told to stop or killed."""
+        return bool(self.expected_codes)
+
+    def expect_stop(self) -> None:
+        """Expect the end of the process, by a signal only before it handles signals."""
+        started = self.log_path.read_bytes().count(b'"instance_started"')
+        by_signal = STOP_CODES if started < self._starts else frozenset()
+        self.expected_codes = frozenset({0}) | by_signal
+
+    async def is_ready(self) -> bool:
+        """Ask for readiness as the platform's balancer does."""
+        try:
+            async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
+                return (await client.get(f"http://{self.ready}/readyz")).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+
+@dataclass
+class Soak:
+    """Run the parts of one soak; `broken` holds what broke a promise."""
+
+    rng: random.Random
+    folder: Path
+    platform: Platform = field(default_factory=Platform)
+    instances: list[Instance] = field(default_factory=list)
+    endpoints: list[SoakEndpoint] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    injected: Counter[str] = field(default_factory=Counter)
+
+    async def run(self, seconds: float, instances: int, only_stops: bool) -> Callers:
+        """Inject faults for `seconds`, let the system settle and check that all serve."""
+        (store,) = free_addresses(1)
+        self.platform.store.put("op", "config", _make_soak_config())
+        self.platform.store.put("op", "version/daka", {"model": "daka", "version": 1})
+        callers = Callers(self.rng, self.instances, self.endpoints, self.broken)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_platform, store, self.platform)
+            self._add_endpoints(nursery, breaks_streams=not only_stops)
+            for number in range(instances):
+                await self._add_instance(number, store, nursery)
+            for instance in self.instances:
+                await self._wait_ready(instance)
+            callers.start(nursery)
+            with trio.move_on_after(seconds):
+                async with trio.open_nursery() as faults:
+                    names = ["stop", "reload"] if only_stops else list(_FAULTS)
+                    for _ in range(max(1, instances // 4)):
+                        faults.start_soon(self._inject, names)
+                    if not only_stops:
+                        faults.start_soon(self._inject, ["endpoint"])
+            await self._settle()
+            callers.stop()
+            await callers.stopped.wait()
+            callers.check_runs()
+            for instance in self.instances:
+                if instance.process is not None and instance.process.returncode is None:
+                    instance.process.kill()
+            nursery.cancel_scope.cancel()
+        return callers
+
+    def _add_endpoints(self, nursery: trio.Nursery, breaks_streams: bool) -> None:
+        services = ["llm"] * ENGINES + ["desk"] * PLAIN_ENDPOINTS
+        addresses = free_addresses(len(services))
+        for number, (service, address) in enumerate(zip(services, addresses, strict=True)):
+            seed = random.Random(self.rng.randrange(2**32))
+            name = f"{service}-{number}"
+            endpoint = SoakEndpoint(name, service, address, self.platform.store, seed)
+            endpoint.breaks_streams = breaks_streams
+            endpoint.software = "v1" if number % 2 else "v2"
+            self.endpoints.append(endpoint)
+            nursery.start_soon(endpoint.run)
+
+    async def _add_instance(self, number: int, store: str, nursery: trio.Nursery) -> None:
+        # Each has a host of its own, as the port of the metrics is the same for all.
+        host = f"127.1.{self.rng.randrange(1, 250)}.{number + 2}"
+        ports = [address.rsplit(":", 1)[1] for address in free_addresses(4)]
+        caller, ready = (f"{host}:{port}" for port in ports[:2])
+        proxy = LoopbackProxy(f"127.0.0.1:{ports[3]}", store)
+        name = f"entry-{number}"
+        settings = self.folder / f"{name}.json"
+        settings.write_text(
+            json.dumps(
+                {
+                    "node_name": name,
+                    "ip": host,
+                    "zone": "riverside",
+                    "listen": {"front": caller, "ready": ready},
+                    "port_range": [int(ports[2]), int(ports[2])],
+                    "platform": {"address": proxy.address},
+                    "bounds": {"grace_s": GRACE_S},
+                }
+            )
+        )
+        log_path = self.folder / f"{name}.log"
+        instance = Instance(name, caller, ready, proxy, settings, log_path)
+        self.instances.append(instance)
+        nursery.start_soon(proxy.run)
+        await instance.start()
+        nursery.start_soon(self._watch, instance)
+
+    async def _watch(self, instance: Instance) -> None:
+        """Start an instance again when it has ended, as the platform does."""
+        while True:
+            process = instance.process
+            assert process is not None
+            await process.wait()
+            if process.returncode not in instance.expected_codes:
+                self.broken.append(f"FAULT: {instance.name} ended with {process.returncode}")
+            await trio.sleep(0.2)
+            await instance.start()
+
+    async def _wait_ready(self, instance: Instance) -> None:
+        with trio.move_on_after(READY_TIMEOUT_S) as scope:
+            while not await instance.is_ready():
+                await trio.sleep(POLL_S)
+        if scope.cancelled_caught:
+            self.broken.append(f"RECOVER: {instance.name} does not get ready")
+
+    async def _inject(self, names: list[str]) -> None:
+        while True:
+            name = self.rng.choice(names)
+            self.injected[name] += 1
+            with trio.CancelScope(shield=True):
+                await _FAULTS[name](self)
+            await trio.sleep(self.rng.uniform(0.0, 0.5))
+
+    async def _settle(self) -> None:
+        """Let the faults end, then require that each instance gets ready."""
+        self.platform.faults.answer = ""
+        for instance in self.instances:
+            instance.proxy.harm = Harm.NONE
+        await trio.sleep(SETTLE_S)
+        for instance in self.instances:
+            await self._wait_ready(instance)
+
+    async def _stop_one(self) -> None:
+        """Stop an instance with several signals, and kill it after the grace period."""
+        instance = self.rng.choice(self.instances)
+        process = instance.process
+        if process is None or instance.is_stopping:
+            return
+        instance.expect_stop()
+        instance.send(signal.SIGTERM)
+        # A pause may come in between.
+        with trio.move_on_after(GRACE_S + MAX_PAUSE_S):
+            while process.returncode is None:
+                process.send_signal(self.rng.choice(FURTHER_SIGNALS))
+                await trio.sleep(self.rng.uniform(0.05, 1.0))
+        if process.returncode is None:
+            self.broken.append(f"LOST: {instance.name} runs on after the grace period")
+            instance.expected_codes = KILL_CODES
+            process.kill()
+
+    async def _reload_all(self) -> None:
+        for instance in self.instances:
+            instance.send(signal.SIGHUP)
+            await trio.sleep(self.rng.uniform(0.0, 0.1))
+
+    async def _kill_one(self) -> None:
+        instance = self.rng.choice(self.instances)
+        if not instance.is_stopping:
+            instance.expected_codes = KILL_CODES
+            instance.send(signal.SIGKILL)
+            await trio.sleep(1.0)
+
+    async def _pause_one(self) -> None:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGSTOP)
+        await trio.sleep(self.rng.uniform(0.2, MAX_PAUSE_S))
+        instance.send(signal.SIGCONT)
+
+    async def _harm_store(self) -> None:
+        """Harm the way of one instance to the store."""
+        proxy = self.rng.choice(self.instances).proxy
+        proxy.harm = self.rng.choice([harm for harm in Harm if harm is not Harm.NONE])
+        await trio.sleep(self.rng.uniform(0.5, 3.0))
+        proxy.harm = Harm.NONE
+        proxy.reset_all()
+
+    async def _answer_oddly(self) -> None:
+        """Let the store answer all calls with an odd body for a while."""
+        self.platform.faults.answer = self.rng.choice(ODD_ANSWERS)
+        await trio.sleep(self.rng.uniform(0.2, 1.5))
+        self.platform.faults.answer = ""
+
+    async def _restart_endpoint(self) -> None:
+        self.rng.choice(self.endpoints).restart()
+        await trio.sleep(self.rng.uniform(0.2, 1.0))
+
+
+_FAULTS: dict[str, Callable[[Soak], Awaitable[None]]] = {
+    "stop": Soak._stop_one,
+    "reload": Soak._reload_all,
+    "kill": Soak._kill_one,
+    "pause": Soak._pause_one,
+    "store": Soak._harm_store,
+    "odd_store": Soak._answer_oddly,
+    "endpoint": Soak._restart_endpoint,
+}
+
+
+def _make_soak_config() -> dict[str, object]:
+    config = make_config(1)
+    for route in config["routes"]:
+        route["timeout_ms"] = 6000
+        if route["name"] == "r":
+            route["max_attempts"] = 3
+    return config
+
+
+def main() -> None:
+    """Run one soak and exit with 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--only-stops", action="store_true", help="planned stops and reloads only")
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        soak = Soak(random.Random(args.seed), Path(folder))
+        callers = trio.run(soak.run, args.seconds, args.instances, args.only_stops)
+    print(f"seed {args.seed}: {dict(callers.counts)}, faults {dict(soak.injected)}")
+    for line in soak.broken:
+        print(f"BROKEN {line}")
+    sys.exit(1 if soak.broken else 0)
+
+
+if __name__ == "__main__":
+    main()
