--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -200,3 +200,13 @@
     assert not [effect for effect in effects if isinstance(effect, Dispatch)]
     refusals = [effect.reason for effect in effects if isinstance(effect, Refuse)]
     assert refusals == [RefusalReason.QUARANTINED]
+
+
+def test_an_instance_that_started_after_a_stream_began_does_not_go_by_the_only_version_that_it_knows():
+    # The endpoint that began the stream restarted before this instance, which never heard of it.
+    gateway = make_gateway({})
+    for name in ("a", "b"):
+        gateway.handle(status(name, "v1.1", incarnation=2), 10.0)
+    effects = gateway.handle(request(1, True), 10.5)
+    effects += gateway.handle(Tick(), 10.5 + STREAM_NEWS_S)
+    assert not [effect for effect in effects if isinstance(effect, Dispatch)]
