Log how the software version of a stream that a caller takes up is known

A stream of two versions may come from old or wrong news, or from an instance that never heard of the stream and went by the only version that it knew; the logs showed neither. request_placed gets service, known_by (news or only_version) and stream_age_ms.

--- a/rattangate/core/active_requests.py
+++ b/rattangate/core/active_requests.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from rattangate.core.endpoint_state import Endpoint
-    from rattangate.core.messages import RequestArrived
+    from rattangate.core.messages import RequestArrived, StreamOrigin
     from rattangate.core.retries import RetryReason
 
 DIGEST_BYTES = 16
@@ -25,8 +25,8 @@
     says that the latency target can no longer be met. `placement_number` identifies the current placement
     among those of this instance, on the endpoint `placed_on`. Once tokens were delivered,
     `pinned_version` is the weights version that has to continue the answer, and `pinned_software`
-    the version of the endpoint's software. `tried` holds the endpoint incarnations to which the
-    request was sent.
+    the version of the endpoint's software; `stream_origin` tells where the latter comes from for a
+    stream that is taken up. `tried` holds the endpoint incarnations to which the request was sent.
     """
 
     req: RequestArrived
@@ -45,6 +45,7 @@
     may_have_run: bool = False
     pinned_version: str | None = None
     pinned_software: str | None = None
+    stream_origin: StreamOrigin | None = None
     tried: set[tuple[str, int]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -47,7 +47,7 @@
     from collections.abc import Callable
 
     from rattangate.core.active_requests import ActiveRequest
-    from rattangate.core.messages import Message
+    from rattangate.core.messages import Message, StreamOrigin
     from rattangate.core.placement import Candidate
 
 # Owner of the placements of this instance; those of a peer are owned by its name.
@@ -303,10 +303,10 @@
         }
         return add_permit_waits(candidates, waits)
 
-    def stream_version(self, request: ActiveRequest, now: float) -> str | None:
+    def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
         """Return the software version at which a request's stream began, None if unknown."""
         req = request.req
-        return self.stream_versions.version_of(req.stream, req.scope.model, now)
+        return self.stream_versions.origin_of(req.stream, req.scope.model, now)
 
     def may_continue(self, request: ActiveRequest) -> bool:
         """Tell whether an answer that has begun may go on at an endpoint, now or after a pause."""
@@ -377,6 +377,7 @@
             target,
             chosen.missing_tokens,
             chosen.first_token_s,
+            request.stream_origin,
         )
 
     def _choose_cache_target(self, request: ActiveRequest, chosen: Candidate, now: float) -> str:
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -39,6 +39,7 @@
         Effect,
         Placement,
         RequestArrived,
+        StreamOrigin,
     )
     from rattangate.core.placement import Candidate
     from rattangate.core.suspects import Step
@@ -96,7 +97,7 @@
     def backoff_s(self, request: ActiveRequest, now: float) -> float | None:
         """Return the seconds until the first endpoint ends its back-off, None if none backs off."""
 
-    def stream_version(self, request: ActiveRequest, now: float) -> str | None:
+    def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
         """Return the software version at which a request's stream began, None if unknown."""
 
     def may_continue(self, request: ActiveRequest) -> bool:
@@ -162,11 +163,9 @@
         self.active_requests[req.req_id] = request
         if req.soft_deadline < math.inf:
             heapq.heappush(self._latest_starts, (self._latest_start(req, now), req.req_id))
-        if req.takes_up_stream:
-            request.pinned_software = self._pool.stream_version(request, now)
-            if request.pinned_software is None:
-                self._unknown_streams[req.req_id] = now + STREAM_NEWS_S
-                return []
+        if req.takes_up_stream and not self._pin_origin(request, now):
+            self._unknown_streams[req.req_id] = now + STREAM_NEWS_S
+            return []
         return self._enqueue(request, now)
 
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
@@ -351,14 +350,22 @@
         effects: list[Effect] = []
         for req_id, deadline in list(self._unknown_streams.items()):
             request = self.active_requests[req_id]
-            request.pinned_software = self._pool.stream_version(request, now)
-            if request.pinned_software is not None:
+            if self._pin_origin(request, now):
                 del self._unknown_streams[req_id]
                 effects.extend(self._enqueue(request, now))
             elif now >= deadline:
                 effects.extend(self._refuse(request, RefusalReason.STREAM_UNKNOWN, now))
         return effects
 
+    def _pin_origin(self, request: ActiveRequest, now: float) -> bool:
+        """Keep a request to the version that began its stream; tell whether that is known."""
+        origin = self._pool.stream_origin(request, now)
+        if origin is None:
+            return False
+        request.stream_origin = origin
+        request.pinned_software = origin.version
+        return True
+
     def _schedule(self, now: float, arrived: int | None = None) -> list[Effect]:
         """Schedule the queue; a long one at intervals, and between them only a new request."""
         if len(self.queue) <= SHORT_QUEUE_LENGTH or now >= self._next_plan_at:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -416,6 +416,25 @@
 # Effects
 
 
+class KnownBy(Enum):
+    """Name how an instance knows at which software version a stream began."""
+
+    NEWS = "news"
+    ONLY_VERSION = "only_version"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Hold the software version at which a stream began, and how it is known.
+
+    `age_s` is the time since the stream was last placed, None if that is not known.
+    """
+
+    version: str
+    known_by: KnownBy
+    age_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """Send a request to an endpoint, which must still be of this incarnation and version.
@@ -424,7 +443,7 @@
     endpoint from which the engine should fetch cache entries that it lacks, and `cache_target` the
     cache store to which it should write the prompt's entries, empty for none. `missing_tokens` and
     `first_token_s` are the estimates of the placement: the number of tokens to prefill, and the
-    time to the first token in seconds.
+    time to the first token in seconds. `stream_origin` is that of a stream that is taken up.
     """
 
     req_id: int
@@ -438,6 +457,7 @@
     cache_target: str = ""
     missing_tokens: int = 0
     first_token_s: float = 0.0
+    stream_origin: StreamOrigin | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import EndpointState
+from rattangate.core.messages import EndpointState, KnownBy, StreamOrigin
 
 if TYPE_CHECKING:
     from rattangate.core.messages import EndpointStatus
@@ -69,16 +69,19 @@
         self._streams.move_to_end(stream)
         self._prune(now)
 
-    def version_of(self, stream: bytes, service: str, now: float) -> str | None:
+    def origin_of(self, stream: bytes, service: str, now: float) -> StreamOrigin | None:
         """Return the version at which a stream began, None if it cannot be known.
 
         A stream that was never heard of is of the only version of its service, if there is one.
         """
         begun = self._streams.get(stream)
         if begun is not None:
-            return self._versions.get(begun.endpoint)
+            version = self._versions.get(begun.endpoint)
+            if version is None:
+                return None
+            return StreamOrigin(version, KnownBy.NEWS, now - begun.at)
         versions = self._recent_versions(service, now)
-        return versions.pop() if len(versions) == 1 else None
+        return StreamOrigin(versions.pop(), KnownBy.ONLY_VERSION) if len(versions) == 1 else None
 
     def _record_version(self, status: EndpointStatus, now: float) -> None:
         key = (status.endpoint, status.incarnation)
--- a/rattangate/front/decision_log.py
+++ b/rattangate/front/decision_log.py
@@ -24,6 +24,8 @@
     config = state.config
     now = trio.current_time()
     listed = state.view.endpoints.get(dispatch.endpoint)
+    origin = dispatch.stream_origin
+    age_s = None if origin is None else origin.age_s
     log(
         LogEvent.REQUEST_PLACED,
         request_id=admitted.head.attempt_id,
@@ -41,6 +43,9 @@
         software="" if listed is None else listed.software_version,
         resumes=admitted.head.resumes,
         after_event=admitted.splicer.last_id,
+        service=admitted.service,
+        known_by="" if origin is None else origin.known_by.value,
+        stream_age_ms=None if age_s is None else int(age_s * MS_PER_S),
     )
 
 
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -125,6 +125,9 @@
             "software",
             "resumes",
             "after_event",
+            "service",
+            "known_by",
+            "stream_age_ms",
         ),
     )
     ATTEMPT_FAILED = (
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from rattangate.core import stream_versions
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.intake import STREAM_NEWS_S
@@ -12,6 +14,7 @@
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
+    KnownBy,
     LimitsUpdate,
     PeerUpdateReceived,
     Refuse,
@@ -80,6 +83,18 @@
     assert VERSIONS[taken_up.endpoint] == VERSIONS[begun.endpoint]
 
 
+def test_a_dispatch_tells_how_the_version_of_a_taken_up_stream_is_known():
+    first, second = make_gateway(), make_gateway()
+    first.handle(request(1, False), 1.0)
+    (update,) = updates_of(first, 1.1)
+    deliver(second, update, 1.2)
+    (taken_up,) = second.handle(request(1, True), 1.5)
+    assert taken_up.stream_origin.known_by is KnownBy.NEWS
+    assert taken_up.stream_origin.age_s == pytest.approx(0.3)
+    (new,) = second.handle(request(2, False, b"stream-2"), 1.6)
+    assert new.stream_origin is None
+
+
 def test_a_stream_whose_news_are_on_their_way_is_waited_for():
     first, second = make_gateway(), make_gateway()
     (begun,) = first.handle(request(1, False), 1.0)
@@ -129,8 +144,8 @@
     versions.record_endpoint(status("a", "v1"), 0.0)
     versions.record_endpoint(status("b", "v1.1"), 1.0)
     versions.record_endpoint(status("a", "v1", EndpointState.DOWN), 5.0)
-    assert versions.version_of(STREAM, SERVICE, 5.0 + STREAM_RETENTION_S) is None
-    assert versions.version_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S) == "v1.1"
+    assert versions.origin_of(STREAM, SERVICE, 5.0 + STREAM_RETENTION_S) is None
+    assert versions.origin_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S).version == "v1.1"
 
 
 def test_old_streams_are_forgotten(monkeypatch):
@@ -140,10 +155,10 @@
         versions.record_endpoint(status(name, version), 0.0)
     for number in range(3):
         versions.record_placement(bytes([number]), ("a", 1), float(number))
-    found = [versions.version_of(bytes([number]), SERVICE, 3.0) for number in range(3)]
-    assert found == [None, "v1", "v1"]
+    found = [versions.origin_of(bytes([number]), SERVICE, 3.0) for number in range(3)]
+    assert [origin and origin.version for origin in found] == [None, "v1", "v1"]
     versions.record_placement(b"new", ("b", 1), 3.0 + STREAM_RETENTION_S)
-    assert versions.version_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
+    assert versions.origin_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
 
 
 def test_a_stream_that_began_at_an_incarnation_not_yet_listed_here_waits_for_its_version():
@@ -164,13 +179,13 @@
     versions.record_endpoint(status("a", "v1"), 0.0)
     versions.record_endpoint(status("a", "v1.1", incarnation=2), 1.0)
     versions.record_placement(STREAM, ("a", 1), 1.0)
-    assert versions.version_of(STREAM, SERVICE, 2.0) == "v1"
+    assert versions.origin_of(STREAM, SERVICE, 2.0).version == "v1"
     versions.record_endpoint(status("a", "v1.1", EndpointState.DOWN, 2), 2.0 + STREAM_RETENTION_S)
-    assert versions.version_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) is None
+    assert versions.origin_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) is None
     versions.record_placement(STREAM, ("a", 2), 2.0 + STREAM_RETENTION_S)
-    assert versions.version_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) == "v1.1"
+    assert versions.origin_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S).version == "v1.1"
     versions.record_endpoint(status("b", "v1"), 3.0 + 2 * STREAM_RETENTION_S)
-    assert versions.version_of(STREAM, SERVICE, 3.0 + 2 * STREAM_RETENTION_S) is None
+    assert versions.origin_of(STREAM, SERVICE, 3.0 + 2 * STREAM_RETENTION_S) is None
 
 
 def test_a_suspect_request_does_not_go_on_before_its_version_is_known():
