Let a stream that a caller takes up go on only with the software that began it

Cause: an instance that had never heard of a stream took the only version that it knew of the service for the one that began it. Absence of news was read as news. Wrong for an instance that started after the stream began, for one whose route had moved to another service, and for one that missed the news.

Now a stream without news goes on only if a single software (service and version) can have begun it: the instance must have known all that served, by an endpoint list without gaps, for as long as a stream may last, and count the other services that run models, since the route may have led to them. Else it is refused at once after the news had their time (stream_unknown). The identity of software is service and version: an equal label at another service is no evidence; a stream whose route leads to its service no more is refused at once (stream_elsewhere). Where a route is split, the service that began the stream is chosen, however the weights change; before, each try of a caller was split anew.

The old test that wanted an unknown stream taken up right after the start of an instance demanded the fault; it is replaced by two: refused soon after the start, taken up once one software served for long enough. Retention of streams and software: 30 s in place of 60 s, twice the longest time that a caller waits.

Ruled out: to drop the rule of the only software altogether (streams of an instance that was killed or cut off would be refused also where one version serves for hours).

--- a/rattangate/core/active_requests.py
+++ b/rattangate/core/active_requests.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from rattangate.core.endpoint_state import Endpoint
-    from rattangate.core.messages import RequestArrived, StreamOrigin
+    from rattangate.core.messages import RequestArrived, Software, StreamOrigin
     from rattangate.core.retries import RetryReason
 
 DIGEST_BYTES = 16
@@ -25,7 +25,7 @@
     says that the latency target can no longer be met. `placement_number` identifies the current placement
     among those of this instance, on the endpoint `placed_on`. Once tokens were delivered,
     `pinned_version` is the weights version that has to continue the answer, and `pinned_software`
-    the version of the endpoint's software; `stream_origin` tells where the latter comes from for a
+    the endpoint's software; `stream_origin` tells where the latter comes from for a
     stream that is taken up. `tried` holds the endpoint incarnations to which the request was sent.
     """
 
@@ -44,7 +44,7 @@
     retry_reason: RetryReason | None = None
     may_have_run: bool = False
     pinned_version: str | None = None
-    pinned_software: str | None = None
+    pinned_software: Software | None = None
     stream_origin: StreamOrigin | None = None
     tried: set[tuple[str, int]] = field(default_factory=set)
 
@@ -65,14 +65,14 @@
         """Tell whether an answer that has begun would continue with the same versions."""
         status = endpoint.status
         return self.pinned_version in (None, status.weights_version) and (
-            self.pinned_software in (None, status.software_version)
+            self.pinned_software in (None, status.software)
         )
 
     def pin(self) -> None:
         """Keep the answer, which has begun, to the versions of the endpoint that it is placed on."""
         assert self.placed_on is not None
         self.pinned_version = self.placed_on.status.weights_version
-        self.pinned_software = self.placed_on.status.software_version
+        self.pinned_software = self.placed_on.status.software
 
     def extend_deadline(self, now: float) -> None:
         """Give a request whose attempt was lost as much time as it had on arrival."""
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -24,6 +24,7 @@
     Dispatch,
     Effect,
     EndpointLimitReported,
+    EndpointListRead,
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
@@ -38,6 +39,7 @@
     RequestArrived,
     RequestRejected,
     SendPeerUpdate,
+    StreamHistoryReceived,
     Tick,
 )
 from rattangate.core.placement import PlacementCfg, add_permit_waits, find_candidates
@@ -92,7 +94,7 @@
     """Decide where each request runs: take messages and return effects, without I/O.
 
     `endpoints` are the known endpoints by name, and `limited` those of them that named a request
-    rate; `stream_versions` are the software versions of recent streams; `scheduler` admits, queues
+    rate; `stream_versions` tell which software began recent streams; `scheduler` admits, queues
     and retries requests.
     """
 
@@ -202,6 +204,16 @@
             self._update(known, msg, now)
         return []
 
+    @_handle.register
+    def _on_list_read(self, msg: EndpointListRead, now: float) -> list[Effect]:
+        self.stream_versions.record_list_read(now)
+        return []
+
+    @_handle.register
+    def _on_stream_history(self, msg: StreamHistoryReceived, now: float) -> list[Effect]:
+        self.stream_versions.merge(msg.history, now)
+        return []
+
     @_handle.register
     def _on_endpoint_limit(self, msg: EndpointLimitReported, now: float) -> list[Effect]:
         if self._current(msg.endpoint, msg.incarnation) is None:
@@ -304,7 +316,7 @@
         return add_permit_waits(candidates, waits)
 
     def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
-        """Return the software version at which a request's stream began, None if unknown."""
+        """Return the software that began a request's stream, None if it is unknown."""
         req = request.req
         return self.stream_versions.origin_of(req.stream, req.scope.model, now)
 
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -98,7 +98,7 @@
         """Return the seconds until the first endpoint ends its back-off, None if none backs off."""
 
     def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
-        """Return the software version at which a request's stream began, None if unknown."""
+        """Return the software that began a request's stream, None if it is unknown."""
 
     def may_continue(self, request: ActiveRequest) -> bool:
         """Tell whether an answer that has begun may go on at an endpoint, now or after a pause."""
@@ -128,7 +128,7 @@
         self._ejections = Ejections()
         self._latest_starts: list[tuple[float, int]] = []
         self._next_plan_at = 0.0
-        # When to refuse the requests that take up a stream of an unknown software version.
+        # When to refuse the requests that take up a stream of unknown software.
         self._unknown_streams: dict[int, float] = {}
 
     def configure(
@@ -166,7 +166,7 @@
         if req.takes_up_stream and not self._pin_origin(request, now):
             self._unknown_streams[req.req_id] = now + STREAM_NEWS_S
             return []
-        return self._enqueue(request, now)
+        return self._enqueue_pinned(request, now)
 
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
         """Record the first token of a request and use the capacity that its prefill occupied."""
@@ -352,20 +352,27 @@
             request = self.active_requests[req_id]
             if self._pin_origin(request, now):
                 del self._unknown_streams[req_id]
-                effects.extend(self._enqueue(request, now))
+                effects.extend(self._enqueue_pinned(request, now))
             elif now >= deadline:
                 effects.extend(self._refuse(request, RefusalReason.STREAM_UNKNOWN, now))
         return effects
 
     def _pin_origin(self, request: ActiveRequest, now: float) -> bool:
-        """Keep a request to the version that began its stream; tell whether that is known."""
+        """Keep a request to the software that began its stream; tell whether that is known."""
         origin = self._pool.stream_origin(request, now)
         if origin is None:
             return False
         request.stream_origin = origin
-        request.pinned_software = origin.version
+        request.pinned_software = origin.software
         return True
 
+    def _enqueue_pinned(self, request: ActiveRequest, now: float) -> list[Effect]:
+        """Queue a request, or refuse it if its stream began at a service that it may not go to."""
+        software = request.pinned_software
+        if software is not None and software.service != request.req.scope.model:
+            return self._refuse(request, RefusalReason.STREAM_ELSEWHERE, now)
+        return self._enqueue(request, now)
+
     def _schedule(self, now: float, arrived: int | None = None) -> list[Effect]:
         """Schedule the queue; a long one at intervals, and between them only a new request."""
         if len(self.queue) <= SHORT_QUEUE_LENGTH or now >= self._next_plan_at:
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -135,6 +135,66 @@
     req_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Software:
+    """Identify what an endpoint runs: the version of one service's software."""
+
+    service: str
+    version: str
+
+
+class KnownBy(Enum):
+    """Name how an instance knows which software began a stream."""
+
+    NEWS = "news"
+    ONLY_SOFTWARE = "only_software"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Hold the software that began a stream, and how it is known.
+
+    `age_s` is the time since the stream was last placed, None if that is not known.
+    """
+
+    software: Software
+    known_by: KnownBy
+    age_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServedSoftware:
+    """Hold software and the time since it last served, in seconds.
+
+    `has_models` tells whether its service runs models.
+    """
+
+    software: Software
+    age_s: float
+    has_models: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BegunStream:
+    """Hold the software to which a stream was last sent, and the time since then in seconds."""
+
+    stream: bytes
+    software: Software
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StreamHistory:
+    """Hold what an instance knows of recent streams, the newest first, and of their software.
+
+    For the last `known_s` seconds `served` is complete.
+    """
+
+    known_s: float
+    served: tuple[ServedSoftware, ...] = ()
+    streams: tuple[BegunStream, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointStatus:
     """Report an endpoint's state, incarnation and weights version.
@@ -157,6 +217,23 @@
     available_at: float | None = None
     software_version: str = ""
 
+    @property
+    def software(self) -> Software:
+        """Return the identity of the endpoint's software."""
+        return Software(self.serves, self.software_version)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointListRead:
+    """Report that all endpoints of the list were reported."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamHistoryReceived:
+    """Report what a peer knows of recent streams."""
+
+    history: StreamHistory
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointLimitReported:
@@ -401,6 +478,8 @@
     | AttemptEnded
     | RequestAbandoned
     | EndpointStatus
+    | EndpointListRead
+    | StreamHistoryReceived
     | EndpointLimitReported
     | BrittlenessReported
     | RequestRejected
@@ -416,25 +495,6 @@
 # Effects
 
 
-class KnownBy(Enum):
-    """Name how an instance knows at which software version a stream began."""
-
-    NEWS = "news"
-    ONLY_VERSION = "only_version"
-
-
-@dataclass(frozen=True, slots=True)
-class StreamOrigin:
-    """Hold the software version at which a stream began, and how it is known.
-
-    `age_s` is the time since the stream was last placed, None if that is not known.
-    """
-
-    version: str
-    known_by: KnownBy
-    age_s: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """Send a request to an endpoint, which must still be of this incarnation and version.
--- a/rattangate/core/refusals.py
+++ b/rattangate/core/refusals.py
@@ -22,6 +22,7 @@
     NOT_REPEATABLE = "not_repeatable"
     DEADLINE_IN_RETRY = "deadline_in_retry"
     STREAM_UNKNOWN = "stream_unknown"
+    STREAM_ELSEWHERE = "stream_elsewhere"
 
 
 KINDS: dict[RefusalReason, ErrorKind] = {
@@ -37,6 +38,7 @@
     RefusalReason.NOT_REPEATABLE: ErrorKind.OUTCOME_UNKNOWN,
     RefusalReason.DEADLINE_IN_RETRY: ErrorKind.RETRIES_EXHAUSTED,
     RefusalReason.STREAM_UNKNOWN: ErrorKind.NO_ENDPOINT,
+    RefusalReason.STREAM_ELSEWHERE: ErrorKind.NO_ENDPOINT,
 }
 
 
--- a/rattangate/core/routes.py
+++ b/rattangate/core/routes.py
@@ -57,6 +57,10 @@
             return self.can_resume
         return self.kind is RouteKind.IDEMPOTENT
 
+    def leads_to(self, service: str) -> bool:
+        """Tell whether requests on the route may go to a service."""
+        return any(share.service == service and share.weight > 0 for share in self.shares)
+
     def pick_service(self, attempt_id: str) -> str:
         """Choose a service by weighted hashing: the same attempt always gets the same service."""
         if len(self.shares) == 1:
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -1,22 +1,37 @@
-"""The software version at which each stream began, so that it goes on at no other one.
+"""Which software began each stream, so that no other goes on with it.
 
-What two versions of an endpoint's software write does not fit together.
+What two versions of an endpoint's software write does not fit together, nor what two services write.
+A stream is known by the news of its placement. One without news goes on only if a single software
+can have begun it, which takes knowledge of all that served for as long as a stream may last.
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import EndpointState, KnownBy, StreamOrigin
+from rattangate.core.messages import (
+    BegunStream,
+    EndpointState,
+    KnownBy,
+    ServedSoftware,
+    Software,
+    StreamHistory,
+    StreamOrigin,
+)
 
 if TYPE_CHECKING:
     from rattangate.core.messages import EndpointStatus
 
 # Longer than a caller waits for a stream and takes it up again.
-STREAM_RETENTION_S = 60.0
+STREAM_RETENTION_S = 30.0
 MAX_STREAMS = 200_000
+# Without a read of the endpoint list for this time, software may have come and gone unnoticed.
+MAX_LIST_GAP_S = 10.0
+# The newest streams that a peer is told of when it connects.
+MAX_STREAMS_IN_HISTORY = 8_192
 
 
 # The name and the incarnation of an endpoint.
@@ -25,67 +40,129 @@
 
 @dataclass(frozen=True, slots=True)
 class _Begun:
-    endpoint: IncarnationKey
-    at: float
-
+    """Hold where a stream was placed last, by its endpoint or by the software that a peer named."""
 
-@dataclass(frozen=True, slots=True)
-class _Serving:
-    service: str
-    version: str
+    at: float
+    endpoint: IncarnationKey | None = None
+    software: Software | None = None
 
 
 class StreamVersions:
-    """Track the version of each recent stream, and the versions that serve or did so recently."""
+    """Track the software of each recent stream, and the software that serves or did so recently."""
 
     def __init__(self) -> None:
         self._streams: OrderedDict[bytes, _Begun] = OrderedDict()
-        self._serving: dict[str, _Serving] = {}
-        self._last_served: dict[_Serving, float] = {}
-        self._versions: dict[IncarnationKey, str] = {}
+        self._serving: dict[str, Software] = {}
+        self._last_served: dict[Software, float] = {}
+        self._model_services: set[str] = set()
+        self._software: dict[IncarnationKey, Software] = {}
         self._current: dict[str, IncarnationKey] = {}
         # When an incarnation was replaced or went down.
         self._ended_at: dict[IncarnationKey, float] = {}
+        # All software that served between these two is known.
+        self._known_since = math.inf
+        self._known_until = -math.inf
 
     def record_endpoint(self, status: EndpointStatus, now: float) -> None:
-        """Record the version of an endpoint, or that the endpoint is gone."""
-        self._record_version(status, now)
+        """Record the software of an endpoint, or that the endpoint is gone."""
+        software = status.software
+        self._record_incarnation(status, software, now)
+        if status.weights_version:
+            self._model_services.add(status.serves)
         previous = self._serving.pop(status.endpoint, None)
         if previous is not None:
             self._last_served[previous] = now
         if status.state not in (EndpointState.DOWN, EndpointState.CACHE_STORE):
-            serving = _Serving(status.serves, status.software_version)
-            self._serving[status.endpoint] = serving
-            self._last_served[serving] = now
+            self._serving[status.endpoint] = software
+            self._last_served[software] = now
+
+    def record_list_read(self, now: float) -> None:
+        """Record that all endpoints of the list are known now."""
+        if now - self._known_until > MAX_LIST_GAP_S:
+            self._known_since = now
+        self._known_until = now
 
     def record_placement(self, stream: bytes, endpoint: IncarnationKey, now: float) -> None:
-        """Record where a stream was sent last; its first event pins it to that version.
+        """Record where a stream was sent last; its first event pins it to that software.
 
-        The version of an incarnation that is not listed here yet is known once it is.
+        The software of an incarnation that is not listed here yet is known once it is.
         """
-        if not stream:
-            return
-        self._streams[stream] = _Begun(endpoint, now)
-        self._streams.move_to_end(stream)
-        self._prune(now)
+        if stream:
+            self._record_begun(stream, _Begun(now, endpoint=endpoint))
+            self._prune(now)
 
     def origin_of(self, stream: bytes, service: str, now: float) -> StreamOrigin | None:
-        """Return the version at which a stream began, None if it cannot be known.
+        """Return the software that began a stream, None if it cannot be known."""
+        begun = self._streams.get(stream)
+        if begun is None:
+            only = self._only_software(service, now)
+            return None if only is None else StreamOrigin(only, KnownBy.ONLY_SOFTWARE)
+        software = self._software_of(begun)
+        return None if software is None else StreamOrigin(software, KnownBy.NEWS, now - begun.at)
+
+    def history(self, now: float) -> StreamHistory:
+        """Return what an instance that has just started, or missed news, is told."""
+        known_s = max(0.0, now - self._known_since) if self._is_list_fresh(now) else 0.0
+        served = tuple(
+            ServedSoftware(software, now - at, software.service in self._model_services)
+            for software, at in self._recent_software(now).items()
+        )
+        streams: list[BegunStream] = []
+        for stream, begun in reversed(self._streams.items()):
+            software = self._software_of(begun)
+            if software is not None and now - begun.at < STREAM_RETENTION_S:
+                streams.append(BegunStream(stream, software, now - begun.at))
+            if len(streams) == MAX_STREAMS_IN_HISTORY:
+                break
+        return StreamHistory(known_s, served, tuple(streams))
+
+    def merge(self, history: StreamHistory, now: float) -> None:
+        """Take over what a peer knows; of two records of a stream the newer one holds."""
+        for served in history.served:
+            at = now - served.age_s
+            self._last_served[served.software] = max(at, self._last_served.get(served.software, at))
+            if served.has_models:
+                self._model_services.add(served.software.service)
+        for begun in reversed(history.streams):
+            at = now - begun.age_s
+            known = self._streams.get(begun.stream)
+            if known is None or known.at < at:
+                self._record_begun(begun.stream, _Begun(at, software=begun.software))
+        if history.known_s > 0:
+            self._known_since = min(self._known_since, now - history.known_s)
+            self._known_until = now
+
+    def _record_begun(self, stream: bytes, begun: _Begun) -> None:
+        self._streams[stream] = begun
+        self._streams.move_to_end(stream)
+
+    def _software_of(self, begun: _Begun) -> Software | None:
+        if begun.endpoint is None:
+            return begun.software
+        return self._software.get(begun.endpoint)
 
-        A stream that was never heard of is of the only version of its service, if there is one.
+    def _only_software(self, service: str, now: float) -> Software | None:
+        """Return the software that began each stream of a service, None if others may have.
+
+        The route may have moved to this service from another one; both run models, or neither does.
         """
-        begun = self._streams.get(stream)
-        if begun is not None:
-            version = self._versions.get(begun.endpoint)
-            if version is None:
-                return None
-            return StreamOrigin(version, KnownBy.NEWS, now - begun.at)
-        versions = self._recent_versions(service, now)
-        return StreamOrigin(versions.pop(), KnownBy.ONLY_VERSION) if len(versions) == 1 else None
-
-    def _record_version(self, status: EndpointStatus, now: float) -> None:
+        if now - self._known_since < STREAM_RETENTION_S or not self._is_list_fresh(now):
+            return None
+        has_models = service in self._model_services
+        candidates = [
+            software
+            for software in self._recent_software(now)
+            if (software.service in self._model_services) == has_models
+        ]
+        is_only = len(candidates) == 1 and candidates[0].service == service
+        return candidates[0] if is_only else None
+
+    def _is_list_fresh(self, now: float) -> bool:
+        return now - self._known_until <= MAX_LIST_GAP_S
+
+    def _record_incarnation(self, status: EndpointStatus, software: Software, now: float) -> None:
         key = (status.endpoint, status.incarnation)
-        self._versions[key] = status.software_version
+        self._software[key] = software
         previous = self._current.get(status.endpoint, key)
         self._current[status.endpoint] = key
         if previous != key:
@@ -99,21 +176,15 @@
     def _forget_ended(self, limit: float) -> None:
         for key in [key for key, at in self._ended_at.items() if at < limit]:
             del self._ended_at[key]
-            del self._versions[key]
+            del self._software[key]
             if self._current[key[0]] == key:
                 del self._current[key[0]]
 
-    def _recent_versions(self, service: str, now: float) -> set[str]:
+    def _recent_software(self, now: float) -> dict[Software, float]:
+        """Return the software that served within the retention, and when it did so last."""
         limit = now - STREAM_RETENTION_S
-        recent = {
-            serving.version
-            for serving, at in self._last_served.items()
-            if serving.service == service and at >= limit
-        }
-        serving_now = {
-            serving.version for serving in self._serving.values() if serving.service == service
-        }
-        return recent | serving_now
+        recent = {software: at for software, at in self._last_served.items() if at >= limit}
+        return recent | dict.fromkeys(self._serving.values(), now)
 
     def _prune(self, now: float) -> None:
         limit = now - STREAM_RETENTION_S
--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import trio
+
 from rattangate.clock import boottime_now
 from rattangate.core.events import EventSplicer
 from rattangate.core.request_stage import RequestStage
 from rattangate.errors import ErrorKind, Failure
+from rattangate.front.stream_ids import stream_id, takes_up_stream
 
 if TYPE_CHECKING:
     from rattangate.core.routes import Route, ServingConfig, Workspace
@@ -74,7 +77,7 @@
     if isinstance(workspace, Failure):
         return workspace
     deadline = req.arrived_at + min(head.timeout_s, route.timeout_s)
-    service = route.pick_service(head.attempt_id)
+    service = _pick_service(state, route, head)
     splicer = EventSplicer(head.last_event_id or None)
     return AdmittedRequest(
         req,
@@ -99,6 +102,18 @@
     return is_same and state.keys.holds(boottime_now())
 
 
+def _pick_service(state: FrontState, route: Route, head: RequestHead) -> str:
+    """Choose a service; for a stream that is taken up the one that began it, if that is allowed."""
+    if not takes_up_stream(route, head):
+        return route.pick_service(head.attempt_id)
+    service = route.pick_service(head.resumes)
+    versions = state.driver.gateway.stream_versions
+    origin = versions.origin_of(stream_id(route, head), service, trio.current_time())
+    if origin is not None and route.leads_to(origin.software.service):
+        return origin.software.service
+    return service
+
+
 def _find_workspace(
     state: FrontState, config: ServingConfig, route: Route, head: RequestHead
 ) -> Workspace | Failure | None:
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -10,7 +10,7 @@
 from rattangate.clock import boottime_now
 from rattangate.core.fleet import FleetView, FleetViewCfg
 from rattangate.core.key_lease import KeyLease
-from rattangate.core.messages import EndpointState
+from rattangate.core.messages import EndpointListRead, EndpointState
 from rattangate.core.named_versions import DesiredVersions
 from rattangate.front.endpoint_paths import EndpointPaths
 from rattangate.log_events import LogEvent, log
@@ -89,6 +89,7 @@
         """Apply the endpoint list, which was requested at `asked_at`."""
         self.list_read_at = asked_at
         self._feed_changes(self.view.update_list(listed, trio.current_time()))
+        self.driver.feed(EndpointListRead())
         self.paths.drop_unlisted()
 
     def apply_weights(self, update: WeightsUpdate) -> None:
--- a/rattangate/front/translate.py
+++ b/rattangate/front/translate.py
@@ -12,6 +12,7 @@
 from rattangate.front.endpoint_conn import OutboundRequest
 from rattangate.front.prompts import count_blocks, hash_blocks
 from rattangate.front.state import PIECE_TOKENS
+from rattangate.front.stream_ids import stream_id, takes_up_stream
 from rattangate.platform.requests import RoutingDirectives, forwarded_headers
 
 if TYPE_CHECKING:
@@ -22,7 +23,6 @@
 # Work of a request to a service without models, in tokens, the gateway's unit of work.
 PLAIN_WORK_TOKENS = 1_000
 DIGEST_BYTES = 16
-STREAM_ID_BYTES = 8
 
 
 def make_request_arrived(state: FrontState, admitted: AdmittedRequest) -> RequestArrived:
@@ -52,8 +52,8 @@
         count_blocks(head.parts[-1], PIECE_TOKENS) if head.parts else 0,
         admitted.req.arrived_at + admitted.route.target_latency_s,
         tuple(f"{admitted.service}/{part.part_id}" for part in head.parts[:-1]),
-        _stream_id(admitted),
-        admitted.route.can_resume and head.last_event_id > 0,
+        stream_id(admitted.route, head),
+        takes_up_stream(admitted.route, head),
     )
 
 
@@ -107,17 +107,6 @@
     return tuple(versions)
 
 
-def _stream_id(admitted: AdmittedRequest) -> bytes:
-    """Return what identifies a stream that can be taken up again, empty for another request."""
-    head = admitted.head
-    if not admitted.route.can_resume:
-        return b""
-    began_as = head.resumes if head.last_event_id > 0 else head.attempt_id
-    if not began_as:
-        return b""
-    return blake2b(began_as.encode(), digest_size=STREAM_ID_BYTES).digest()
-
-
 def _request_digest(admitted: AdmittedRequest) -> bytes:
     """Return a digest that is the same for identical requests with the same key."""
     req = admitted.req
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -11,6 +11,7 @@
     AttemptEnded,
     AttemptResult,
     Dispatch,
+    EndpointListRead,
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
@@ -20,25 +21,55 @@
     Refuse,
     RequestArrived,
     SendPeerUpdate,
+    Software,
+    StreamHistoryReceived,
+    StreamOrigin,
     Suspicion,
     Tick,
     Verdict,
 )
 from rattangate.core.prefix import CacheScope
 from rattangate.core.refusals import RefusalReason
-from rattangate.core.stream_versions import STREAM_RETENTION_S, StreamVersions
+from rattangate.core.stream_versions import (
+    MAX_LIST_GAP_S,
+    MAX_STREAMS_IN_HISTORY,
+    STREAM_RETENTION_S,
+    StreamVersions,
+)
 
 STREAM = b"stream-1"
 SERVICE = "llm"
 VERSIONS = {"a": "v1", "b": "v1.1", "c": "v1", "d": "v1.1"}
 
 
-def status(name, version, state=EndpointState.LIVE, incarnation=1):
-    return EndpointStatus(name, incarnation, "1", state, SERVICE, 64, software_version=version)
+def status(name, version, state=EndpointState.LIVE, incarnation=1, service=SERVICE):
+    return EndpointStatus(name, incarnation, "1", state, service, 64, software_version=version)
+
+
+def read_list(versions, start, end):
+    """Read the endpoint list as often as it takes to miss nothing."""
+    at = start
+    while at < end:
+        versions.record_list_read(at)
+        at += MAX_LIST_GAP_S / 2
+    versions.record_list_read(end)
+
 
+def known_gateway(versions=VERSIONS, now=STREAM_RETENTION_S):
+    """Return a gateway that has known the list for as long as a stream may last."""
+    gateway = make_gateway(versions)
+    read_list(gateway.stream_versions, 0.0, now)
+    return gateway
+
+
+def refusals(gateway, effects, now):
+    effects = [*effects, *gateway.handle(Tick(), now + STREAM_NEWS_S)]
+    assert not [effect for effect in effects if isinstance(effect, Dispatch)]
+    return [effect.reason for effect in effects if isinstance(effect, Refuse)]
 
-def request(req_id, takes_up, stream=STREAM):
-    scope = CacheScope("", SERVICE, "m", "1")
+
+def request(req_id, takes_up, stream=STREAM, service=SERVICE):
+    scope = CacheScope("", service, "m", "1")
     return RequestArrived(
         req_id,
         scope,
@@ -144,8 +175,10 @@
     versions.record_endpoint(status("a", "v1"), 0.0)
     versions.record_endpoint(status("b", "v1.1"), 1.0)
     versions.record_endpoint(status("a", "v1", EndpointState.DOWN), 5.0)
+    read_list(versions, 0.0, 5.0 + STREAM_RETENTION_S)
     assert versions.origin_of(STREAM, SERVICE, 5.0 + STREAM_RETENTION_S) is None
-    assert versions.origin_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S).version == "v1.1"
+    only = StreamOrigin(Software(SERVICE, "v1.1"), KnownBy.ONLY_SOFTWARE)
+    assert versions.origin_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S) == only
 
 
 def test_old_streams_are_forgotten(monkeypatch):
@@ -156,7 +189,7 @@
     for number in range(3):
         versions.record_placement(bytes([number]), ("a", 1), float(number))
     found = [versions.origin_of(bytes([number]), SERVICE, 3.0) for number in range(3)]
-    assert [origin and origin.version for origin in found] == [None, "v1", "v1"]
+    assert [origin and origin.software.version for origin in found] == [None, "v1", "v1"]
     versions.record_placement(b"new", ("b", 1), 3.0 + STREAM_RETENTION_S)
     assert versions.origin_of(bytes([1]), SERVICE, 3.0 + STREAM_RETENTION_S) is None
 
@@ -179,11 +212,11 @@
     versions.record_endpoint(status("a", "v1"), 0.0)
     versions.record_endpoint(status("a", "v1.1", incarnation=2), 1.0)
     versions.record_placement(STREAM, ("a", 1), 1.0)
-    assert versions.origin_of(STREAM, SERVICE, 2.0).version == "v1"
+    assert versions.origin_of(STREAM, SERVICE, 2.0).software.version == "v1"
     versions.record_endpoint(status("a", "v1.1", EndpointState.DOWN, 2), 2.0 + STREAM_RETENTION_S)
     assert versions.origin_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S) is None
     versions.record_placement(STREAM, ("a", 2), 2.0 + STREAM_RETENTION_S)
-    assert versions.origin_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S).version == "v1.1"
+    assert versions.origin_of(STREAM, SERVICE, 2.0 + STREAM_RETENTION_S).software.version == "v1.1"
     versions.record_endpoint(status("b", "v1"), 3.0 + 2 * STREAM_RETENTION_S)
     assert versions.origin_of(STREAM, SERVICE, 3.0 + 2 * STREAM_RETENTION_S) is None
 
@@ -225,3 +258,93 @@
     effects = gateway.handle(request(1, True), 10.5)
     effects += gateway.handle(Tick(), 10.5 + STREAM_NEWS_S)
     assert not [effect for effect in effects if isinstance(effect, Dispatch)]
+
+
+def test_a_stream_whose_route_has_moved_does_not_go_on_at_the_only_version_of_the_new_service():
+    gateway = known_gateway({"a": "v1"})
+    now = STREAM_RETENTION_S
+    gateway.handle(status("x", "v2", service="other"), now)
+    effects = gateway.handle(request(1, True, service="other"), now)
+    assert refusals(gateway, effects, now) == [RefusalReason.STREAM_UNKNOWN]
+
+
+def test_a_stream_that_began_at_another_service_is_refused_at_once_also_at_an_equal_version():
+    gateway = known_gateway({"a": "v1"})
+    now = STREAM_RETENTION_S
+    gateway.handle(status("x", "v1", service="other"), now)
+    gateway.handle(request(1, False), now)
+    (refusal,) = gateway.handle(request(2, True, service="other"), now + 0.1)
+    assert refusal.reason is RefusalReason.STREAM_ELSEWHERE
+
+
+def test_an_unknown_stream_goes_on_at_the_only_software_that_served_for_as_long_as_it_may_last():
+    gateway = known_gateway({"a": "v1", "c": "v1"})
+    gateway.handle(EndpointStatus("p", 1, "", EndpointState.LIVE, "desk"), 0.0)
+    (taken_up,) = gateway.handle(request(1, True), STREAM_RETENTION_S)
+    assert taken_up.stream_origin == StreamOrigin(Software(SERVICE, "v1"), KnownBy.ONLY_SOFTWARE)
+
+
+def test_an_unknown_stream_is_refused_if_the_list_could_not_be_read_for_a_while():
+    gateway = known_gateway({"a": "v1"})
+    now = STREAM_RETENTION_S + MAX_LIST_GAP_S + 0.1
+    assert refusals(gateway, gateway.handle(request(1, True), now), now) == [
+        RefusalReason.STREAM_UNKNOWN
+    ]
+    gateway.handle(EndpointListRead(), now + 1.0)
+    now += 2.0
+    assert refusals(gateway, gateway.handle(request(2, True), now), now) == [
+        RefusalReason.STREAM_UNKNOWN
+    ]
+
+
+def test_an_instance_that_has_just_started_is_told_of_the_streams_that_began_before():
+    first, second = known_gateway(), make_gateway({"b": "v1.1", "d": "v1.1"})
+    now = STREAM_RETENTION_S
+    (begun,) = first.handle(request(1, False), now)
+    version = VERSIONS[begun.endpoint]
+    for name in ("b", "d", "a"):
+        second.handle(status(name, version), now)
+    history = first.stream_versions.history(now + 1.0)
+    second.handle(StreamHistoryReceived(history), now + 1.0)
+    (taken_up,) = second.handle(request(1, True), now + 2.0)
+    assert taken_up.stream_origin == StreamOrigin(Software(SERVICE, version), KnownBy.NEWS, 2.0)
+
+
+def test_an_instance_that_has_just_started_is_told_of_the_software_that_served_before():
+    told = known_gateway({"a": "v1", "b": "v1"})
+    young = make_gateway({"b": "v1"})
+    now = STREAM_RETENTION_S
+    young.handle(StreamHistoryReceived(told.stream_versions.history(now)), now)
+    (taken_up,) = young.handle(request(1, True), now + 0.1)
+    assert taken_up.stream_origin.known_by is KnownBy.ONLY_SOFTWARE
+    told = known_gateway({"a": "v1", "b": "v2"})
+    told.handle(status("a", "v1", EndpointState.DOWN), now)
+    young = make_gateway({"b": "v2"})
+    young.handle(StreamHistoryReceived(told.stream_versions.history(now + 1.0)), now + 1.0)
+    effects = young.handle(request(1, True), now + 1.1)
+    assert refusals(young, effects, now + 1.1) == [RefusalReason.STREAM_UNKNOWN]
+
+
+def test_of_two_records_of_a_stream_the_newer_one_holds():
+    older, newer = StreamVersions(), StreamVersions()
+    for versions in (older, newer):
+        versions.record_endpoint(status("a", "v1"), 0.0)
+        versions.record_endpoint(status("b", "v1.1"), 0.0)
+    older.record_placement(STREAM, ("a", 1), 1.0)
+    newer.record_placement(STREAM, ("b", 1), 2.0)
+    newer.merge(older.history(3.0), 3.0)
+    assert newer.origin_of(STREAM, SERVICE, 3.0).software.version == "v1.1"
+    older.merge(newer.history(3.0), 3.0)
+    assert older.origin_of(STREAM, SERVICE, 3.0).software.version == "v1.1"
+
+
+def test_a_history_holds_the_newest_streams(monkeypatch):
+    monkeypatch.setattr(stream_versions, "MAX_STREAMS_IN_HISTORY", 2)
+    assert MAX_STREAMS_IN_HISTORY > 2
+    versions = StreamVersions()
+    versions.record_endpoint(status("a", "v1"), 0.0)
+    for number in range(3):
+        versions.record_placement(bytes([number]), ("a", 1), float(number))
+    history = versions.history(3.0)
+    assert [begun.stream for begun in history.streams] == [b"\x02", b"\x01"]
+    assert history.known_s == 0.0
--- a/tests/front/test_stream_versions.py
+++ b/tests/front/test_stream_versions.py
@@ -6,10 +6,13 @@
 import pytest
 import trio
 
+from rattangate.core import stream_versions
 from tests.front.deployment import (
+    MODEL,
     RESUMABLE_PATH,
     Call,
     event,
+    make_config,
     running_deployment,
     stream_events,
     wait_until,
@@ -118,11 +121,90 @@
     trio.run(main)
 
 
-def test_a_stream_of_an_unknown_version_is_taken_up_where_there_is_one_version():
+def test_a_stream_that_an_instance_never_heard_of_is_not_taken_up_soon_after_its_start():
     async def main() -> None:
         async with running_deployment() as deployment:
+            headers = {"Resumes": "from-elsewhere", "Last_Event_Id": "2"}
+            resp = await deployment.request(RESUMABLE_PATH, **headers)
+            assert resp.status_code == 503
+            assert not deployment.calls()
+
+    trio.run(main)
+
+
+def test_a_stream_of_an_unknown_version_is_taken_up_where_one_software_served_for_long(monkeypatch):
+    monkeypatch.setattr(stream_versions, "STREAM_RETENTION_S", 0.5)
+
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            await trio.sleep(0.6)
             headers = {"Resumes": "from-elsewhere", "Last_Event_Id": "2"}
             resp = await deployment.request(RESUMABLE_PATH, **headers)
             assert resp.content == event(3)
 
     trio.run(main)
+
+
+async def serve_two_services(deployment) -> None:
+    """Let the second engine serve a service of its own, which has the same model."""
+    models = [{"name": MODEL, "version": 1}]
+    deployment.write_replica_entry("llm-1", "llm-two", models=models)
+    await lead_route(deployment, 2, llm=1, llm_two=1)
+    view = deployment.app.state.view
+    await wait_until(lambda: view.endpoints["llm-1"].service == "llm-two")
+
+
+async def lead_route(deployment, version: int, **weights: int) -> None:
+    """Let the route of streams that may be resumed lead to services."""
+    config = make_config(version)
+    shares = [
+        {"service": name.replace("_", "-"), "weight": weight} for name, weight in weights.items()
+    ]
+    routes = [
+        {**route, "traffic_split": shares} if route["name"] == "r" else route
+        for route in config["routes"]
+    ]
+    engine = config["services"][0]
+    services = [*config["services"], {**engine, "name": "llm-two"}]
+    deployment.configure(version, routes=routes, services=services)
+    await wait_until(lambda: deployment.app.state.config.version == version)
+
+
+def test_a_stream_goes_on_at_the_service_that_began_it_when_the_split_of_its_route_changes():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            await serve_two_services(deployment)
+            for number in range(8):
+                await deployment.request(RESUMABLE_PATH, X_Attempt_Id=f"a{number}")
+            assert {call.headers["x-attempt-id"] for call in deployment.replicas["llm-1"].calls}
+            await lead_route(deployment, 3, llm=1000, llm_two=1)
+            for number in range(8):
+                resumed = {"Resumes": f"a{number}", "Last_Event_Id": "2"}
+                resp = await deployment.request(
+                    RESUMABLE_PATH, X_Attempt_Id=f"b{number}", **resumed
+                )
+                assert resp.content == event(3)
+            for replica in deployment.replicas.values():
+                ids = [call.headers["x-attempt-id"] for call in replica.calls]
+                began, resumed_ids = (
+                    {one[1:] for one in ids if one.startswith(kind)} for kind in "ab"
+                )
+                assert began == resumed_ids
+
+    trio.run(main)
+
+
+def test_a_stream_is_refused_at_once_when_its_route_leads_to_another_service():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            await serve_two_services(deployment)
+            await lead_route(deployment, 3, llm=1)
+            await deployment.request(RESUMABLE_PATH, X_Attempt_Id="a1")
+            await lead_route(deployment, 4, llm_two=1)
+            resumed = {"Resumes": "a1", "Last_Event_Id": "2"}
+            resp = await deployment.request(RESUMABLE_PATH, X_Attempt_Id="b1", **resumed)
+            assert resp.status_code == 503
+            assert "stream_elsewhere" in resp.text
+            assert not deployment.replicas["llm-1"].calls
+
+    trio.run(main)
