Keep the links of an instance that drains until it has exited

Cause: at SIGTERM an instance marks its row as leaving, and all others dropped it from their peers at once, refused its connections (peer_refused) and closed theirs. It serves on open connections for up to the whole grace period, so for seconds nobody heard of the streams, suspects, limits and leaving endpoints that it saw, nor it of theirs; an instance that had its relay read the endpoint list got no more of it either.

Class: an instance is treated as gone when it is told to go. Now a leaving instance stays a peer until its row is gone: it sends and gets updates, its updates say that it is leaving, and it is no relay (but where no other is left), no successor for the lease, and no share of a limit is counted for it, as before.

--- a/rattangate/core/relays.py
+++ b/rattangate/core/relays.py
@@ -5,10 +5,14 @@
 own. In a small deployment the instances of a data centre send to each other directly. In a large
 one they send to their relay alone, which forwards in batches, so that the connections and messages
 of an instance do not grow with the number of instances.
+
+An instance that is leaving serves on, so it sends and gets updates as before, but it is the relay of
+its data centre only where no other instance is left.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -31,17 +35,32 @@
         self._name = name
         self._data_centre = data_centre
         self._own_rank = (-cores, name)
+        self._staying = 0
         self.local_peers: tuple[str, ...] = ()
         self._remote_peers: dict[str, list[str]] = {}
         self._data_centres: dict[str, str] = {}
         self._ranks: dict[str, tuple[float, str]] = {}
 
+    def mark_leaving(self) -> None:
+        """Leave the duty of the relay to the other instances."""
+        self._own_rank = (math.inf, self._name)
+
     def configure(
-        self, data_centres: Mapping[str, str], cores: Mapping[str, float] | None = None
+        self,
+        data_centres: Mapping[str, str],
+        cores: Mapping[str, float] | None = None,
+        leaving: Collection[str] = (),
     ) -> None:
-        """Set the data centre of each other instance, and their numbers of processor cores."""
+        """Set the data centre of each other instance, and their numbers of processor cores.
+
+        `leaving` names those of them that are leaving.
+        """
         self._data_centres = dict(data_centres)
-        self._ranks = {name: (-(cores or {}).get(name, 0.0), name) for name in data_centres}
+        self._staying = len(data_centres) - len(leaving)
+        self._ranks = {
+            name: (math.inf if name in leaving else -(cores or {}).get(name, 0.0), name)
+            for name in data_centres
+        }
         names = sorted(data_centres, key=self._ranks.__getitem__)
         self.local_peers = tuple(name for name in names if self._is_local(name))
         self._remote_peers = {}
@@ -52,7 +71,7 @@
     @property
     def is_large(self) -> bool:
         """Tell whether the instances of a data centre send to their relay alone."""
-        return len(self._data_centres) >= MIN_LARGE_DEPLOYMENT
+        return self._staying >= MIN_LARGE_DEPLOYMENT
 
     def is_relay(self, live: Collection[str]) -> bool:
         """Tell whether this instance is the relay of its data centre."""
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -82,7 +82,7 @@
         self._links: PeerLinks | None = None
         self._sent_at = 0.0
         self._instances: dict[str, InstanceEntry] = {}
-        # Not among the instances any more, but able to serve tunnels until they exit.
+        # Not counted among the instances any more, though they serve until they exit.
         self._leaving_instances: dict[str, InstanceEntry] = {}
         # The version of this instance's row that it wrote last: a write that the store carries out
         # late must not touch the row of the process that follows it under the same name.
@@ -97,8 +97,8 @@
 
     @property
     def count(self) -> int:
-        """Return the number of peers that are not lost."""
-        return self._peer_registry.count_reachable()
+        """Return the number of peers that are neither lost nor leaving."""
+        return len(self._peer_registry.live_names())
 
     def succession_rank(self, holder: str) -> int:
         """Return the number of live peers that precede this instance as the next lease holder.
@@ -160,8 +160,9 @@
             await watcher.run()
 
     async def mark_leaving(self) -> None:
-        """Mark this instance's row in the store: it takes part in nothing but tunnels any more."""
+        """Mark this instance's row in the store: it gets no duties any more, but serves on."""
         self._is_leaving = True
+        self._plan.mark_leaving()
         if self._row_version is None:
             return
         key = INSTANCE_ROW_PREFIX + self._name
@@ -243,11 +244,9 @@
             leaving.pop(name, None)
             if entry is not None and entry.address != self._address:
                 (leaving if entry.is_leaving else instances)[name] = entry
-        if leaving != self._leaving_instances:
-            self._leaving_instances = leaving
-            self._set_tunnel_peers()
-        if instances != self._instances or not self._has_read_instances:
-            self._apply_instances(instances)
+        is_changed = (instances, leaving) != (self._instances, self._leaving_instances)
+        if is_changed or not self._has_read_instances:
+            self._apply_instances(instances, leaving)
 
     async def _restore_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Write again what the store lost of this instance's rows when it returned."""
@@ -277,29 +276,40 @@
             return 0.0
         return RESTORE_SPREAD_S * crc32(self._name.encode()) / CRC_RANGE
 
-    def _apply_instances(self, instances: dict[str, InstanceEntry]) -> None:
+    def _apply_instances(
+        self, instances: dict[str, InstanceEntry], leaving: dict[str, InstanceEntry]
+    ) -> None:
         now = trio.current_time()
         self._has_read_instances = True
         self._instances = instances
+        self._leaving_instances = leaving
         self._first_seen_at = {name: self._first_seen_at.get(name, now) for name in instances}
-        self._peer_registry.configure(instances, LOST_AFTER_S)
+        peers = self._peers_by_name
+        self._peer_registry.configure(peers, LOST_AFTER_S)
         shares = max(MIN_RETRY_SHARES, len(instances) + 1)
         gateway = self._state.driver.gateway
         gateway.scheduler.share_retries(shares)
         self._state.set_permit_clock()
         gateway.limited.permits.configure((self._name, *instances))
-        data_centres = {name: entry.data_centre for name, entry in instances.items()}
-        self._plan.configure(data_centres, {name: entry.cores for name, entry in instances.items()})
+        data_centres = {name: entry.data_centre for name, entry in peers.items()}
+        cores = {name: entry.cores for name, entry in peers.items()}
+        self._plan.configure(data_centres, cores, leaving)
         self._connect()
 
+    @property
+    def _peers_by_name(self) -> dict[str, InstanceEntry]:
+        """Return the rows of all other instances, those that are leaving among them."""
+        return {**self._leaving_instances, **self._instances}
+
     def _connect(self) -> None:
         """Update the connections for the live instances; a new one counts as live at first."""
         since = trio.current_time() - LOST_AFTER_S
         recent = {name for name, at in self._first_seen_at.items() if at > since}
         heard = {name for name, peer in self._peer_registry.peers.items() if peer.was_contacted}
-        self._live = frozenset({*self._peer_registry.live_names(), *(recent - heard)})
+        live = {*self._peer_registry.live_names(), *(recent - heard)}
+        self._live = frozenset(live - self._leaving_instances.keys())
         if self._links is not None:
-            addresses = {name: entry.address for name, entry in self._instances.items()}
+            addresses = {name: entry.address for name, entry in self._peers_by_name.items()}
             self._links.set_peers(addresses, self._plan.connections(self._live))
         self._set_tunnel_peers()
 
@@ -353,7 +363,7 @@
     def _make_update(self, sent: SendPeerUpdate | None) -> PeerUpdate:
         config = self._state.config
         version = config.version if config is not None else 0
-        return make_update(sent, self._name, self._incarnation, version, leaving=False)
+        return make_update(sent, self._name, self._incarnation, version, leaving=self._is_leaving)
 
     def _receive(self, received: ReceivedUpdate) -> None:
         update = received.update
@@ -396,5 +406,5 @@
             )
 
     def _log_found(self, name: str, incarnation: int) -> None:
-        data_centre = self._instances[name].data_centre
+        data_centre = self._peers_by_name[name].data_centre
         log(LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre)
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -11,29 +11,40 @@
 DATA_CENTRES = {f"{letter}-{number}": letter for letter in ("a", "b", "c") for number in range(4)}
 
 
-def make_plans(data_centres: dict[str, str]) -> dict[str, RelayPlan]:
+def make_plans(
+    data_centres: dict[str, str], leaving: frozenset[str] = frozenset()
+) -> dict[str, RelayPlan]:
     """Make the relay plan of every instance."""
     plans = {}
     for name, data_centre in data_centres.items():
         plans[name] = RelayPlan(name, data_centre)
         plans[name].configure(
-            {other: where for other, where in data_centres.items() if other != name}
+            {other: where for other, where in data_centres.items() if other != name},
+            leaving=leaving - {name},
         )
+        if name in leaving:
+            plans[name].mark_leaving()
     return plans
 
 
 def broadcast(
-    origin: str, live: set[str], data_centres: dict[str, str]
+    origin: str,
+    live: set[str],
+    data_centres: dict[str, str],
+    leaving: frozenset[str] = frozenset(),
 ) -> tuple[Counter[str], int]:
-    """Send an update of one instance; count its deliveries and its hops between data centres."""
-    plans = make_plans(data_centres)
+    """Send an update of one instance; count its deliveries and its hops between data centres.
+
+    Those that are leaving run, but none takes them for live ones.
+    """
+    plans = make_plans(data_centres, leaving)
     received: Counter[str] = Counter()
     hops = 0
     in_flight = [(origin, to) for to in plans[origin].own_targets(live)]
     while in_flight:
         via, to = in_flight.pop()
         hops += data_centres[via] != data_centres[to]
-        if to not in live:
+        if to not in live | leaving:
             continue
         received[to] += 1
         assert received[to] < 3
@@ -56,6 +67,23 @@
     assert received == Counter(live - {"a-3"})
 
 
+@pytest.mark.parametrize("origin", ["a-0", "a-3", "b-1"])
+@pytest.mark.parametrize("size", [4, 20])
+def test_updates_reach_instances_that_are_leaving_and_come_from_them(origin, size):
+    data_centres = {f"{letter}-{number}": letter for letter in "abc" for number in range(size)}
+    leaving = frozenset({"a-0", "b-1"})
+    received, hops = broadcast(origin, set(data_centres) - leaving, data_centres, leaving)
+    assert received == Counter(data_centres.keys() - {origin})
+    assert hops == 2
+
+
+def test_an_instance_that_is_leaving_is_the_relay_only_where_no_other_is_live():
+    plans = make_plans(DATA_CENTRES, frozenset({"a-0"}))
+    assert not plans["a-0"].is_relay({"a-3"})
+    assert plans["a-1"].is_relay({"a-2", "a-3"})
+    assert plans["a-0"].is_relay({"b-0"})
+
+
 def test_two_relays_of_one_data_centre_do_not_forward_in_a_loop():
     plans = make_plans(DATA_CENTRES)
     live = set(DATA_CENTRES) - {"a-0"}
