Forward the events that came before a faulty one in the same read

What callers saw: a stream that lacks events in its middle (ORDER), where an endpoint repeats an event or skips one and the stream goes on elsewhere. Cause: the events of one read were spliced together; where one of them was faulty, the whole read was dropped, but the position of the stream had moved past the sound events before it, and the next attempt was asked to go on after them.

Now the sound events are returned and written, and check() raises the fault afterwards.

--- a/rattangate/core/events.py
+++ b/rattangate/core/events.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from rattangate.core.event_buffer import EventBuffer
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"^id:[ \t]*(\d+)", re.MULTILINE)
@@ -29,6 +33,7 @@
         self.forwarded = 0
         self._buffer = EventBuffer(_EVENT_END, _MAX_END_BYTES)
         self._is_resuming = False
+        self._fault: EventStreamError | None = None
 
     def begin_attempt(self) -> None:
         """Discard an incomplete event; the next bytes come from another endpoint.
@@ -36,27 +41,39 @@
         It may repeat events that were forwarded already, which are dropped.
         """
         self._buffer.clear()
+        self._fault = None
         self._is_resuming = self.forwarded > 0
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that the bytes complete, without repeated ones.
+        """Return the events that the bytes complete up to a faulty one, without repeated ones.
 
-        Raises EventStreamError where an event is missing, repeated by the same endpoint or too
-        large.
+        They count as forwarded. Call `check` once they are. Raise EventStreamError where an event
+        is too large.
         """
         size = len(self._buffer) + len(data)
         if size > MAX_EVENT_BYTES:
             raise EventStreamError(
                 f"{size} bytes of events buffered, expected at most {MAX_EVENT_BYTES}"
             )
-        events = self._buffer.feed(data)
-        return b"".join(event for event in events if self._should_forward(event))
+        return b"".join(self._sound_events(self._buffer.feed(data)))
+
+    def check(self) -> None:
+        """Raise EventStreamError if an event is missing, or was repeated by the same endpoint."""
+        if self._fault is not None:
+            raise self._fault
 
     def finish(self) -> None:
-        """Raise EventStreamError if the answer ended inside an event."""
+        """Raise EventStreamError if the answer had a faulty event or ended inside one."""
+        self.check()
         if not self._buffer.is_blank:
             raise EventStreamError(f"{len(self._buffer)} bytes of an incomplete event at the end")
 
+    def _sound_events(self, events: list[bytes]) -> Iterator[bytes]:
+        try:
+            yield from (event for event in events if self._should_forward(event))
+        except EventStreamError as exc:
+            self._fault = exc
+
     def _should_forward(self, event: bytes) -> bool:
         found = _ID_LINE.search(event)
         if found is None:
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -330,13 +330,13 @@
         async with aclosing(exchange.chunks()) as chunks:
             async for data in chunks:
                 events = splicer.feed(data)
-                if not events:
-                    continue
-                if is_first:
+                if events and is_first:
                     is_first = False
                     self._record_first_token(admitted, decisions, dispatch)
-                await self._start_response(responder, exchange)
-                await responder.send(events)
+                if events:
+                    await self._start_response(responder, exchange)
+                    await responder.send(events)
+                splicer.check()
         splicer.finish()
         await self._start_response(responder, exchange)
         await responder.finish()
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -188,6 +188,22 @@
     trio.run(main)
 
 
+def test_events_before_a_faulty_one_reach_the_caller():
+    async def repeat_an_event(call: Call) -> None:
+        if "last-event-id" in call.headers:
+            await stream_events(call)
+            return
+        await call.start_stream()
+        await call.send_chunk(event(1) + event(2) + event(2))
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=repeat_an_event) as deployment:
+            resp = await deployment.request(RESUMABLE_PATH)
+            assert resp.content == event(1) + event(2) + event(3)
+
+    trio.run(main)
+
+
 def test_a_stream_resumes_at_another_replica_after_the_last_complete_event():
     cuts = iter([True, False])
 
