Cancel no attempt between splicing events and writing them to the caller

Cause: the position of the stream moved when its events were spliced, and the head counted as sent when sending it had begun; a cancellation at the next checkpoint, before the first byte went out, left both so, and the next attempt went on after events that nobody had got, or without a head. Class: work counts as done before it is.

Now an attempt is cancelled before its events are spliced or after they are written, as in the product's own interface, which waits for the endpoint alone within the scope. The deadline, the end of the instance and the caller's leaving still end a write: no attempt follows them.

Evidence: test_no_event_is_lost_if_its_attempt_is_withdrawn_before_it_is_written failed in both cases before (event 1: 'illegal status line'; event 2: events 1 and 3 arrived); passes now.

--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -4,7 +4,7 @@
 
 import itertools
 import math
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
@@ -29,7 +29,7 @@
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from rattangate.core.gateway import Gateway
     from rattangate.core.messages import Effect, Message, RequestArrived
@@ -173,6 +173,8 @@
         self._driver = driver
         self._req_id = req_id
         self._scope: trio.CancelScope | None = None
+        self._is_writing = False
+        self._is_cancelled_in_write = False
         self._sender, self._receiver = trio.open_memory_channel[Dispatch | Refuse](math.inf)
 
     def put(self, effect: Dispatch | Refuse) -> None:
@@ -200,11 +202,29 @@
             finally:
                 self._scope = None
 
+    @asynccontextmanager
+    async def writing(self) -> AsyncIterator[None]:
+        """Write to the caller: the attempt is cancelled before or after it, never within.
+
+        What was written in part could not be completed by the next attempt.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._is_writing = True
+        try:
+            yield
+        finally:
+            self._is_writing = False
+            if self._is_cancelled_in_write:
+                self._is_cancelled_in_write = False
+                self._cancel_scope()
+
     def cancel_attempt(self) -> None:
         """Cancel the current attempt because its endpoint was lost or the gateway withdrew it."""
         self.current_dispatch = None
-        if self._scope is not None:
-            self._scope.cancel()
+        if self._is_writing:
+            self._is_cancelled_in_write = True
+        else:
+            self._cancel_scope()
 
     def report_first_token(self, attempt: int, cached_tokens: int) -> None:
         """Report the first token to the gateway."""
@@ -220,3 +240,7 @@
             self.closed = True
         ended = AttemptEnded(self._req_id, dispatch.attempt, result, tokens, reports_error)
         self._driver.feed(ended)
+
+    def _cancel_scope(self) -> None:
+        if self._scope is not None:
+            self._scope.cancel()
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -329,17 +329,19 @@
         is_first = True
         async with aclosing(exchange.chunks()) as chunks:
             async for data in chunks:
-                events = splicer.feed(data)
-                if events and is_first:
-                    is_first = False
-                    self._record_first_token(admitted, decisions, dispatch)
-                if events:
-                    await self._start_response(responder, exchange)
-                    await responder.send(events)
+                async with decisions.writing():
+                    events = splicer.feed(data)
+                    if events and is_first:
+                        is_first = False
+                        self._record_first_token(admitted, decisions, dispatch)
+                    if events:
+                        await self._start_response(responder, exchange)
+                        await responder.send(events)
                 splicer.check()
         splicer.finish()
-        await self._start_response(responder, exchange)
-        await responder.finish()
+        async with decisions.writing():
+            await self._start_response(responder, exchange)
+            await responder.finish()
 
     def _record_first_token(
         self, admitted: AdmittedRequest, decisions: GatewayExchange, dispatch: Dispatch
--- a/tests/front/test_forward.py
+++ b/tests/front/test_forward.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from rattangate.core.events import EventSplicer
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
     KEY,
@@ -188,6 +189,36 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize("number", [1, 2])
+def test_no_event_is_lost_if_its_attempt_is_withdrawn_before_it_is_written(monkeypatch, number):
+    async def main() -> None:
+        async with running_deployment(engine_handler=fall_silent) as deployment:
+            splice = EventSplicer.feed
+
+            def feed_and_withdraw(splicer: EventSplicer, data: bytes) -> bytes:
+                events = splice(splicer, data)
+                if event(number) in events:
+                    for exchange in deployment.app.state.driver._exchanges.values():
+                        exchange.cancel_attempt()
+                return events
+
+            monkeypatch.setattr(EventSplicer, "feed", feed_and_withdraw)
+            resp = await deployment.request(RESUMABLE_PATH)
+            assert resp.content == event(1) + event(2) + event(3)
+
+    async def fall_silent(call: Call) -> None:
+        if "last-event-id" in call.headers:
+            await stream_events(call)
+            return
+        await call.start_stream()
+        await call.send_chunk(event(1))
+        await trio.sleep(0.1)
+        await call.send_chunk(event(2))
+        await trio.sleep_forever()
+
+    trio.run(main)
+
+
 def test_events_before_a_faulty_one_reach_the_caller():
     async def repeat_an_event(call: Call) -> None:
         if "last-event-id" in call.headers:
