Identify a connection that was opened after a report by a further report

Cause: where an endpoint closed the connection on which it had said which incarnation it is, the next connection counted as identified, though nothing was said on it. Now that connection counts only if a further report, on a connection opened later, names the same incarnation: whoever accepted it ran between the two. Cost: one report and one connection more, only at an endpoint that closes after its reports.

Evidence: test_a_stream_does_not_go_to_an_endpoint_that_restarts_after_it_closed_the_connection_of_its_report failed before (2 of 4 streams at the sound endpoint), passes now, with the ten other cases of the file.

--- a/rattangate/front/endpoint_identity.py
+++ b/rattangate/front/endpoint_identity.py
@@ -46,7 +46,25 @@
 
 
 async def _identify(pool: EndpointPool, conn: EndpointConn, incarnation: int) -> EndpointConn:
-    """Return an identified connection: the same one, or a new one if the endpoint closes it."""
+    """Return an identified connection: one that carried a report, or was opened between two."""
+    if await _confirm(pool, conn, incarnation):
+        return conn
+    async with AsyncExitStack() as stack:
+        opened = await pool.open()
+        stack.push_async_callback(opened.aclose)
+        other = await pool.open()
+        if await _confirm(pool, other, incarnation):
+            return other
+        stack.pop_all()
+    opened.is_identified = True
+    return opened
+
+
+async def _confirm(pool: EndpointPool, conn: EndpointConn, incarnation: int) -> bool:
+    """Ask which incarnation a connection leads to; tell whether it is open for a request.
+
+    Raise OtherIncarnation if it is another one, and ConnectFailed if the endpoint does not say.
+    """
     async with AsyncExitStack() as stack:
         stack.push_async_callback(conn.aclose)
         exchange = Exchange(pool, conn, _report_request(pool.address))
@@ -55,13 +73,11 @@
             raise ConnectFailed(f"{pool.address} does not say what it is: {report.detail}")
         if report.incarnation != incarnation:
             raise OtherIncarnation(f"runs as incarnation {report.incarnation}")
-        if exchange.is_conn_reusable():
-            stack.pop_all()
-            conn.is_identified = True
-            return conn
-    conn = await pool.open()
+        if not exchange.is_conn_reusable():
+            return False
+        stack.pop_all()
     conn.is_identified = True
-    return conn
+    return True
 
 
 def _report_request(address: str) -> OutboundRequest:
--- a/tests/front/test_restarted_endpoints.py
+++ b/tests/front/test_restarted_endpoints.py
@@ -103,6 +103,27 @@
     trio.run(main)
 
 
+def test_a_stream_does_not_go_to_an_endpoint_that_restarts_after_it_closed_the_connection_of_its_report():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            restarting, sound = engines(deployment)
+
+            async def report_and_restart(call: Call) -> None:
+                await respond_report(call, restarting.born, "Connection: close\r\n")
+                restarting.born = BORN + 1
+                await call.stream.aclose()
+
+            restarting.report_handler = report_and_restart
+            for number in range(4):
+                headers = {"X_Attempt_Id": f"a{number}", "X_Prefix_Hash": f"a{number}:600"}
+                resp = await deployment.request(RESUMABLE_PATH, **headers)
+                assert resp.content == event(1) + event(2) + event(3)
+            assert restarting.reports
+            assert len(sound.calls) == 4
+
+    trio.run(main)
+
+
 ODD_REPORTS = {
     "none": b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
     "no fields": b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}",
