Tell a peer which software began the recent streams whenever a connection to it opens

Cause: the placement of a stream was told once, to the peers that were connected at that moment. Who started later, whose connection broke, or who lagged never heard of it. Class: news that are believed to have arrived because they were sent.

A young instance inherits from its peers what it may conclude from a single software. It is not relayed: each connection brings its own.

Other ways weighed: to ask the living instances when a stream is unknown (a round trip at the moment that matters, and as many answers as instances; the pushed history covers the same cases), a row of the store for each stream (a write a request).

--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -102,19 +102,20 @@
 
     def history(self, now: float) -> StreamHistory:
         """Return what an instance that has just started, or missed news, is told."""
-        known_s = max(0.0, now - self._known_since) if self._is_list_fresh(now) else 0.0
+        known_s = now - self._known_since if self._is_list_fresh(now) else 0.0
+        recent = self._recent_software(now)
         served = tuple(
             ServedSoftware(software, now - at, software.service in self._model_services)
-            for software, at in self._recent_software(now).items()
+            for software, at in recent.items()
         )
         streams: list[BegunStream] = []
         for stream, begun in reversed(self._streams.items()):
             software = self._software_of(begun)
-            if software is not None and now - begun.at < STREAM_RETENTION_S:
+            if software in recent:
                 streams.append(BegunStream(stream, software, now - begun.at))
             if len(streams) == MAX_STREAMS_IN_HISTORY:
                 break
-        return StreamHistory(known_s, served, tuple(streams))
+        return StreamHistory(max(0.0, known_s), served, tuple(streams))
 
     def merge(self, history: StreamHistory, now: float) -> None:
         """Take over what a peer knows; of two records of a stream the newer one holds."""
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from rattangate.core.messages import PeerLost, PeerUpdateReceived
+from rattangate.core.messages import PeerLost, PeerUpdateReceived, StreamHistoryReceived
 from rattangate.core.peer_registry import PeerRegistry, PeerStatus
 from rattangate.core.relays import RelayPlan
 from rattangate.front.instance_entry import (
@@ -139,7 +139,7 @@
             identity,
             {},
             self._receive,
-            lambda: self._make_update(None),
+            self._make_initial_update,
             accepts_relayed=True,
             serve_tunnel=tunnels.server.serve,
         )
@@ -360,6 +360,12 @@
                 if self._links is not None:
                     self._links.send_frames((target,), frames)
 
+    def _make_initial_update(self) -> PeerUpdate:
+        """Return what a peer needs that has just started, or that missed updates."""
+        versions = self._state.driver.gateway.stream_versions
+        history = versions.history(trio.current_time())
+        return replace(self._make_update(None), stream_history=history)
+
     def _make_update(self, sent: SendPeerUpdate | None) -> PeerUpdate:
         config = self._state.config
         version = config.version if config is not None else 0
@@ -377,7 +383,8 @@
             return
         targets = self._plan.forward_targets(update.instance, received.via, self._live)
         is_covered_by_live_list = update.is_heartbeat and self._plan.is_large
-        if targets and update.listed is None and not is_covered_by_live_list:
+        is_for_peer_only = update.listed is not None or update.stream_history is not None
+        if targets and not is_for_peer_only and not is_covered_by_live_list:
             for target in targets:
                 self._relay_queues.setdefault(target, []).append(received.frame)
             self._frames_queued.set()
@@ -387,6 +394,8 @@
             deadline = trio.current_time() + RELAYED_LOST_AFTER_S
             if self._peer_registry.record_indirect_contact(name, incarnation, deadline):
                 self._log_found(name, incarnation)
+        if update.stream_history is not None:
+            self._state.driver.feed(StreamHistoryReceived(update.stream_history))
         for item in update.weights:
             self._state.apply_weights(item)
         for endpoint, incarnation in update.leaving_endpoints:
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -18,11 +18,17 @@
     pictures_to_thrift,
 )
 from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
+from rattangate.peers.stream_history_codec import history_from_thrift, history_to_thrift
 from rattangate.platform.outcomes import StoreRow
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
-    from rattangate.core.messages import CacheSnapshotReceived, LimitsUpdate, SendPeerUpdate
+    from rattangate.core.messages import (
+        CacheSnapshotReceived,
+        LimitsUpdate,
+        SendPeerUpdate,
+        StreamHistory,
+    )
 
 MAX_CONFIG_BYTES = 16_000_000
 
@@ -60,7 +66,7 @@
     `leaving_endpoints` holds the names and incarnations of leaving endpoints, `live_instances`
     those of the live instances of its data centre. `wants_config` and `wants_pictures` ask the
     receiver for its configuration and its cache contents. `listed` holds changes to a table of the
-    store.
+    store, `stream_history` what the sender knows of recent streams.
     """
 
     instance: str
@@ -79,12 +85,14 @@
     weights: tuple[WeightsUpdate, ...] = ()
     listed: TableDelta | None = None
     live_instances: tuple[tuple[str, int], ...] = ()
+    stream_history: StreamHistory | None = None
 
     @property
     def is_heartbeat(self) -> bool:
         """Tell whether this update only says that the instance is live."""
         has_content = self.weights or self.leaving_endpoints or self.live_instances
-        return not self.seq and not has_content and self.listed is None
+        is_empty = self.listed is None and self.stream_history is None
+        return not self.seq and not has_content and is_empty
 
 
 def encode_message(message: object) -> bytes:
@@ -136,6 +144,11 @@
             weights=[_weights_to_thrift(item) for item in update.weights] or None,
             listed=_rows_to_thrift(update.listed) if update.listed is not None else None,
             live_instances=dict(update.live_instances) or None,
+            stream_history=(
+                history_to_thrift(update.stream_history)
+                if update.stream_history is not None
+                else None
+            ),
         )
     )
 
@@ -160,6 +173,7 @@
         tuple(_weights_from_thrift(item) for item in raw.weights or ()),
         _rows_from_thrift(raw.listed) if raw.listed is not None else None,
         tuple((raw.live_instances or {}).items()),
+        history_from_thrift(raw.stream_history) if raw.stream_history is not None else None,
     )
 
 
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -82,6 +81,8 @@
         self._queues: dict[str, trio.MemorySendChannel[bytes]] = {}
         self._cancel_scopes: dict[str, trio.CancelScope] = {}
         self._reconnect_events: dict[str, trio.Event] = {}
+        # Peers for which updates were dropped, so that they need the first update again.
+        self._lagging: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     def send(self, update: PeerUpdate) -> None:
@@ -100,9 +101,12 @@
         data = b"".join(map(pack_frame, frames))
         for name in names:
             queue = self._queues.get(name)
-            if queue is not None:
-                with suppress(trio.WouldBlock):
-                    queue.send_nowait(data)
+            if queue is None:
+                continue
+            try:
+                queue.send_nowait(data)
+            except trio.WouldBlock:
+                self._lagging.add(name)
 
     def set_peers(self, peers: dict[str, str], connected: Collection[str] | None = None) -> None:
         """Replace the peers whose connections are accepted; connect to those in `connected`.
@@ -157,7 +161,7 @@
             try:
                 async with await trio.open_tcp_stream(host, int(port)) as stream:
                     set_socket_options(stream.socket)
-                    await self._run_connection(stream, frames)
+                    await self._run_connection(name, stream, frames)
             except CONNECTION_ERRORS:
                 pass
             except Exception as exc:  # noqa: BLE001 - one connection must not end the others
@@ -168,14 +172,20 @@
                 await self._reconnect_events[name].wait()
 
     async def _run_connection(
-        self, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
+        self, name: str, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
     ) -> None:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await authenticate_to_server(self._identity, FrameReader(stream), stream)
-            await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
+            await self._send_initial_update(name, stream)
         async for data in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
                 await stream.send_all(data)
+                if name in self._lagging:
+                    await self._send_initial_update(name, stream)
+
+    async def _send_initial_update(self, name: str, stream: trio.SocketStream) -> None:
+        self._lagging.discard(name)
+        await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         set_socket_options(stream.socket)
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -150,6 +150,23 @@
   5: string table
 }
 
+/** Software that served age_ms ago; has_models tells whether its service runs models. */
+struct Served {
+  1: string serves
+  2: string version
+  3: i32 age_ms
+  4: bool has_models
+}
+
+/** What an instance knows of recent streams that callers may take up again. */
+struct StreamHistory {
+  /** For so long the list of software is complete. */
+  1: i32 known_ms
+  2: list<Served> served
+  /** For each stream its id (8 bytes), the index of its software (2) and its age in ms (4). */
+  3: binary streams
+}
+
 /** An update from an instance to its peers; without content it is the heartbeat. */
 struct News {
   1: string instance
@@ -173,6 +190,8 @@
   16: optional Listed listed
   /** The live instances of the sender's data centre, with their incarnations. */
   17: optional map<string, i64> live_instances
+  /** Sent first on each connection. */
+  18: optional StreamHistory stream_history
 }
 
 /** Asks the server of a tunnel to connect to one incarnation of an endpoint. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -305,6 +305,38 @@
     ]
 
 
+class Served(TPayload):
+    """Carry the struct Served."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "serves", False),
+        2: (TType.STRING, "version", False),
+        3: (TType.I32, "age_ms", False),
+        4: (TType.BOOL, "has_models", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("serves", None),
+        ("version", None),
+        ("age_ms", None),
+        ("has_models", None),
+    ]
+
+
+class StreamHistory(TPayload):
+    """Carry the struct StreamHistory."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I32, "known_ms", False),
+        2: (TType.LIST, "served", (TType.STRUCT, Served), False),
+        3: (TType.BINARY, "streams", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("known_ms", None),
+        ("served", None),
+        ("streams", None),
+    ]
+
+
 class News(TPayload):
     """Carry the struct News."""
 
@@ -326,6 +358,7 @@
         15: (TType.LIST, "weights", (TType.STRUCT, Weights), False),
         16: (TType.STRUCT, "listed", Listed, False),
         17: (TType.MAP, "live_instances", (TType.STRING, TType.I64), False),
+        18: (TType.STRUCT, "stream_history", StreamHistory, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("instance", None),
@@ -345,6 +378,7 @@
         ("weights", None),
         ("listed", None),
         ("live_instances", None),
+        ("stream_history", None),
     ]
 
 
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -67,28 +67,36 @@
     monkeypatch.setattr(trio.socket, "socket", _make_socket_factory(trio.socket.socket))
     async with running_deployment(plain_handler, engine_handler) as deployment:
         links.addresses.update(replica.address for replica in deployment.replicas.values())
-        caller, ready, peer, metrics = free_addresses(4)
-        boot = replace(
-            deployment.boot,
-            instance="entry-2",
-            caller_address=caller,
-            ready_address=ready,
-            first_free_port=int(peer.rsplit(":", 1)[1]),
-        )
-        app = FrontApp(boot, LineWriter(1, max_lines=0), int(metrics.rsplit(":", 1)[1]))
-        async with (
-            trio.open_nursery() as nursery,
-            httpx.AsyncClient(base_url=f"http://{caller}", trust_env=False, timeout=10.0) as client,
-        ):
-            _links.set(links)
-            nursery.start_soon(app.run)
-            _links.set(None)
-            await wait_until(lambda: hasattr(app, "state") and app.is_ready)
+        async with running_second(deployment, links) as second:
+            yield second, links
+
+
+@asynccontextmanager
+async def running_second(deployment: Deployment, links: Links | None = None):
+    """Run a second instance in a deployment; yield the deployment with requests going to it."""
+    caller, ready, peer, metrics = free_addresses(4)
+    boot = replace(
+        deployment.boot,
+        instance="entry-2",
+        caller_address=caller,
+        ready_address=ready,
+        first_free_port=int(peer.rsplit(":", 1)[1]),
+    )
+    app = FrontApp(boot, LineWriter(1, max_lines=0), int(metrics.rsplit(":", 1)[1]))
+    async with (
+        trio.open_nursery() as nursery,
+        httpx.AsyncClient(base_url=f"http://{caller}", trust_env=False, timeout=10.0) as client,
+    ):
+        _links.set(links)
+        nursery.start_soon(app.run)
+        _links.set(None)
+        await wait_until(lambda: hasattr(app, "state") and app.is_ready)
+        if links is not None:
             links.other_app = deployment.app
-            peers = (deployment.app, app)
-            await wait_until(lambda: all(item._peers.count == 1 for item in peers))
-            yield Deployment(deployment.platform, app, deployment.replicas, client, boot), links
-            nursery.cancel_scope.cancel()
+        peers = (deployment.app, app)
+        await wait_until(lambda: all(item._peers.count == 1 for item in peers))
+        yield Deployment(deployment.platform, app, deployment.replicas, client, boot)
+        nursery.cancel_scope.cancel()
 
 
 def _make_socket_factory(make_socket):
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -11,6 +11,8 @@
 import pytest
 import trio
 
+from rattangate.core.messages import SendPeerUpdate
+from rattangate.peers import link
 from rattangate.peers.codec import encode_message, idl, make_update
 from rattangate.peers.framing import FRAME_HEADER
 from rattangate.peers.handshake import PeerIdentity
@@ -194,3 +196,30 @@
 
     trio.run(main)
     assert done.is_set()
+
+
+def test_a_peer_for_which_updates_were_dropped_gets_the_first_update_again(monkeypatch):
+    monkeypatch.setattr(link, "MAX_QUEUED_WRITES", 1)
+    own_address, peer_address = free_addresses(2)
+    received: list[int] = []
+
+    async def main() -> None:
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                links = make_links(
+                    "a", {"b": peer_address}, lambda item: received.append(item.update.seq)
+                )
+                nursery.start_soon(links.run, own_address)
+                peer = make_links("b", {"a": own_address}, lambda item: None)
+                nursery.start_soon(peer.run, peer_address)
+                while received != [0]:
+                    await trio.sleep(0.02)
+                for seq in (1, 2, 3):
+                    sent = SendPeerUpdate(seq, (), ())
+                    peer.send(make_update(sent, "b", 1, 7, False))
+                while received.count(0) < 2:
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert 3 not in received
