Send a lagging peer the first update again at intervals only

With a queue that overflows again and again, the history of streams would have been sent after each write and kept the queue full.

--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -42,6 +42,8 @@
 # Updates that waited longer are outdated, and a relay holds one queue for each peer that lags
 # behind.
 MAX_QUEUED_WRITES = 32
+# A peer that lags gets the first update again no more often than at this interval.
+INITIAL_UPDATE_INTERVAL_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
         self._reconnect_events: dict[str, trio.Event] = {}
         # Peers for which updates were dropped, so that they need the first update again.
         self._lagging: set[str] = set()
+        self._next_initial_at: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
     def send(self, update: PeerUpdate) -> None:
@@ -180,11 +183,15 @@
         async for data in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
                 await stream.send_all(data)
-                if name in self._lagging:
+                if self._needs_initial_update(name):
                     await self._send_initial_update(name, stream)
 
+    def _needs_initial_update(self, name: str) -> bool:
+        return name in self._lagging and trio.current_time() >= self._next_initial_at[name]
+
     async def _send_initial_update(self, name: str, stream: trio.SocketStream) -> None:
         self._lagging.discard(name)
+        self._next_initial_at[name] = trio.current_time() + INITIAL_UPDATE_INTERVAL_S
         await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -200,6 +200,7 @@
 
 def test_a_peer_for_which_updates_were_dropped_gets_the_first_update_again(monkeypatch):
     monkeypatch.setattr(link, "MAX_QUEUED_WRITES", 1)
+    monkeypatch.setattr(link, "INITIAL_UPDATE_INTERVAL_S", 0.1)
     own_address, peer_address = free_addresses(2)
     received: list[int] = []
 
@@ -218,6 +219,7 @@
                     sent = SendPeerUpdate(seq, (), ())
                     peer.send(make_update(sent, "b", 1, 7, False))
                 while received.count(0) < 2:
+                    peer.send(make_update(SendPeerUpdate(4, (), ()), "b", 1, 7, False))
                     await trio.sleep(0.02)
                 nursery.cancel_scope.cancel()
 
