--- a/rattangate/core/active_requests.py
+++ b/rattangate/core/active_requests.py
@@ -9,8 +9,9 @@
 
 if TYPE_CHECKING:
     from rattangate.core.endpoint_state import Endpoint
-    from rattangate.core.messages import RequestArrived, Software, StreamOrigin
+    from rattangate.core.messages import RequestArrived
     from rattangate.core.retries import RetryReason
+    from rattangate.core.stream_history import Software, StreamOrigin
 
 DIGEST_BYTES = 16
 
--- a/rattangate/core/brittle_services.py
+++ b/rattangate/core/brittle_services.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from rattangate.core.endpoint_limits import EndpointKey
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.endpoint_state import Endpoint
     from rattangate.core.messages import BrittlenessReported, EndpointLimitChanged
 
--- a/rattangate/core/doubts.py
+++ b/rattangate/core/doubts.py
@@ -7,22 +7,20 @@
 from rattangate.core.active_requests import incarnation_key
 
 if TYPE_CHECKING:
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.placement import Candidate
 
 # How long an endpoint stays ejected.
 EJECTION_S = 1.0
 
-# The name and the incarnation of an endpoint.
-IncarnationKey = tuple[str, int]
-
 
 class Ejections:
     """Hold the ejected endpoint incarnations and when each ejection ends."""
 
     def __init__(self) -> None:
-        self._deadlines: dict[IncarnationKey, float] = {}
+        self._deadlines: dict[EndpointKey, float] = {}
 
-    def eject(self, key: IncarnationKey, now: float) -> None:
+    def eject(self, key: EndpointKey, now: float) -> None:
         """Eject an endpoint that lost an attempt or could not be reached."""
         self._deadlines[key] = now + EJECTION_S
 
--- a/rattangate/core/endpoint_limits.py
+++ b/rattangate/core/endpoint_limits.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.messages import EndpointLimitReported
 
 # A limit is rounded down to a power of this factor: instances that read slightly different values
@@ -21,9 +22,6 @@
 # What was said of an endpoint that is not listed is kept for this time.
 UNLISTED_RETENTION_S = 60.0
 
-# The name and the incarnation of an endpoint.
-EndpointKey = tuple[str, int]
-
 
 @dataclass(slots=True)
 class _Belief:
--- a/rattangate/core/flights.py
+++ b/rattangate/core/flights.py
@@ -6,15 +6,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattangate.core.endpoint_key import EndpointKey
 
 # How long a digest counts as in flight after it was sent, unless it completes or is lost.
 RETENTION_S = 5.0
 MAX_COMPLETED = 4096
 MAX_IN_FLIGHT = 16_384
 
-# The name and the incarnation of an endpoint.
-IncarnationKey = tuple[str, int]
-
 
 class InFlightDigests:
     """Map each request digest in flight at this instance or a peer to its endpoint.
@@ -23,10 +24,10 @@
     """
 
     def __init__(self) -> None:
-        self._in_flight: OrderedDict[bytes, tuple[IncarnationKey, float]] = OrderedDict()
+        self._in_flight: OrderedDict[bytes, tuple[EndpointKey, float]] = OrderedDict()
         self._completed: OrderedDict[bytes, None] = OrderedDict()
 
-    def record_sent(self, digest: bytes, key: IncarnationKey, now: float) -> None:
+    def record_sent(self, digest: bytes, key: EndpointKey, now: float) -> None:
         """Record that a request was sent to an endpoint."""
         if not digest or digest in self._completed or self.endpoint_of(digest, now):
             return
@@ -47,7 +48,7 @@
         """Forget the endpoint of a request whose attempt was lost."""
         self._in_flight.pop(digest, None)
 
-    def endpoint_of(self, digest: bytes, now: float) -> IncarnationKey | None:
+    def endpoint_of(self, digest: bytes, now: float) -> EndpointKey | None:
         """Return the endpoint that runs or recently ran a request not yet known to complete."""
         key, deadline = self._in_flight.get(digest, (None, 0.0))
         return key if now < deadline else None
--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -49,8 +49,9 @@
     from collections.abc import Callable
 
     from rattangate.core.active_requests import ActiveRequest
-    from rattangate.core.messages import Message, StreamOrigin
+    from rattangate.core.messages import Message
     from rattangate.core.placement import Candidate
+    from rattangate.core.stream_history import StreamOrigin
 
 # Owner of the placements of this instance; those of a peer are owned by its name.
 LOCAL_OWNER = ""
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -15,13 +15,7 @@
 from rattangate.core.fairness import OVERUSE_LEVELS, FairQueue, QueueItem, UsageMeter
 from rattangate.core.flights import InFlightDigests
 from rattangate.core.limits import DEFAULT_MAX_STREAMS, WorkspaceLimits
-from rattangate.core.messages import (
-    AttemptResult,
-    CancelAttempt,
-    LimitsUpdate,
-    Refuse,
-    Verdict,
-)
+from rattangate.core.messages import AttemptResult, CancelAttempt, LimitsUpdate, Refuse, Verdict
 from rattangate.core.prefill_speed import DEFAULT_S_PER_TOKEN
 from rattangate.core.quarantine import PROPAGATION_S
 from rattangate.core.refusals import RefusalReason, make_failure
@@ -33,15 +27,9 @@
 
     from rattangate.core.admission import Decision
     from rattangate.core.limits import WorkspaceLimit
-    from rattangate.core.messages import (
-        AttemptEnded,
-        Dispatch,
-        Effect,
-        Placement,
-        RequestArrived,
-        StreamOrigin,
-    )
+    from rattangate.core.messages import AttemptEnded, Dispatch, Effect, Placement, RequestArrived
     from rattangate.core.placement import Candidate
+    from rattangate.core.stream_history import StreamOrigin
     from rattangate.core.suspects import Step
 
 # Failed attempts after which a request is refused instead of retried.
--- a/rattangate/core/poison_parts.py
+++ b/rattangate/core/poison_parts.py
@@ -15,6 +15,8 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from rattangate.core.endpoint_key import EndpointKey
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -32,9 +34,6 @@
 MAX_PEER_DELAY_S = 0.1
 DIGEST_BYTES = 16
 
-# The name and the incarnation of an endpoint.
-IncarnationKey = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class CrashedRun:
@@ -42,7 +41,7 @@
 
     digest: bytes
     parts: tuple[str, ...]
-    endpoint: IncarnationKey
+    endpoint: EndpointKey
     started_at: float
     ended_at: float
 
@@ -59,7 +58,7 @@
 
     parts: frozenset[str]
     crashes: int
-    endpoints: frozenset[IncarnationKey]
+    endpoints: frozenset[EndpointKey]
     deadline: float
 
     @property
@@ -111,7 +110,7 @@
         return tuple(self._entries.values())
 
     def update(
-        self, runs: Iterable[CrashedRun], crashes_needed: Callable[[frozenset[IncarnationKey]], int]
+        self, runs: Iterable[CrashedRun], crashes_needed: Callable[[frozenset[EndpointKey]], int]
     ) -> list[PoisonParts]:
         """Derive the entries anew from all crashed runs; return those that were added.
 
@@ -158,7 +157,7 @@
     def _find_poison(
         self,
         runs_by_part: RunsByPart,
-        crashes_needed: Callable[[frozenset[IncarnationKey]], int],
+        crashes_needed: Callable[[frozenset[EndpointKey]], int],
     ) -> set[frozenset[str]]:
         """Return the parts to quarantine, each with those that occurred in exactly the same runs."""
         suspects = {}
@@ -177,7 +176,7 @@
 
     def _unexplained(self, runs_by_part: RunsByPart) -> RunsByPart:
         """Leave out the crashes that the entries explain, and the parts that have no others."""
-        explained = frozenset[IncarnationKey]().union(
+        explained = frozenset[EndpointKey]().union(
             *(entry.endpoints for entry in self._entries.values())
         )
         if not explained:
@@ -208,7 +207,7 @@
     return PoisonParts(parts, len(crashed), crashed, deadline)
 
 
-def _endpoints(runs: frozenset[CrashedRun]) -> frozenset[IncarnationKey]:
+def _endpoints(runs: frozenset[CrashedRun]) -> frozenset[EndpointKey]:
     return frozenset(run.endpoint for run in runs)
 
 
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable, Iterator
 
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.messages import QuarantineChange
 
 # Confirmed crashes after which a digest is quarantined.
@@ -42,9 +43,6 @@
 QUARANTINE_S = 600.0
 RESEND_S = 1.0
 
-# The name and the incarnation of an endpoint.
-IncarnationKey = tuple[str, int]
-
 
 @dataclass(slots=True)
 class _Failure:
@@ -67,7 +65,7 @@
 class _FailureHistory:
     """Hold the failures of endpoint incarnations that ran one digest."""
 
-    failures: dict[IncarnationKey, _Failure] = field(default_factory=dict)
+    failures: dict[EndpointKey, _Failure] = field(default_factory=dict)
     changed_at: float = 0.0
     quarantined: bool = False
 
@@ -81,7 +79,7 @@
 
     digest: bytes
     verdict: Verdict
-    crashed: tuple[IncarnationKey, ...]
+    crashed: tuple[EndpointKey, ...]
     deadline: float
     parts: tuple[str, ...] = ()
 
@@ -96,12 +94,12 @@
         self.propagation_s = propagation_s
         self._histories: dict[bytes, _FailureHistory] = {}
         self._endpoint_states: dict[str, tuple[int, EndpointState]] = {}
-        self._crashes: dict[IncarnationKey, float] = {}
-        self._attributed: set[IncarnationKey] = set()
-        self._unsent: set[tuple[bytes, IncarnationKey]] = set()
+        self._crashes: dict[EndpointKey, float] = {}
+        self._attributed: set[EndpointKey] = set()
+        self._unsent: set[tuple[bytes, EndpointKey]] = set()
         self._resend_at = 0.0
         self._changes: list[QuarantineChange] = []
-        self._poison_crashes: frozenset[IncarnationKey] = frozenset()
+        self._poison_crashes: frozenset[EndpointKey] = frozenset()
         self._has_new_evidence = False
 
     def take_changes(self) -> list[QuarantineChange]:
@@ -127,7 +125,7 @@
     def record_failure(
         self,
         digest: bytes,
-        key: IncarnationKey,
+        key: EndpointKey,
         ran_s: float,
         now: float,
         parts: tuple[str, ...] = (),
@@ -205,12 +203,12 @@
             if failure.parts and not failure.cleared and self._is_crash(key, failure)
         ]
 
-    def attribute(self, crashed: frozenset[IncarnationKey]) -> None:
+    def attribute(self, crashed: frozenset[EndpointKey]) -> None:
         """Attribute crashes to quarantined parts, so that they do not count against requests."""
         self._poison_crashes = crashed
         self._update_attributed()
 
-    def crashes_needed(self, explained: Container[IncarnationKey]) -> int:
+    def crashes_needed(self, explained: Container[EndpointKey]) -> int:
         """Return the crashes required, one more while endpoints also crash for other reasons."""
         unrelated = sum(
             key not in explained and key not in self._attributed for key in self._crashes
@@ -291,7 +289,7 @@
             if (verdict := self.verdict_on(digest, now)) is not Verdict.FREE
         )
 
-    def _add(self, digest: bytes, key: IncarnationKey, failure: _Failure, now: float) -> bool:
+    def _add(self, digest: bytes, key: EndpointKey, failure: _Failure, now: float) -> bool:
         """Record a failure; return whether it is new and counts against the digest."""
         history = self._histories.setdefault(digest, _FailureHistory())
         known = history.failures.get(key)
@@ -313,7 +311,7 @@
             self._update_attributed()
         return False
 
-    def _record_crash(self, key: IncarnationKey, now: float) -> None:
+    def _record_crash(self, key: EndpointKey, now: float) -> None:
         """Record a crash that this instance saw, and confirm the failures that it explains."""
         suspects = 0
         for digest, history in self._histories.items():
@@ -361,9 +359,7 @@
         self._changes.append(VerdictChanged(digest.hex(), Verdict.GUILTY, len(crashed_on)))
         self._update_attributed()
 
-    def _has_other_suspect(
-        self, digest: bytes, crashed_on: set[IncarnationKey], now: float
-    ) -> bool:
+    def _has_other_suspect(self, digest: bytes, crashed_on: set[EndpointKey], now: float) -> bool:
         """Tell whether another digest is as likely to have caused one of these crashes."""
         for other in self._histories:
             if other == digest:
@@ -375,11 +371,11 @@
                 return True
         return False
 
-    def _confirmed_crashes(self, digest: bytes, now: float) -> list[IncarnationKey]:
+    def _confirmed_crashes(self, digest: bytes, now: float) -> list[EndpointKey]:
         failures = self._unexplained_failures(digest, now)
         return [key for key, failure in failures.items() if self._is_crash(key, failure)]
 
-    def _unexplained_failures(self, digest: bytes, now: float) -> dict[IncarnationKey, _Failure]:
+    def _unexplained_failures(self, digest: bytes, now: float) -> dict[EndpointKey, _Failure]:
         """Return the failures that count against a digest.
 
         Failures attributed to a quarantined digest do not count, nor those of endpoints that have
@@ -397,15 +393,15 @@
             and (history.quarantined or key not in self._attributed)
         }
 
-    def _is_crash(self, key: IncarnationKey, failure: _Failure) -> bool:
+    def _is_crash(self, key: EndpointKey, failure: _Failure) -> bool:
         is_down = self._endpoint_states.get(key[0]) == (key[1], EndpointState.DOWN)
         return failure.confirmed or is_down or self._is_replaced(key)
 
-    def _is_replaced(self, key: IncarnationKey) -> bool:
+    def _is_replaced(self, key: EndpointKey) -> bool:
         known = self._endpoint_states.get(key[0])
         return known is not None and known[0] > key[1]
 
-    def _all_failures(self) -> Iterator[tuple[bytes, IncarnationKey, _Failure]]:
+    def _all_failures(self) -> Iterator[tuple[bytes, EndpointKey, _Failure]]:
         for digest, history in self._histories.items():
             for key, failure in history.failures.items():
                 yield digest, key, failure
--- a/rattangate/core/request_permits.py
+++ b/rattangate/core/request_permits.py
@@ -18,7 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from rattangate.core.endpoint_limits import EndpointKey
+    from rattangate.core.endpoint_key import EndpointKey
+
 
 # How long a permit can be used: this time, and that in which so many further ones are issued.
 PERMIT_LIFETIME_S = 1.0
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import (
+from rattangate.core.messages import EndpointState
+from rattangate.core.stream_history import (
     BegunStream,
-    EndpointState,
     KnownBy,
     ServedSoftware,
     Software,
@@ -23,6 +23,7 @@
 )
 
 if TYPE_CHECKING:
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.messages import EndpointStatus
 
 # Longer than a caller waits for a stream and takes it up again.
@@ -34,16 +35,12 @@
 MAX_STREAMS_IN_HISTORY = 8_192
 
 
-# The name and the incarnation of an endpoint.
-IncarnationKey = tuple[str, int]
-
-
 @dataclass(frozen=True, slots=True)
 class _Begun:
     """Hold where a stream was placed last, by its endpoint or by the software that a peer named."""
 
     at: float
-    endpoint: IncarnationKey | None = None
+    endpoint: EndpointKey | None = None
     software: Software | None = None
 
 
@@ -55,10 +52,10 @@
         self._serving: dict[str, Software] = {}
         self._last_served: dict[Software, float] = {}
         self._model_services: set[str] = set()
-        self._software: dict[IncarnationKey, Software] = {}
-        self._current: dict[str, IncarnationKey] = {}
+        self._software: dict[EndpointKey, Software] = {}
+        self._current: dict[str, EndpointKey] = {}
         # When an incarnation was replaced or went down.
-        self._ended_at: dict[IncarnationKey, float] = {}
+        self._ended_at: dict[EndpointKey, float] = {}
         # All software that served between these two is known.
         self._known_since = math.inf
         self._known_until = -math.inf
@@ -82,7 +79,7 @@
             self._known_since = now
         self._known_until = now
 
-    def record_placement(self, stream: bytes, endpoint: IncarnationKey, now: float) -> None:
+    def record_placement(self, stream: bytes, endpoint: EndpointKey, now: float) -> None:
         """Record where a stream was sent last; its first event pins it to that software.
 
         The software of an incarnation that is not listed here yet is known once it is.
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -15,13 +15,8 @@
     from collections.abc import Iterator
 
     from rattangate.core.active_requests import ActiveRequest
-    from rattangate.core.messages import (
-        EndpointStatus,
-        LimitsUpdate,
-        QuarantineChange,
-        TrialClaim,
-    )
-    from rattangate.core.quarantine import IncarnationKey
+    from rattangate.core.endpoint_key import EndpointKey
+    from rattangate.core.messages import EndpointStatus, LimitsUpdate, QuarantineChange, TrialClaim
 
 # Other trials may join one at its endpoint once it has run for this much longer than each failed
 # attempt of its digest, and for this long after its first token.
@@ -103,7 +98,7 @@
         self.quarantine.release(digest)
         self.parts.release(digest, now)
 
-    def record_lost(self, request: ActiveRequest, key: IncarnationKey, now: float) -> None:
+    def record_lost(self, request: ActiveRequest, key: EndpointKey, now: float) -> None:
         """Record a lost attempt, which makes its request suspect and the parts of its prompt."""
         parts = self.parts.suspect_parts(request, now)
         ran_s = now - request.placed_at
--- a/rattangate/front/endpoint_paths.py
+++ b/rattangate/front/endpoint_paths.py
@@ -21,15 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.fleet import ListedEndpoint
     from rattangate.core.messages import EndpointStatus
     from rattangate.front.state import FrontState
     from rattangate.front.tunnels import TunnelPeer
     from rattangate.log_events import FieldValue
 
-    # The name and the incarnation of an endpoint.
-    EndpointKey = tuple[str, int]
-
 PROBE_INTERVAL_S = 0.25
 # Interval of the checks of the other endpoints once a peer reaches one that this instance does not.
 CHECK_INTERVAL_S = 1.0
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -23,12 +23,8 @@
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
-    from rattangate.core.messages import (
-        CacheSnapshotReceived,
-        LimitsUpdate,
-        SendPeerUpdate,
-        StreamHistory,
-    )
+    from rattangate.core.messages import CacheSnapshotReceived, LimitsUpdate, SendPeerUpdate
+    from rattangate.core.stream_history import StreamHistory
 
 MAX_CONFIG_BYTES = 16_000_000
 
--- a/rattangate/peers/stream_history_codec.py
+++ b/rattangate/peers/stream_history_codec.py
@@ -5,7 +5,7 @@
 from struct import Struct
 from typing import Any
 
-from rattangate.core.messages import BegunStream, ServedSoftware, Software, StreamHistory
+from rattangate.core.stream_history import BegunStream, ServedSoftware, Software, StreamHistory
 from rattangate.peers import peers_thrift as idl
 from rattangate.units import MS_PER_S
 
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -15,21 +15,19 @@
     EndpointState,
     EndpointStatus,
     FirstTokenSeen,
-    KnownBy,
     LimitsUpdate,
     PeerUpdateReceived,
     Refuse,
     RequestArrived,
     SendPeerUpdate,
-    Software,
     StreamHistoryReceived,
-    StreamOrigin,
     Suspicion,
     Tick,
     Verdict,
 )
 from rattangate.core.prefix import CacheScope
 from rattangate.core.refusals import RefusalReason
+from rattangate.core.stream_history import KnownBy, Software, StreamOrigin
 from rattangate.core.stream_versions import (
     MAX_LIST_GAP_S,
     MAX_STREAMS_IN_HISTORY,
--- a/tests/peers/test_stream_history_codec.py
+++ b/tests/peers/test_stream_history_codec.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rattangate.core.messages import BegunStream, ServedSoftware, Software, StreamHistory
+from rattangate.core.stream_history import BegunStream, ServedSoftware, Software, StreamHistory
 from rattangate.peers.codec import decode_update, encode_update, make_update
 from rattangate.peers.framing import PeerProtocolError, decode_frame
 
