Let an instance that is leaving agree with the others whether the deployment is large

Cause: each instance counted the others that stay; of 17 with one leaving, that one counted 16 (large: it sends to its relay alone), the others 15 (small: the relay does not forward within its data centre). Now an instance that stays counts itself, one that is leaving does not.

Evidence: the new test failed before at size 17 (1 of 16 deliveries), passes now at 15 to 19, with the others of the file (python -m pytest tests/core/test_relays.py). Found by reading.

--- a/rattangate/core/relays.py
+++ b/rattangate/core/relays.py
@@ -19,7 +19,8 @@
     from collections.abc import Collection, Mapping
 
 
-# From this number of other instances on, the instances of a data centre send through their relay.
+# From this number of instances beside one that stays, the instances of a data centre send through
+# their relay; those that are leaving do not count, so that all come to the same answer.
 # In a smaller deployment, direct updates cost less than the delay that a relay adds.
 MIN_LARGE_DEPLOYMENT = 16
 
@@ -35,6 +36,7 @@
         self._name = name
         self._data_centre = data_centre
         self._own_rank = (-cores, name)
+        self._is_leaving = False
         self._staying = 0
         self.local_peers: tuple[str, ...] = ()
         self._remote_peers: dict[str, list[str]] = {}
@@ -43,6 +45,7 @@
 
     def mark_leaving(self) -> None:
         """Leave the duty of the relay to the other instances."""
+        self._is_leaving = True
         self._own_rank = (math.inf, self._name)
 
     def configure(
@@ -71,7 +74,8 @@
     @property
     def is_large(self) -> bool:
         """Tell whether the instances of a data centre send to their relay alone."""
-        return self._staying >= MIN_LARGE_DEPLOYMENT
+        staying = self._staying + (not self._is_leaving)
+        return staying > MIN_LARGE_DEPLOYMENT
 
     def is_relay(self, live: Collection[str]) -> bool:
         """Tell whether this instance is the relay of its data centre."""
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rattangate.core.relays import RelayPlan
+from rattangate.core.relays import MIN_LARGE_DEPLOYMENT, RelayPlan
 
 DATA_CENTRES = {f"{letter}-{number}": letter for letter in ("a", "b", "c") for number in range(4)}
 
@@ -84,6 +84,14 @@
     assert plans["a-0"].is_relay({"b-0"})
 
 
+def test_updates_of_a_leaving_instance_reach_all_at_each_size_around_that_of_a_large_deployment():
+    for size in range(MIN_LARGE_DEPLOYMENT - 1, MIN_LARGE_DEPLOYMENT + 4):
+        data_centres = {f"a-{number:02}": "a" for number in range(size)}
+        leaving = frozenset({"a-05"})
+        received, _ = broadcast("a-05", set(data_centres) - leaving, data_centres, leaving)
+        assert received == Counter(data_centres.keys() - {"a-05"}), size
+
+
 def test_two_relays_of_one_data_centre_do_not_forward_in_a_loop():
     plans = make_plans(DATA_CENTRES)
     live = set(DATA_CENTRES) - {"a-0"}
