Tell peers of no more than recent streams and of a bounded time of knowledge

What callers saw: nothing yet. Cause: the time for which the list of software is complete goes out as 32 bits of ms, and it is inherited from peers, so it passes 24.8 days over restarts too; from then on the first update on each connection raises, and no link between instances opens. So does an age over 49.7 days of a stream of an instance that places none.

Evidence: both cases of test_the_history_of_an_instance_that_has_run_for_weeks_can_be_encoded failed before (TDecodeException at known_ms at 25 days, struct.error at 50), pass now, with tests/core/test_stream_versions.py and tests/front/test_stream_news.py. Found by reading.

--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -30,6 +30,8 @@
 MAX_STREAMS = 200_000
 # Without a read of the endpoint list for this time, software may have come and gone unnoticed.
 MAX_LIST_GAP_S = 10.0
+# More than any stream lasts; what was known before is not told.
+MAX_KNOWN_S = 2 * STREAM_RETENTION_S
 # The newest streams that a peer is told of when it connects.
 MAX_STREAMS_IN_HISTORY = 8_192
 
@@ -109,13 +111,14 @@
             for software, at in recent.items()
         )
         streams: list[BegunStream] = []
+        limit = now - STREAM_RETENTION_S
         for stream, begun in reversed(self._streams.items()):
             software = self._software_of(begun)
-            if software in recent:
+            if begun.at >= limit and software in recent:
                 streams.append(BegunStream(stream, software, now - begun.at))
             if len(streams) == MAX_STREAMS_IN_HISTORY:
                 break
-        return StreamHistory(max(0.0, known_s), served, tuple(streams))
+        return StreamHistory(min(max(0.0, known_s), MAX_KNOWN_S), served, tuple(streams))
 
     def merge(self, history: StreamHistory, now: float) -> None:
         """Take over what a peer knows; of two records of a stream the newer one holds."""
--- a/tests/peers/test_stream_history_codec.py
+++ b/tests/peers/test_stream_history_codec.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from rattangate.core.messages import BegunStream, ServedSoftware, Software, StreamHistory
+from rattangate.core.messages import (
+    BegunStream,
+    EndpointState,
+    EndpointStatus,
+    ServedSoftware,
+    Software,
+    StreamHistory,
+)
+from rattangate.core.stream_versions import MAX_LIST_GAP_S, STREAM_RETENTION_S, StreamVersions
 from rattangate.peers.codec import decode_update, encode_update, make_update
 from rattangate.peers.framing import PeerProtocolError, decode_frame
 
@@ -34,3 +42,17 @@
     data = encode(HISTORY).replace(b"stream-1\x00\x01", b"stream-1\x00\x02")
     with pytest.raises(PeerProtocolError):
         decode_frame(decode_update, data)
+
+
+@pytest.mark.parametrize("days", [25, 50])
+def test_the_history_of_an_instance_that_has_run_for_weeks_can_be_encoded(days):
+    versions = StreamVersions()
+    versions.record_endpoint(EndpointStatus("a", 1, "1", EndpointState.LIVE, "llm"), 0.0)
+    versions.record_list_read(0.0)
+    versions.record_placement(b"stream-1", ("a", 1), 1.0)
+    now = days * 86_400.0
+    for at in range(0, int(now), int(MAX_LIST_GAP_S)):
+        versions.record_list_read(float(at))
+    history = decode_update(encode(versions.history(now))).stream_history
+    assert history.known_s >= STREAM_RETENTION_S
+    assert not history.streams
