Tell peers how old the list is by which an instance knows all software

What callers saw: suspected only, streams of two versions (ORDER) at instances that cannot read the endpoint list. Cause: who got a peer's history took the peer's list, up to 10 s old, for one read now. Two instances whose link opens again now and then kept each other sure that a single software serves, without end, though neither read the list. Class: what was not heard is taken for what is not so. Now the history says how old the list is.

Found by reading.

--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -187,12 +187,14 @@
 class StreamHistory:
     """Hold what an instance knows of recent streams, the newest first, and of their software.
 
-    For the last `known_s` seconds `served` is complete.
+    For the last `known_s` seconds `served` is complete, but for the `list_age_s` seconds since the
+    endpoint list was read.
     """
 
     known_s: float
     served: tuple[ServedSoftware, ...] = ()
     streams: tuple[BegunStream, ...] = ()
+    list_age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -104,7 +104,9 @@
 
     def history(self, now: float) -> StreamHistory:
         """Return what an instance that has just started, or missed news, is told."""
-        known_s = now - self._known_since if self._is_list_fresh(now) else 0.0
+        is_fresh = self._is_list_fresh(now)
+        known_s = min(max(0.0, now - self._known_since), MAX_KNOWN_S) if is_fresh else 0.0
+        list_age_s = now - self._known_until if is_fresh else 0.0
         recent = self._recent_software(now)
         served = tuple(
             ServedSoftware(software, now - at, software.service in self._model_services)
@@ -118,7 +120,7 @@
                 streams.append(BegunStream(stream, software, now - begun.at))
             if len(streams) == MAX_STREAMS_IN_HISTORY:
                 break
-        return StreamHistory(min(max(0.0, known_s), MAX_KNOWN_S), served, tuple(streams))
+        return StreamHistory(known_s, served, tuple(streams), list_age_s)
 
     def merge(self, history: StreamHistory, now: float) -> None:
         """Take over what a peer knows; of two records of a stream the newer one holds."""
@@ -134,7 +136,7 @@
                 self._record_begun(begun.stream, _Begun(at, software=begun.software))
         if history.known_s > 0:
             self._known_since = min(self._known_since, now - history.known_s)
-            self._known_until = now
+            self._known_until = max(self._known_until, now - history.list_age_s)
 
     def _record_begun(self, stream: bytes, begun: _Begun) -> None:
         self._streams[stream] = begun
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -165,6 +165,8 @@
   2: list<Served> served
   /** For each stream its id (8 bytes), the index of its software (2) and its age in ms (4). */
   3: binary streams
+  /** Since the endpoint list was read. */
+  4: i32 list_age_ms
 }
 
 /** An update from an instance to its peers; without content it is the heartbeat. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -329,11 +329,13 @@
         1: (TType.I32, "known_ms", False),
         2: (TType.LIST, "served", (TType.STRUCT, Served), False),
         3: (TType.BINARY, "streams", False),
+        4: (TType.I32, "list_age_ms", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("known_ms", None),
         ("served", None),
         ("streams", None),
+        ("list_age_ms", None),
     ]
 
 
--- a/rattangate/peers/stream_history_codec.py
+++ b/rattangate/peers/stream_history_codec.py
@@ -31,6 +31,7 @@
             STREAM.pack(begun.stream, index[begun.software], int(begun.age_s * MS_PER_S))
             for begun in history.streams
         ),
+        list_age_ms=int(history.list_age_s * MS_PER_S),
     )
 
 
@@ -44,4 +45,4 @@
         BegunStream(stream, served[number].software, age_ms / MS_PER_S)
         for stream, number, age_ms in STREAM.iter_unpack(raw.streams)
     )
-    return StreamHistory(raw.known_ms / MS_PER_S, served, streams)
+    return StreamHistory(raw.known_ms / MS_PER_S, served, streams, raw.list_age_ms / MS_PER_S)
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -338,6 +338,17 @@
     assert older.origin_of(STREAM, SERVICE, 3.0).software.version == "v1.1"
 
 
+def test_instances_that_read_no_list_do_not_keep_each_other_sure_of_the_only_software():
+    pair = known_gateway({"a": "v1"}), known_gateway({"a": "v1"})
+    now = STREAM_RETENTION_S
+    while now < STREAM_RETENTION_S + 2 * MAX_LIST_GAP_S:
+        now += MAX_LIST_GAP_S / 4
+        for told, teller in (pair, pair[::-1]):
+            told.handle(StreamHistoryReceived(teller.stream_versions.history(now)), now)
+    for gateway in pair:
+        assert gateway.stream_versions.origin_of(STREAM, SERVICE, now) is None
+
+
 def test_a_history_holds_the_newest_streams(monkeypatch):
     monkeypatch.setattr(stream_versions, "MAX_STREAMS_IN_HISTORY", 2)
     assert MAX_STREAMS_IN_HISTORY > 2
--- a/tests/peers/test_stream_history_codec.py
+++ b/tests/peers/test_stream_history_codec.py
@@ -23,6 +23,7 @@
     12.5,
     (ServedSoftware(V1, 0.0, True), ServedSoftware(V2, 3.0, False)),
     (BegunStream(b"stream-1", V2, 0.25), BegunStream(b"stream-2", V1, 7.0)),
+    list_age_s=1.5,
 )
 
 
