Abandon a request whose withdrawn attempt completes all the same

What callers saw: suspected only, limits of workspaces that stay taken, at the product's own interface. Cause: where the gateway withdraws an attempt (a copy of its request became suspect) while the last bytes of its answer are written, the task reports a completed attempt that the gateway does not know any more, and counts the request as closed. So it stays active: it holds a stream of its workspace and can be sent as a trial that nobody reads. Class: work counts as told because it was sent.

Evidence: test_a_request_withdrawn_while_the_end_of_its_answer_is_written_leaves_the_gateway failed before, passes now, with tests/front/test_forward.py and tests/http. Found by reading.

--- a/rattangate/driver.py
+++ b/rattangate/driver.py
@@ -233,11 +233,15 @@
     def end_attempt(
         self, dispatch: Dispatch, result: AttemptResult, tokens: int, reports_error: bool = False
     ) -> None:
-        """Report the end of the attempt to the gateway."""
-        if self.current_dispatch is dispatch:
+        """Report the end of the attempt to the gateway.
+
+        The gateway does not take the end of a withdrawn one: a request that it completed is abandoned.
+        """
+        is_current = self.current_dispatch is dispatch
+        if is_current:
             self.current_dispatch = None
         if result is AttemptResult.COMPLETED:
-            self.closed = True
+            self.closed = is_current
         ended = AttemptEnded(self._req_id, dispatch.attempt, result, tokens, reports_error)
         self._driver.feed(ended)
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import pytest
 import trio
 
 from rattangate.core.gateway import Gateway, GatewayCfg
-from rattangate.core.messages import Dispatch, EndpointState, EndpointStatus, RequestArrived
+from rattangate.core.intake import RequestSchedulerCfg
+from rattangate.core.messages import (
+    AttemptResult,
+    Dispatch,
+    EndpointState,
+    EndpointStatus,
+    LimitsUpdate,
+    PeerUpdateReceived,
+    RequestArrived,
+    Suspicion,
+)
 from rattangate.core.prefix import CacheScope
 from rattangate.driver import Driver
 from rattangate.metrics import Metrics
@@ -63,3 +74,22 @@
             return scope.cancelled_caught
 
     assert not trio.run(main)
+
+
+def test_a_request_withdrawn_while_the_end_of_its_answer_is_written_leaves_the_gateway():
+    request = replace(REQUEST, digest=bytes(16), max_runs=2)
+
+    async def main():
+        scheduler = RequestSchedulerCfg(instance="g1", can_cancel=True)
+        gateway = Gateway(GatewayCfg(4000, 1.0, scheduler=scheduler), seed=1)
+        driver = Driver(gateway, Metrics(), lambda update: None)
+        driver.feed(EndpointStatus("a", 7, "v1", EndpointState.LIVE))
+        with driver.exchange(request) as exchange:
+            dispatch = await exchange.next_effect()
+            suspicion = Suspicion(bytes(16), "b", 1, 0.1, 600.0)
+            limits = LimitsUpdate(suspicions=(suspicion,))
+            driver.feed(PeerUpdateReceived("g2", 1, 1, (), (), limits))
+            exchange.end_attempt(dispatch, AttemptResult.COMPLETED, 3)
+        assert not gateway.scheduler.active_requests
+
+    trio.run(main)
