--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rattangate.core import stream_versions
+from rattangate.core.fleet import FleetView, FleetViewCfg, ListedEndpoint, ModelVersion
 from rattangate.core.gateway import Gateway, GatewayCfg
 from rattangate.core.intake import STREAM_NEWS_S
 from rattangate.core.messages import (
@@ -136,6 +137,18 @@
     assert VERSIONS[taken_up.endpoint] == VERSIONS[begun.endpoint]
 
 
+def test_a_stream_whose_news_are_on_their_way_does_not_go_by_the_only_software_listed_here():
+    now = STREAM_RETENTION_S
+    first, second = known_gateway({"b": "v2"}), known_gateway({"a": "v1"})
+    (begun,) = first.handle(request(1, False), now)
+    assert begun.endpoint == "b"
+    (update,) = updates_of(first, now + 0.05)
+    effects = second.handle(request(1, True), now + 0.1)
+    deliver(second, update, now + 0.15)
+    effects += second.handle(Tick(), now + 0.2)
+    assert not [effect for effect in effects if isinstance(effect, Dispatch)]
+
+
 def test_a_stream_that_no_instance_tells_of_is_refused_soon():
     gateway = make_gateway()
     assert gateway.handle(request(1, True), 1.0) == []
@@ -181,6 +194,40 @@
     assert versions.origin_of(STREAM, SERVICE, 5.1 + STREAM_RETENTION_S) == only
 
 
+def listed_where_one_cannot_be_reached(now):
+    """Return a gateway that knows the list well, where one of two endpoints is cut off from it."""
+    gateway, view = make_gateway({}), FleetView(FleetViewCfg("dc", 128, 0.0))
+    listed = [
+        ListedEndpoint(
+            name, 1, SERVICE, f"{name}:1", "dc", 1, False, (ModelVersion("m", 1),), version
+        )
+        for name, version in (("a", "v1"), ("b", "v2"))
+    ]
+    for seen in (view.update_list(listed, 0.0), view.mark_gone("b", 1, 1.0)):
+        for changed in seen:
+            gateway.handle(changed, 1.0)
+    for at in range(int(now) + 1):
+        for changed in view.update_list(listed, float(at)):
+            gateway.handle(changed, float(at))
+        gateway.handle(EndpointListRead(), float(at))
+    return gateway
+
+
+def test_software_that_is_listed_but_out_of_reach_here_may_have_begun_a_stream():
+    now = 2 * STREAM_RETENTION_S
+    gateway = listed_where_one_cannot_be_reached(now)
+    assert gateway.stream_versions.origin_of(STREAM, SERVICE, now) is None
+
+
+def test_news_of_a_stream_at_an_endpoint_that_is_long_out_of_reach_here_tell_its_software():
+    now = 2 * STREAM_RETENTION_S
+    gateway = listed_where_one_cannot_be_reached(now)
+    gateway.handle(status("c", "v2"), now)
+    gateway.stream_versions.record_placement(STREAM, ("b", 1), now)
+    origin = gateway.stream_versions.origin_of(STREAM, SERVICE, now)
+    assert origin is not None and origin.software.version == "v2"
+
+
 def test_old_streams_are_forgotten(monkeypatch):
     monkeypatch.setattr(stream_versions, "MAX_STREAMS", 2)
     versions = StreamVersions()
