--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -31,6 +31,8 @@
 MAX_STREAMS = 200_000
 # Without a read of the endpoint list for this time, software may have come and gone unnoticed.
 MAX_LIST_GAP_S = 10.0
+# More than any stream lasts; what was known before is not told.
+MAX_KNOWN_S = 2 * STREAM_RETENTION_S
 # The newest streams that a peer is told of when it connects.
 MAX_STREAMS_IN_HISTORY = 8_192
 
@@ -99,20 +101,23 @@
 
     def history(self, now: float) -> StreamHistory:
         """Return what an instance that has just started, or missed news, is told."""
-        known_s = now - self._known_since if self._is_list_fresh(now) else 0.0
+        is_fresh = self._is_list_fresh(now)
+        known_s = min(max(0.0, now - self._known_since), MAX_KNOWN_S) if is_fresh else 0.0
+        list_age_s = now - self._known_until if is_fresh else 0.0
         recent = self._recent_software(now)
         served = tuple(
             ServedSoftware(software, now - at, software.service in self._model_services)
             for software, at in recent.items()
         )
         streams: list[BegunStream] = []
+        limit = now - STREAM_RETENTION_S
         for stream, begun in reversed(self._streams.items()):
             software = self._software_of(begun)
-            if software in recent:
+            if begun.at >= limit and software in recent:
                 streams.append(BegunStream(stream, software, now - begun.at))
             if len(streams) == MAX_STREAMS_IN_HISTORY:
                 break
-        return StreamHistory(max(0.0, known_s), served, tuple(streams))
+        return StreamHistory(known_s, served, tuple(streams), list_age_s)
 
     def merge(self, history: StreamHistory, now: float) -> None:
         """Take over what a peer knows; of two records of a stream the newer one holds."""
@@ -128,7 +133,7 @@
                 self._record_begun(begun.stream, _Begun(at, software=begun.software))
         if history.known_s > 0:
             self._known_since = min(self._known_since, now - history.known_s)
-            self._known_until = now
+            self._known_until = max(self._known_until, now - history.list_age_s)
 
     def _record_begun(self, stream: bytes, begun: _Begun) -> None:
         self._streams[stream] = begun
