Give the news of a stream their time before a single software is concluded

What callers saw: suspected only, a stream that goes on with other software (ORDER): at an instance that knows a single software for long enough, a stream without news was taken up at once, though the news were on their way, of software that its list did not show yet; also after a suspension, when the news wait in its sockets. Found by the review. Now only news count on arrival; the single software is considered once the time for the news has passed, as for the refusal.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -316,8 +316,12 @@
         }
         return add_permit_waits(candidates, waits)
 
+    def stream_news(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
+        """Return the software that began a request's stream by the news of it."""
+        return self.stream_versions.news_of(request.req.stream, now)
+
     def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
-        """Return the software that began a request's stream, None if it is unknown."""
+        """Return the software that began a request's stream, None if it cannot be known."""
         req = request.req
         return self.stream_versions.origin_of(req.stream, req.scope.model, now)
 
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -85,8 +85,14 @@
     def backoff_s(self, request: ActiveRequest, now: float) -> float | None:
         """Return the seconds until the first endpoint ends its back-off, None if none backs off."""
 
+    def stream_news(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
+        """Return the software that began a request's stream by the news of it."""
+
     def stream_origin(self, request: ActiveRequest, now: float) -> StreamOrigin | None:
-        """Return the software that began a request's stream, None if it is unknown."""
+        """Return the software that began a request's stream, None if it cannot be known.
+
+        The news of the stream must have had the time to arrive.
+        """
 
     def may_continue(self, request: ActiveRequest) -> bool:
         """Tell whether an answer that has begun may go on at an endpoint, now or after a pause."""
@@ -151,10 +157,13 @@
         self.active_requests[req.req_id] = request
         if req.soft_deadline < math.inf:
             heapq.heappush(self._latest_starts, (self._latest_start(req, now), req.req_id))
-        if req.takes_up_stream and not self._pin_origin(request, now):
+        if not req.takes_up_stream:
+            return self._enqueue(request, now)
+        origin = self._pool.stream_news(request, now)
+        if origin is None:
             self._unknown_streams[req.req_id] = now + STREAM_NEWS_S
             return []
-        return self._enqueue_pinned(request, now)
+        return self._enqueue_pinned(request, origin, now)
 
     def record_first_token(self, request: ActiveRequest, now: float) -> list[Effect]:
         """Record the first token of a request and use the capacity that its prefill occupied."""
@@ -338,26 +347,26 @@
         effects: list[Effect] = []
         for req_id, deadline in list(self._unknown_streams.items()):
             request = self.active_requests[req_id]
-            if self._pin_origin(request, now):
+            is_due = now >= deadline
+            find = self._pool.stream_origin if is_due else self._pool.stream_news
+            origin = find(request, now)
+            if origin is not None:
                 del self._unknown_streams[req_id]
-                effects.extend(self._enqueue_pinned(request, now))
-            elif now >= deadline:
+                effects.extend(self._enqueue_pinned(request, origin, now))
+            elif is_due:
                 effects.extend(self._refuse(request, RefusalReason.STREAM_UNKNOWN, now))
         return effects
 
-    def _pin_origin(self, request: ActiveRequest, now: float) -> bool:
-        """Keep a request to the software that began its stream; tell whether that is known."""
-        origin = self._pool.stream_origin(request, now)
-        if origin is None:
-            return False
+    def _enqueue_pinned(
+        self, request: ActiveRequest, origin: StreamOrigin, now: float
+    ) -> list[Effect]:
+        """Queue a request for the software that began its stream.
+
+        Refuse it if that is of a service to which its route does not lead.
+        """
         request.stream_origin = origin
         request.pinned_software = origin.software
-        return True
-
-    def _enqueue_pinned(self, request: ActiveRequest, now: float) -> list[Effect]:
-        """Queue a request, or refuse it if its stream began at a service that it may not go to."""
-        software = request.pinned_software
-        if software is not None and software.service != request.req.scope.model:
+        if origin.software.service != request.req.scope.model:
             return self._refuse(request, RefusalReason.STREAM_ELSEWHERE, now)
         return self._enqueue(request, now)
 
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -90,14 +90,23 @@
             self._record_begun(stream, _Begun(now, endpoint=endpoint))
             self._prune(now)
 
-    def origin_of(self, stream: bytes, service: str, now: float) -> StreamOrigin | None:
-        """Return the software that began a stream, None if it cannot be known."""
+    def news_of(self, stream: bytes, now: float) -> StreamOrigin | None:
+        """Return the software that began a stream by the news of it, None without usable news."""
         begun = self._streams.get(stream)
-        if begun is None:
-            only = self._only_software(service, now)
-            return None if only is None else StreamOrigin(only, KnownBy.ONLY_SOFTWARE)
-        software = self._software_of(begun)
-        return None if software is None else StreamOrigin(software, KnownBy.NEWS, now - begun.at)
+        software = None if begun is None else self._software_of(begun)
+        if begun is None or software is None:
+            return None
+        return StreamOrigin(software, KnownBy.NEWS, now - begun.at)
+
+    def origin_of(self, stream: bytes, service: str, now: float) -> StreamOrigin | None:
+        """Return the software that began a stream, None if it cannot be known.
+
+        The news of the stream must have had the time to arrive.
+        """
+        if stream in self._streams:
+            return self.news_of(stream, now)
+        only = self._only_software(service, now)
+        return None if only is None else StreamOrigin(only, KnownBy.ONLY_SOFTWARE)
 
     def history(self, now: float) -> StreamHistory:
         """Return what an instance that has just started, or missed news, is told."""
--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -106,12 +106,11 @@
     """Choose a service; for a stream that is taken up the one that began it, if that is allowed."""
     if not takes_up_stream(route, head):
         return route.pick_service(head.attempt_id)
-    service = route.pick_service(head.resumes)
     versions = state.driver.gateway.stream_versions
-    origin = versions.origin_of(stream_id(route, head), service, trio.current_time())
+    origin = versions.news_of(stream_id(route, head), trio.current_time())
     if origin is not None and route.leads_to(origin.software.service):
         return origin.software.service
-    return service
+    return route.pick_service(head.resumes)
 
 
 def _find_workspace(
