Count the software of listed endpoints that this instance cannot reach

What callers saw: suspected only, a stream that goes on with other software (ORDER), or is refused though its software is known (LOST), at an instance whose links to some endpoints are cut. Class: what is out of reach is taken for gone.

Now the endpoint list says what may have served: software is kept, and counts as serving, for as long as an endpoint with it is listed.

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -207,7 +207,7 @@
 
     @_handle.register
     def _on_list_read(self, msg: EndpointListRead, now: float) -> list[Effect]:
-        self.stream_versions.record_list_read(now)
+        self.stream_versions.record_list_read(msg.listed, now)
         return []
 
     @_handle.register
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -13,6 +13,7 @@
 from rattangate.core.stream_history import Software, StreamHistory, StreamOrigin
 
 if TYPE_CHECKING:
+    from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.prefix import CacheScope
     from rattangate.core.refusals import RefusalReason
     from rattangate.core.retries import RetryReason
@@ -167,7 +168,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointListRead:
-    """Report that all endpoints of the list were reported."""
+    """Report that the endpoint list was read, and all that are `listed` were reported."""
+
+    listed: frozenset[EndpointKey] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -75,8 +75,17 @@
             self._serving[status.endpoint] = software
             self._last_served[software] = now
 
-    def record_list_read(self, now: float) -> None:
-        """Record that all endpoints of the list are known now."""
+    def record_list_read(self, listed: frozenset[EndpointKey], now: float) -> None:
+        """Record that all endpoints of the list are known now.
+
+        One that is listed may serve at other instances, whether or not this one reaches it.
+        """
+        for key, software in self._software.items():
+            if key in listed:
+                self._last_served[software] = now
+                self._ended_at.pop(key, None)
+            else:
+                self._ended_at.setdefault(key, now)
         if now - self._known_until > MAX_LIST_GAP_S:
             self._known_since = now
         self._known_until = now
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -89,7 +89,9 @@
         """Apply the endpoint list, which was requested at `asked_at`."""
         self.list_read_at = asked_at
         self._feed_changes(self.view.update_list(listed, trio.current_time()))
-        self.driver.feed(EndpointListRead())
+        listed_now = self.view.endpoints.values()
+        keys = frozenset((item.endpoint, item.incarnation) for item in listed_now)
+        self.driver.feed(EndpointListRead(keys))
         self.paths.drop_unlisted()
 
     def apply_weights(self, update: WeightsUpdate) -> None:
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -47,11 +47,12 @@
 
 def read_list(versions, start, end):
     """Read the endpoint list as often as it takes to miss nothing."""
+    listed = frozenset(versions._current[name] for name in versions._serving)
     at = start
     while at < end:
-        versions.record_list_read(at)
+        versions.record_list_read(listed, at)
         at += MAX_LIST_GAP_S / 2
-    versions.record_list_read(end)
+    versions.record_list_read(listed, end)
 
 
 def known_gateway(versions=VERSIONS, now=STREAM_RETENTION_S):
@@ -215,7 +216,8 @@
     for at in range(int(now) + 1):
         for changed in view.update_list(listed, float(at)):
             gateway.handle(changed, float(at))
-        gateway.handle(EndpointListRead(), float(at))
+        keys = frozenset((item.endpoint, item.incarnation) for item in listed)
+        gateway.handle(EndpointListRead(keys), float(at))
     return gateway
 
 
