--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -198,7 +198,7 @@
         for key in [key for key, at in self._ended_at.items() if at < limit]:
             del self._ended_at[key]
             del self._software[key]
-            if self._current[key[0]] == key:
+            if self._current.get(key[0]) == key:
                 del self._current[key[0]]
 
     def _recent_software(self, now: float) -> dict[Software, float]:
