Let other tasks run while a body in many small chunks is read

What callers saw: one caller who sends its body in chunks of a byte kept all other requests of the instance waiting, a read of 64 KB after the other (no run on a real process).

Cause: a read brings 10,900 such chunks, all of which were parsed before the next wait. The responses of endpoints gave turns already, the bodies of callers did not. The class: work on bytes that came at once, without a wait between.

Evidence: test_a_body_in_chunks_of_a_byte_does_not_hold_up_other_tasks failed before (1 turn while 8,000 chunks were read, 250 expected). The other tests of the file passed before: heads, bodies, chunk extensions, trailers and pipelined bytes without end were bounded in size. Ruled out: the same in the responses of endpoints, which share the counting now.

--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -12,6 +12,7 @@
 import trio
 
 from rattangate.sockets import has_hung_up, is_readable
+from rattangate.turns import TurnGiver
 
 if TYPE_CHECKING:
     from rattangate.core.routes import ConnectionLimits
@@ -214,8 +215,10 @@
         limits = self._limits()
         parts: list[bytes] = []
         size = 0
+        turn_giver = TurnGiver()
         with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
+                await turn_giver.count_item()
                 event = await self._next_event(limits.header_bytes)
                 if isinstance(event, h11.EndOfMessage):
                     return b"".join(parts)
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import socket
 from contextlib import AsyncExitStack, ExitStack, aclosing, suppress
 from dataclasses import dataclass
@@ -15,6 +14,7 @@
 from rattangate.peers.tunnels import TunnelStream
 from rattangate.platform.requests import Header, decode_answer
 from rattangate.sockets import is_readable, reset_on_close, set_socket_options
+from rattangate.turns import TurnGiver
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -34,8 +34,6 @@
 MAX_MISMATCHED_BYTES = 262_144
 MAX_INTERIM_RESPONSES = 8
 SMALL_REQUEST_BYTES = 4_096
-# Chunks of a response after which other tasks get their turn, since one read may bring thousands.
-CHUNKS_PER_TURN = 32
 
 
 class ConnectFailed(Exception):  # noqa: N818
@@ -264,12 +262,12 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the response body; raise ExchangeLost if it is truncated."""
-        for number in itertools.count(1):
+        turn_giver = TurnGiver()
+        while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
-                if number % CHUNKS_PER_TURN == 0:
-                    await trio.lowlevel.checkpoint()
+                await turn_giver.count_item()
             elif isinstance(event, h11.EndOfMessage):
                 self._is_response_complete = True
                 return
