Keep a body in small chunks in as much memory as it has bytes

What callers saw: nothing yet; with chunks of two bytes the bounds on bodies were bounds on a 28th of what was kept (a body of 4 MiB took about 117 MB, a held response of 256 KiB about 7 MB, for each connection; both computed from the runs below).

Cause: the chunks of a body were kept one by one, as objects that are larger than their bytes. The class: a bound on bytes that counts something else than what is kept.

Evidence: test_a_body_in_small_chunks_takes_no_more_memory_than_its_bytes (peak 2,552,061 bytes for a body of 40,000, at most 700,000 allowed) and test_a_response_in_small_chunks_takes_no_more_memory_than_its_bytes (7,720,877 for 120,000, with the caller's own memory; at most 1,500,000 allowed) failed before. Ruled out: error responses and reports, which were kept as their bytes.

--- a/rattangate/front/caller_conn.py
+++ b/rattangate/front/caller_conn.py
@@ -213,20 +213,18 @@
 
     async def _read_body(self) -> bytes:
         limits = self._limits()
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         turn_giver = TurnGiver()
         with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
                 await turn_giver.count_item()
                 event = await self._next_event(limits.header_bytes)
                 if isinstance(event, h11.EndOfMessage):
-                    return b"".join(parts)
+                    return bytes(body)
                 if not isinstance(event, h11.Data):
                     raise CallerDisconnected
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise RequestRefused(413, "the body exceeds the limit of its size")
         raise RequestRefused(408, "the body of the request came too slowly")
 
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -296,18 +296,16 @@
 
         One of more than `MAX_BUFFERED_BYTES` is relayed as it arrives from there on.
         """
-        buffered: list[bytes] = []
-        size = 0
+        buffered = bytearray()
         async with aclosing(exchange.chunks()) as chunks:
             async for data in chunks:
-                buffered.append(data)
-                size += len(data)
-                if size > MAX_BUFFERED_BYTES:
+                buffered += data
+                if responder.is_started or len(buffered) > MAX_BUFFERED_BYTES:
                     await self._start_response(responder, exchange)
-                    await responder.send(b"".join(buffered))
+                    await responder.send(bytes(buffered))
                     buffered.clear()
         self._record_first_token(admitted, decisions, dispatch)
-        body = b"".join(buffered)
+        body = bytes(buffered)
         if responder.is_started:
             if body:
                 await responder.send(body)
--- a/tests/front/test_endless_requests.py
+++ b/tests/front/test_endless_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from contextlib import suppress
 
 import pytest
@@ -106,3 +107,26 @@
 
     trio.run(main)
     assert turns_taken[0] >= chunks // ITEMS_PER_TURN
+
+
+def test_a_body_in_small_chunks_takes_no_more_memory_than_its_bytes():
+    chunks = 20_000
+    bodies = []
+
+    async def keep(req: CallerRequest, responder: Responder) -> None:
+        bodies.append((len(req.body), tracemalloc.get_traced_memory()[1]))
+
+    async def main() -> None:
+        conn, caller = open_conn(keep)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(conn.run)
+            await caller.send_all(CHUNKED + b"2\r\nxy\r\n" * chunks + b"0\r\n\r\n")
+
+    tracemalloc.start()
+    try:
+        trio.run(main)
+    finally:
+        tracemalloc.stop()
+    ((size, peak),) = bodies
+    assert size == 2 * chunks
+    assert peak < 700_000
--- a/tests/front/test_endless_responses.py
+++ b/tests/front/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from contextlib import asynccontextmanager, suppress
 from functools import partial
 from typing import TYPE_CHECKING
@@ -245,3 +246,26 @@
                     await trio.sleep(0.05)
 
     trio.run(main)
+
+
+def test_a_response_in_small_chunks_takes_no_more_memory_than_its_bytes():
+    chunks = 60_000
+    data = SIGNED_HEAD + CHUNKED + b"2\r\nxy\r\n" * chunks + b"0\r\n\r\n"
+    peaks = []
+
+    async def respond_in_small_chunks(call: Call) -> None:
+        tracemalloc.start()
+        await call.stream.send_all(data)
+
+    async def main() -> None:
+        async with running_deployment(plain_handler=respond_in_small_chunks) as deployment:
+            await deployment.set_timeouts(20_000)
+            resp = await deployment.request(NON_IDEMPOTENT_PATH, X_Deadline_Ms="20000")
+            peaks.append(tracemalloc.get_traced_memory()[1])
+            assert len(resp.content) == 2 * chunks
+
+    try:
+        trio.run(main)
+    finally:
+        tracemalloc.stop()
+    assert peaks[0] < 1_500_000
