Bound the frames of peers that have proven nothing yet at 4 KiB

What callers saw: nothing yet; each connection to the peer port could make an instance keep a megabyte for 2 s without knowing the peer secret: hundreds of them, hundreds of megabytes.

Cause: the frames of the handshake had the bound of updates. The class: a bound for each connection that is large times their number.

Evidence: test_a_peer_that_has_proven_nothing_is_refused_before_a_long_frame_is_kept failed before on both sides of the handshake (1,015,808 and 1,032,192 bytes were taken, at most 600,000 allowed, most of them for the kernel's buffers). Ruled out: a long hello of an authentic peer: it holds a name, a nonce and a proof.

--- a/rattangate/peers/framing.py
+++ b/rattangate/peers/framing.py
@@ -43,13 +43,13 @@
         """Tell whether bytes were received that no frame was read from yet."""
         return bool(self._buffer)
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int = MAX_FRAME_BYTES) -> bytes:
         """Return the contents of the next frame; one that was cancelled can be read again."""
         await self._turn_giver.count_item()
         await self._fill(FRAME_HEADER.size)
         (size,) = FRAME_HEADER.unpack_from(self._buffer)
-        if size > MAX_FRAME_BYTES:
-            raise PeerProtocolError(f"frame of {size} bytes, expected at most {MAX_FRAME_BYTES}")
+        if size > max_bytes:
+            raise PeerProtocolError(f"frame of {size} bytes, expected at most {max_bytes}")
         end = FRAME_HEADER.size + size
         await self._fill(end)
         frame = bytes(self._buffer[FRAME_HEADER.size : end])
--- a/rattangate/peers/handshake.py
+++ b/rattangate/peers/handshake.py
@@ -23,6 +23,8 @@
 NONCE_BYTES = 16
 MAC_BYTES = 32
 HANDSHAKE_TIMEOUT_S = 2.0
+# Anyone who connects may send one, so that it is far below what an authenticated peer may send.
+MAX_HANDSHAKE_FRAME_BYTES = 4_096
 
 
 class Purpose(IntEnum):
@@ -87,7 +89,7 @@
 async def _read_authenticated(identity: PeerIdentity, reader: FrameReader, decode: Any) -> Any:
     # Checked before decoding: an unauthenticated frame may declare a list of any length, which
     # can take seconds to decode.
-    data = await reader.read()
+    data = await reader.read(MAX_HANDSHAKE_FRAME_BYTES)
     mac, frame = data[:MAC_BYTES], data[MAC_BYTES:]
     if not hmac.compare_digest(_mac_of(identity, frame), mac):
         raise PeerProtocolError("invalid message authentication code of a handshake frame")
--- a/tests/peers/test_endless_frames.py
+++ b/tests/peers/test_endless_frames.py
@@ -7,8 +7,8 @@
 import pytest
 import trio
 
-from rattangate.peers.framing import FRAME_HEADER, FrameReader, pack_frame
-from rattangate.peers.handshake import PeerIdentity
+from rattangate.peers.framing import FRAME_HEADER, FrameReader, PeerProtocolError, pack_frame
+from rattangate.peers.handshake import PeerIdentity, authenticate_client, authenticate_to_server
 from rattangate.peers.tunnel_codec import TunnelFrame, encode_frame
 from rattangate.peers.tunnels import TunnelStream
 from rattangate.turns import ITEMS_PER_TURN
@@ -74,3 +74,25 @@
         assert await stream.receive_some() == b"x"
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("side", [authenticate_client, authenticate_to_server])
+def test_a_peer_that_has_proven_nothing_is_refused_before_a_long_frame_is_kept(side):
+    async def main() -> None:
+        ours, theirs = open_pair()
+        refused = trio.Event()
+
+        async def serve() -> None:
+            with pytest.raises(PeerProtocolError):
+                await side(IDENTITY, FrameReader(ours), ours)
+            refused.set()
+            await ours.aclose()
+
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve)
+                sent = await flood(theirs, MAX_FRAME_HEADER, 8_000_000)
+        assert refused.is_set()
+        assert sent < KERNEL_BYTES
+
+    trio.run(main)
