Let other tasks run while an answer in many small chunks is read

What callers saw: nothing yet; an answer of the store, a report or an answer to an order in chunks of a byte kept all requests waiting while the 64 KB of a read were parsed.

Cause: the HTTP client returns chunks that came at once without a wait between them. The class: work on bytes that came at once.

Evidence: test_an_answer_in_chunks_of_a_byte_does_not_hold_up_other_tasks failed before (9 turns while 8,000 chunks were read, 250 expected). Ruled out: size and time: test_an_endless_answer_is_closed_at_a_bound_in_bytes (six kinds of calls, seven kinds of answers) passed before.

--- a/rattangate/plain_http.py
+++ b/rattangate/plain_http.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from rattangate.turns import TurnGiver
+
 if TYPE_CHECKING:
     import httpx
 
@@ -36,10 +38,12 @@
     Raise AnswerTooLong above `max_bytes`, TooSlowError if it takes too long, and HTTPError.
     """
     body = bytearray()
+    turn_giver = TurnGiver()
     with trio.fail_after(timeout_s):
         resp = await client.send(req, stream=True)
         try:
             async for data in resp.aiter_raw():
+                await turn_giver.count_item()
                 body += data
                 if len(body) > max_bytes:
                     raise AnswerTooLong(f"answer is longer than {max_bytes} bytes")
