Give up a read of the store whose pages exceed a bound

What callers saw: nothing yet; a store whose pages never end filled the memory of the instance that read a table or listed blobs, though each page was bounded.

Cause: the bound was on an answer, not on the read that asks for one after another. The class: a bound on the part and none on the whole.

Evidence: test_a_read_of_endless_pages_is_given_up_at_a_bound_in_bytes failed before in both cases (80 pages of a megabyte were all kept). Ruled out: the same page over and over (test_a_next_page_that_repeats_the_last_one_ends_the_read).

--- a/rattangate/platform/store.py
+++ b/rattangate/platform/store.py
@@ -47,6 +47,8 @@
 ANSWER_TIMEOUT_S = 5.0
 # Twice the largest blob that the store keeps.
 MAX_ANSWER_BYTES = 16_777_216
+# Of all pages of one read.
+MAX_PAGED_BYTES = 33_554_432
 PAGE_ROWS = 500
 MAX_CONNECTIONS = 64
 MAX_IDLE_CONNECTIONS = 8
@@ -101,6 +103,7 @@
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Read all rows of a table."""
         rows: list[StoreRow] = []
+        size = 0
         start = ""
         while True:
             params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
@@ -111,6 +114,9 @@
                 return answer
             if rows and answer.era != era_of(rows[0].version):
                 return Unavailable("the store returned during the read", may_have_applied=False)
+            size += answer.size
+            if size > MAX_PAGED_BYTES:
+                return _too_many_pages()
             rows.extend(answer.rows)
             if not answer.has_more or not answer.rows:
                 return StoreRows(tuple(rows), answer.version, answer.answered_at)
@@ -232,6 +238,7 @@
     async def list_blobs(self, prefix: str) -> tuple[str, ...] | Unavailable:
         """List the names of blobs that begin with a prefix, in ascending order."""
         names: list[str] = []
+        size = 0
         while True:
             params = {"path_prefix": prefix}
             if names:
@@ -244,6 +251,9 @@
                 return answer
             if names and answer.names and answer.names[-1] <= names[-1]:
                 return Unavailable("the next page has earlier names", may_have_applied=False)
+            size += len(resp.body)
+            if size > MAX_PAGED_BYTES:
+                return _too_many_pages()
             names.extend(answer.names)
             if not answer.has_more or not answer.names:
                 return tuple(names)
@@ -292,7 +302,9 @@
         self._observe_time(answer.now_ms)
         rows = tuple(store_answers.make_row(row, self._era) for row in answer.rows)
         version = make_version(self._era, answer.ver)
-        return _Page(rows, version, self._era, answer.now_ms / MS_PER_S, answer.has_more)
+        return _Page(
+            rows, version, self._era, answer.now_ms / MS_PER_S, answer.has_more, len(resp.body)
+        )
 
     def _observe_time(self, now_ms: float | None) -> None:
         if now_ms is not None:
@@ -358,13 +370,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Page:
-    """Hold the rows of one answer; `version` is that of the store, in the era `era`."""
+    """Hold the rows of one answer of `size` bytes; `version` is that of the store in `era`."""
 
     rows: tuple[StoreRow, ...]
     version: int
     era: int
     answered_at: float
     has_more: bool
+    size: int
+
+
+def _too_many_pages() -> Unavailable:
+    detail = f"the pages exceed {MAX_PAGED_BYTES} bytes"
+    return Unavailable(detail, may_have_applied=False)
 
 
 def _decode(resp: BoundedAnswer, cls: type[T], may_have_applied: bool) -> T | Unavailable:
--- a/tests/platform/test_endless_store_answers.py
+++ b/tests/platform/test_endless_store_answers.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager, suppress
 from functools import partial
 
+import msgspec
 import pytest
 import trio
 
@@ -36,6 +37,10 @@
     "put": lambda store: store.put_blob("b", b"v"),
     "list": lambda store: store.list_blobs(""),
 }
+# More than a read of all pages may bring.
+MAX_PAGES = 80
+PAGE_ROWS = 4
+PAGE_BYTES = 1_000_000
 
 
 @asynccontextmanager
@@ -93,3 +98,31 @@
             assert turns.count - before >= chunks // ITEMS_PER_TURN
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("name", ["read", "list"])
+def test_a_read_of_endless_pages_is_given_up_at_a_bound_in_bytes(name):
+    pages = 0
+
+    async def answer(stream: trio.SocketStream) -> None:
+        nonlocal pages
+        pages += 1
+        size = PAGE_BYTES // PAGE_ROWS
+        keys = [f"{pages:06}-{number}" for number in range(PAGE_ROWS)]
+        body = msgspec.json.encode(
+            {
+                "rows": [{"key": key, "ver": 1, "value": "A" * size} for key in keys],
+                "names": keys,
+                "ver": 1,
+                "now_ms": 1,
+                "has_more": pages < MAX_PAGES,
+            }
+        )
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    async def main() -> None:
+        async with store_that(answer) as store:
+            assert isinstance(await CALLS[name](store), Unavailable)
+            assert pages < MAX_PAGES
+
+    trio.run(main)
