Keep a peer that says that it is leaving among those that serve tunnels

What callers saw: nothing yet; since leaving instances tell their peers so in their updates, an instance without links to the endpoints answered 503 for a moment while the peer that it reached them through began to drain. Cause: the update is heard before the row is read; in between the peer counted as neither live nor leaving.

The full run of tests/front found it.

--- a/rattangate/core/peer_registry.py
+++ b/rattangate/core/peer_registry.py
@@ -131,6 +131,10 @@
         """Return the number of peers that are not lost."""
         return sum(peer.state is not PeerState.LOST for peer in self.peers.values())
 
+    def leaving_names(self) -> list[str]:
+        """Return the names of the peers that said that they are leaving and are not lost."""
+        return [name for name, peer in self.peers.items() if peer.state is PeerState.LEAVING]
+
     def live_names(self) -> list[str]:
         """Return the names of the peers that are live and not leaving."""
         return [name for name, peer in self.peers.items() if peer.state is PeerState.LIVE]
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -314,12 +314,13 @@
         self._set_tunnel_peers()
 
     def _set_tunnel_peers(self) -> None:
-        live = {name: one for name, one in self._instances.items() if name in self._live}
+        # A peer says that it is leaving before its row does.
+        leaving = {*self._leaving_instances, *self._peer_registry.leaving_names()}
         self._state.paths.set_tunnel_peers(
             {
-                name: TunnelPeer(entry.address, entry.data_centre, entry.is_leaving)
-                for name, entry in {**self._leaving_instances, **live}.items()
-                if entry.serves_tunnels
+                name: TunnelPeer(entry.address, entry.data_centre, name in leaving)
+                for name, entry in self._peers_by_name.items()
+                if entry.serves_tunnels and (name in leaving or name in self._live)
             }
         )
 
