--- a/tests/peers/test_stream_history_codec.py
+++ b/tests/peers/test_stream_history_codec.py
@@ -43,11 +43,11 @@
 def test_the_history_of_an_instance_that_has_run_for_weeks_can_be_encoded(days):
     versions = StreamVersions()
     versions.record_endpoint(EndpointStatus("a", 1, "1", EndpointState.LIVE, "llm"), 0.0)
-    versions.record_list_read(0.0)
+    versions.record_list_read(frozenset({("a", 1)}), 0.0)
     versions.record_placement(b"stream-1", ("a", 1), 1.0)
     now = days * 86_400.0
     for at in range(0, int(now), int(MAX_LIST_GAP_S)):
-        versions.record_list_read(float(at))
+        versions.record_list_read(frozenset({("a", 1)}), float(at))
     history = decode_update(encode(versions.history(now))).stream_history
     assert history.known_s >= STREAM_RETENTION_S
     assert not history.streams
