Bound what is kept of the answers of configured endpoints

What callers saw: nothing yet; an endpoint that answered a call with an error, a report, cache events or an order with a body without end filled the memory of the instance, as the issue reports of other systems.

Cause: the client of the product's own interface read these bodies whole, error bodies without a timeout too. The class: the bounds of the platform's path were not those of this one.

test_any_bytes_of_an_endpoint_are_rejected: its stand-in answered with a body that was read already; it is now a stream, as from a connection. What it checks is unchanged.

Open: answers of services on this interface and to bookings are still read whole.

--- a/rattangate/endpoints/client.py
+++ b/rattangate/endpoints/client.py
@@ -8,10 +8,17 @@
 
 import httpx
 import msgspec
+import trio
 
 from rattangate.core.messages import AttemptResult
 from rattangate.json_decoding import decode_json
-from rattangate.plain_http import EMPTY_TRUST_STORE
+from rattangate.plain_http import (
+    EMPTY_TRUST_STORE,
+    AnswerTooLong,
+    BoundedAnswer,
+    read_bounded,
+    send_bounded,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -20,9 +27,13 @@
 CONNECT_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 1.0
 CACHE_EVENTS_TIMEOUT_S = 5.0
+MAX_ERROR_BYTES = 65_536
+MAX_REPORT_BYTES = 65_536
+MAX_CACHE_EVENTS_BYTES = 16_777_216
 MAX_IDLE_CONNECTIONS = 64
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 BLOCK_HASH_LIMIT = 2**64
+_READ_FAILURES = (httpx.HTTPError, trio.TooSlowError, AnswerTooLong)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +122,7 @@
             base_url=f"http://{address}",
             limits=limits,
             timeout=timeout,
+            headers={"Accept-Encoding": "identity"},
             trust_env=False,
             verify=EMPTY_TRUST_STORE,
         )
@@ -146,24 +158,29 @@
     async def get_report(self) -> EndpointReport | CallFailed:
         """Read the state and load of the endpoint."""
         try:
-            resp = await self.http.get("/load", timeout=LOAD_TIMEOUT_S)
-            return decode_json(resp.content, EndpointReport)
+            answer = await self._get("/load", LOAD_TIMEOUT_S, MAX_REPORT_BYTES)
+            return decode_json(answer.body, EndpointReport)
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
             return CallFailed(AttemptResult.NOT_SENT, repr(exc))
-        except (httpx.HTTPError, msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        except (*_READ_FAILURES, msgspec.MsgspecError, UnicodeDecodeError) as exc:
             return CallFailed(AttemptResult.LOST, repr(exc))
 
     async def cache_events(self, after: int) -> tuple[int, tuple[CacheEvent, ...]] | CallFailed:
         """Wait for cache events after a sequence number; return them with the incarnation."""
         try:
-            resp = await self.http.get(
-                f"/cache-events?after={after}", timeout=CACHE_EVENTS_TIMEOUT_S
+            answer = await self._get(
+                f"/cache-events?after={after}", CACHE_EVENTS_TIMEOUT_S, MAX_CACHE_EVENTS_BYTES
             )
-            raw = decode_json(resp.content, _RawEvents)
+            raw = decode_json(answer.body, _RawEvents)
             return raw.incarnation, tuple(_make_cache_event(event) for event in raw.events)
-        except (httpx.HTTPError, msgspec.MsgspecError, ValueError) as exc:
+        except (*_READ_FAILURES, msgspec.MsgspecError, ValueError) as exc:
             return CallFailed(AttemptResult.LOST, repr(exc))
 
+    async def _get(self, path: str, timeout_s: float, max_bytes: int) -> BoundedAnswer:
+        timeout = httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S)
+        req = self.http.build_request("GET", path, timeout=timeout)
+        return await send_bounded(self.http, req, timeout_s + CONNECT_TIMEOUT_S, max_bytes)
+
 
 @asynccontextmanager
 async def closing_clients(clients: dict[str, EndpointClient]) -> AsyncIterator[None]:
@@ -178,8 +195,8 @@
 async def _make_open_failure(resp: httpx.Response) -> CallFailed:
     body: dict[str, Any] = {}
     try:
-        decoded = decode_json(await resp.aread())
-    except (httpx.HTTPError, msgspec.DecodeError):
+        decoded = decode_json(await read_bounded(resp, MAX_ERROR_BYTES))
+    except (httpx.HTTPError, AnswerTooLong, msgspec.DecodeError):
         decoded = None
     if isinstance(decoded, dict):
         body = decoded
--- a/rattangate/endpoints/orders.py
+++ b/rattangate/endpoints/orders.py
@@ -7,6 +7,7 @@
 
 import httpx
 import msgspec
+import trio
 
 from rattangate.config.model import EndpointKind
 from rattangate.core.messages import EndpointState
@@ -15,6 +16,7 @@
 from rattangate.json_decoding import decode_json
 from rattangate.log_events import LogEvent, log
 from rattangate.orders import Observation
+from rattangate.plain_http import AnswerTooLong, send_bounded
 from rattangate.platform.outcomes import Unavailable, Written
 from rattangate.records import TABLE
 
@@ -36,6 +38,7 @@
 # does not check tokens and loads the wrong version gets the order again.
 NO_GUARD_S = 0.0
 ORDER_TIMEOUT_S = 10.0
+MAX_ANSWER_BYTES = 65_536
 # The trace event that httpcore emits right before it sends the first byte of a request.
 FIRST_BYTE_EVENT = "http11.send_request_headers.started"
 
@@ -112,23 +115,26 @@
 
         name = type(sent.order).__name__
         log(LogEvent.ORDER_SENT, endpoint=sent.endpoint, order=name, fencing=sent.number)
+        http = self._clients[sent.endpoint].http
+        req = http.build_request(
+            "POST",
+            "/orders",
+            content=msgspec.json.encode(_make_order_body(sent.order, sent.number)),
+            timeout=ORDER_TIMEOUT_S,
+            extensions={"trace": cancel_if_not_allowed},
+        )
         try:
-            resp = await self._clients[sent.endpoint].http.post(
-                "/orders",
-                content=msgspec.json.encode(_make_order_body(sent.order, sent.number)),
-                timeout=ORDER_TIMEOUT_S,
-                extensions={"trace": cancel_if_not_allowed},
-            )
-        except (httpx.HTTPError, _OrderCancelled) as exc:
+            answer = await send_bounded(http, req, ORDER_TIMEOUT_S, MAX_ANSWER_BYTES)
+        except (httpx.HTTPError, trio.TooSlowError, AnswerTooLong, _OrderCancelled) as exc:
             _log_refused(sent, repr(exc))
             return OrderResult.LOST
-        if resp.status_code == httpx.codes.CONFLICT:
+        if answer.status == httpx.codes.CONFLICT:
             _log_refused(
                 sent, f"fencing number {sent.number} is lower than the highest one of the endpoint"
             )
             return OrderResult.OLD_NUMBER
-        if resp.status_code != httpx.codes.OK:
-            _log_refused(sent, f"status {resp.status_code}")
+        if answer.status != httpx.codes.OK:
+            _log_refused(sent, f"status {answer.status}")
             return OrderResult.LOST
         return OrderResult.ACCEPTED
 
--- a/rattangate/plain_http.py
+++ b/rattangate/plain_http.py
@@ -37,16 +37,22 @@
 
     Raise AnswerTooLong above `max_bytes`, TooSlowError if it takes too long, and HTTPError.
     """
-    body = bytearray()
-    turn_giver = TurnGiver()
     with trio.fail_after(timeout_s):
         resp = await client.send(req, stream=True)
         try:
-            async for data in resp.aiter_raw():
-                await turn_giver.count_item()
-                body += data
-                if len(body) > max_bytes:
-                    raise AnswerTooLong(f"answer is longer than {max_bytes} bytes")
+            body = await read_bounded(resp, max_bytes)
         finally:
             await resp.aclose()
-    return BoundedAnswer(resp.status_code, resp.headers, bytes(body))
+    return BoundedAnswer(resp.status_code, resp.headers, body)
+
+
+async def read_bounded(resp: httpx.Response, max_bytes: int) -> bytes:
+    """Read the body of an answer; raise AnswerTooLong above `max_bytes`, and HTTPError."""
+    body = bytearray()
+    turn_giver = TurnGiver()
+    async for data in resp.aiter_raw():
+        await turn_giver.count_item()
+        body += data
+        if len(body) > max_bytes:
+            raise AnswerTooLong(f"answer is longer than {max_bytes} bytes")
+    return bytes(body)
--- /dev/null
+++ b/tests/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of configured endpoints."""
--- a/tests/faults/test_fuzz.py
+++ b/tests/faults/test_fuzz.py
@@ -69,7 +69,9 @@
 async def _read_endpoint(answer):
     client = EndpointClient("a", "127.0.0.1:1")
     await client.http.aclose()
-    transport = httpx.MockTransport(lambda request: httpx.Response(200, content=answer))
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(200, stream=httpx.ByteStream(answer))
+    )
     async with httpx.AsyncClient(transport=transport, base_url="http://127.0.0.1:1") as http:
         client.http = http
         return await client.get_report(), await client.cache_events(0)
