--- a/tests/front/test_endless_responses.py
+++ b/tests/front/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import tracemalloc
 from contextlib import asynccontextmanager, suppress
 from functools import partial
@@ -14,15 +15,23 @@
 from rattangate.core.orders import OrderResult
 from rattangate.platform.orders import OrderClient, OrderFencing
 from rattangate.platform.reports import NoReport
+from rattangate.turns import ITEMS_PER_TURN
 from tests.front.deployment import (
+    HOST,
     IDEMPOTENT_PATH,
+    KEY,
+    MODEL,
     NON_IDEMPOTENT_PATH,
+    RESUMABLE_PATH,
     STREAM_PATH,
     Call,
+    event,
     respond_done,
     running_deployment,
+    wait_until,
 )
 from tests.small_deployment import free_addresses
+from tests.turns import counting_turns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -269,3 +278,58 @@
     finally:
         tracemalloc.stop()
     assert peaks[0] < 1_500_000
+
+
+def test_repeated_events_of_a_resumed_stream_do_not_hold_up_other_tasks():
+    chunks = 8_000
+    repeated = b"id: 1\ndata: token1\n\n"
+    first = iter([True])
+    turns_taken = []
+
+    async def main() -> None:
+        async with counting_turns() as turns:
+
+            async def break_off_then_repeat(call: Call) -> None:
+                await call.start_stream()
+                if next(first, False):
+                    await call.send_chunk(event(1))
+                    raise trio.BrokenResourceError
+                before = turns.count
+                await call.stream.send_all(b"%x\r\n%b\r\n" % (len(repeated), repeated) * chunks)
+                await call.send_chunk(event(2))
+                await call.send_chunk(b"")
+                turns_taken.append(before)
+
+            async with running_deployment(engine_handler=break_off_then_repeat) as deployment:
+                await deployment.set_timeouts(20_000)
+                resp = await deployment.request(RESUMABLE_PATH, X_Deadline_Ms="20000")
+                turns_taken.append(turns.count)
+                assert resp.content == event(1) + event(2)
+
+    trio.run(main)
+    assert turns_taken[1] - turns_taken[0] >= chunks // ITEMS_PER_TURN
+
+
+def test_an_endpoint_that_floods_a_stream_is_read_no_faster_than_its_caller_reads():
+    flood = [0]
+
+    async def stream_without_end(call: Call) -> None:
+        await call.start_stream()
+        for number in itertools.count(1):
+            data = b"id: %d\ndata: %b\n\n" % (number, b"x" * BLOCK_BYTES)
+            await call.send_chunk(data)
+            flood[0] += len(data)
+            assert flood[0] < 2 * MAX_SENT_BYTES
+
+    async def main() -> None:
+        async with running_deployment(engine_handler=stream_without_end) as deployment:
+            host, port = deployment.boot.caller_address.rsplit(":", 1)
+            head = f"POST {STREAM_PATH} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+            head += f"X-Model: {MODEL}\r\nX-Token-Counts: 900,20\r\nX-Attempt-Id: a1\r\n"
+            async with await trio.open_tcp_stream(host, int(port)) as caller:
+                await caller.send_all(f"{head}X-Deadline-Ms: 1900\r\n\r\n".encode())
+                await wait_until(lambda: flood[0] > 0)
+                await wait_until(lambda: not deployment.app.forwarder.in_flight)
+            assert flood[0] < MAX_SENT_BYTES
+
+    trio.run(main)
