Tell what an incomplete answer of a rollout held, and what happened to its request

The check is as strict as before; its message names the status, text and offsets received, and the log lines of the request, of endpoints and of orders.

--- a/tests/operators/test_rollout.py
+++ b/tests/operators/test_rollout.py
@@ -17,11 +17,19 @@
 import yaml
 
 from tests.operators.apply_config import apply_files
-from tests.small_deployment import MODEL, DeploymentCfg, complete, make_prompt, small_deployment
+from tests.small_deployment import (
+    MODEL,
+    CompletionResult,
+    DeploymentCfg,
+    complete,
+    make_prompt,
+    small_deployment,
+)
 
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 ROLLOUT_TIMEOUT_S = 60.0
 TOKENS = 6
+STATE_EVENTS = ('"message_type":"endpoint_', '"message_type":"order_')
 
 
 class Rollout:
@@ -77,6 +85,17 @@
         name = json.loads(base64.b64decode(row["value"]))["holder"]["instance"]
         return self.deployment.processes[name]
 
+    def describe(self, received: CompletionResult) -> str:
+        """Describe an answer and the log lines of its request and of the changes of endpoints."""
+        request_id = received.headers.get("x-request-id", "")
+        lines = [
+            f"{path.stem}: {line}"
+            for path in sorted(self.deployment.log_dir.glob("entry-*.log"))
+            for line in path.read_text().splitlines()
+            if (request_id and request_id in line) or any(kind in line for kind in STATE_EVENTS)
+        ]
+        return "\n".join([f"request {request_id!r} got {received}", *lines])
+
     def assert_replica_bounds(self) -> None:
         assert self.max_loading <= 2
         assert self.min_ready >= 2
@@ -110,7 +129,8 @@
         caller_thread.join()
     rollout.assert_replica_bounds()
     for prompt, received in answers:
-        assert any(received.is_complete(prompt, TOKENS, version) for version in ("v1", "v2"))
+        is_complete = any(received.is_complete(prompt, TOKENS, version) for version in ("v1", "v2"))
+        assert is_complete, rollout.describe(received)
 
 
 def test_rollout_resumes_after_the_lease_holder_is_killed(rollout):
