Send an incarnation no request until a list from after its Server-Leaving names it as ready

What callers saw: nothing yet; found by reading. An endpoint that restarted under its id and said Server-Leaving before its new entry was read got requests once a read that had been sent before the answer brought the entry.

Cause: the answer was recorded for the incarnation that the list named, whoever gave it.

Evidence: the new test got 200 where 503 is due, and passes now. That the read was sent before the answer tells the case from a restart after the old incarnation said it leaves, which a test covers with the same answers.

Ruled out: asking on the same connection who answered (endpoints that leave close it, and those of a service without a model have no report). Limits and Retry-After of another incarnation stay open.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 # Longer than a leaving endpoint goes on serving, and than the age of a copy from which the store
 # may come back.
 LEAVING_MEMORY_S = 300.0
+# Longer than a read of the list waits for changes.
+LEAVING_DOUBT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,16 +111,22 @@
         self._min_versions: Mapping[str, int] = {}
         # When it is forgotten that an endpoint said that it is leaving.
         self._leaving_until: dict[tuple[str, int], float] = {}
+        # When an endpoint said so, which may have been an incarnation that was not listed yet.
+        self._said_leaving_at: dict[str, float] = {}
+        self._doubted_until: dict[tuple[str, int], float] = {}
 
     def configure(self, services: Mapping[str, Service], now: float) -> list[EndpointStatus]:
         """Set the services of a new configuration."""
         self._services = services
         return self._collect_changes(now)
 
-    def update_list(self, listed: Iterable[ListedEndpoint], now: float) -> list[EndpointStatus]:
+    def update_list(
+        self, listed: Iterable[ListedEndpoint], now: float, asked_at: float = math.inf
+    ) -> list[EndpointStatus]:
         """Replace the platform's list; an endpoint that is missing from it is reported as down.
 
-        An endpoint that is leaving stays so if its entry is gone and comes back.
+        An endpoint that is leaving stays so if its entry is gone and comes back. One that may have
+        said so gets no requests until a list that was requested after that names it as ready.
         """
         previous = self.endpoints
         self.endpoints = {}
@@ -129,6 +138,7 @@
                 self._remember_leaving(item.endpoint, item.incarnation, now)
             self.endpoints[item.endpoint] = merged
         self._ended &= {(item.endpoint, item.incarnation) for item in self.endpoints.values()}
+        self._update_doubts(asked_at)
         return self._collect_changes(now)
 
     def update_weights(self, update: WeightsUpdate, now: float) -> list[EndpointStatus]:
@@ -161,6 +171,8 @@
 
     def mark_leaving(self, endpoint: str, incarnation: int, now: float) -> list[EndpointStatus]:
         """Mark an endpoint as leaving because it said so itself, before it is listed as leaving."""
+        if not self.is_leaving(endpoint, incarnation):
+            self._said_leaving_at[endpoint] = now
         self._remember_leaving(endpoint, incarnation, now)
         known = self.endpoints.get(endpoint)
         if known is None or known.incarnation != incarnation or known.is_leaving:
@@ -237,7 +249,7 @@
         expired = 0
         for key in [key for key, until in self._leaving_until.items() if until <= now]:
             del self._leaving_until[key]
-        for deadlines in (self._loading_until, self._suspended_until):
+        for deadlines in (self._loading_until, self._suspended_until, self._doubted_until):
             for key in [key for key, deadline in deadlines.items() if deadline <= now]:
                 del deadlines[key]
                 expired += 1
@@ -247,6 +259,16 @@
         """Return the listed endpoints of a service."""
         return [item for item in self.endpoints.values() if item.service == service]
 
+    def _update_doubts(self, asked_at: float) -> None:
+        self._said_leaving_at = {
+            endpoint: at for endpoint, at in self._said_leaving_at.items() if at >= asked_at
+        }
+        self._doubted_until = {
+            (endpoint, self.endpoints[endpoint].incarnation): at + LEAVING_DOUBT_S
+            for endpoint, at in self._said_leaving_at.items()
+            if endpoint in self.endpoints
+        }
+
     def _remember_leaving(self, endpoint: str, incarnation: int, now: float) -> None:
         self._leaving_until[endpoint, incarnation] = now + LEAVING_MEMORY_S
 
@@ -312,6 +334,8 @@
             return EndpointState.SUSPENDED
         if key in self._suspended_until or now < self._loading_until.get(key, 0.0):
             return EndpointState.SUSPENDED
+        if now < self._doubted_until.get(key, 0.0):
+            return EndpointState.SUSPENDED
         if any(loaded.version < self._min_versions.get(loaded.model, 0) for loaded in item.models):
             return EndpointState.SUSPENDED
         return EndpointState.LIVE
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -86,9 +86,11 @@
             log(LogEvent.WEIGHTS_NAMED, model=named.model, version=named.version)
 
     def apply_endpoint_list(self, listed: Iterable[ListedEndpoint], asked_at: float) -> None:
-        """Apply the endpoint list, which was requested at `asked_at`."""
+        """Apply the endpoint list, which was requested at `asked_at` on the clock of boottime."""
         self.list_read_at = asked_at
-        self._feed_changes(self.view.update_list(listed, trio.current_time()))
+        now = trio.current_time()
+        asked_s_ago = boottime_now() - asked_at
+        self._feed_changes(self.view.update_list(listed, now, now - asked_s_ago))
         self.driver.feed(EndpointListRead())
         self.paths.drop_unlisted()
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rattangate.core.fleet import (
+    LEAVING_DOUBT_S,
     LEAVING_MEMORY_S,
     FleetView,
     FleetViewCfg,
@@ -201,3 +202,42 @@
     assert (outdated.endpoint, outdated.state) == ("e1", EndpointState.SUSPENDED)
     (updated,) = view.update_weights(WeightsUpdate("e1", 100, "m", 2), 3.0)
     assert (updated.state, updated.weights_version) == (EndpointState.LIVE, "2")
+
+
+RESTARTED = replace(ENGINE, incarnation=ENGINE.incarnation + 1)
+
+
+def leaving_view() -> FleetView:
+    """Return a view in which the engine said at 1.0 that it is leaving."""
+    view = make_view()
+    view.update_list([ENGINE], 0.0)
+    view.mark_leaving("e1", ENGINE.incarnation, 1.0)
+    return view
+
+
+def test_an_incarnation_listed_by_a_read_from_before_a_leaving_answer_waits_for_the_next_read():
+    view = leaving_view()
+    (restarted,) = view.update_list([RESTARTED], 1.2, asked_at=0.9)
+    assert restarted.state is EndpointState.SUSPENDED
+    (restarted,) = view.update_list([RESTARTED], 1.5, asked_at=1.3)
+    assert restarted.state is EndpointState.LIVE
+
+
+def test_an_incarnation_listed_by_a_read_from_after_a_leaving_answer_is_live():
+    (restarted,) = leaving_view().update_list([RESTARTED], 1.5, asked_at=1.1)
+    assert restarted.state is EndpointState.LIVE
+
+
+def test_an_incarnation_that_may_have_said_it_leaves_does_not_wait_for_a_read_without_end():
+    view = leaving_view()
+    view.update_list([RESTARTED], 1.2, asked_at=0.9)
+    assert view.tick(0.9 + LEAVING_DOUBT_S) == []
+    (restarted,) = view.tick(1.1 + LEAVING_DOUBT_S)
+    assert restarted.state is EndpointState.LIVE
+
+
+def test_a_repeated_leaving_mark_of_an_earlier_incarnation_puts_no_doubt_on_a_later_one():
+    view = leaving_view()
+    view.update_list([RESTARTED], 1.5, asked_at=1.1)
+    view.mark_leaving("e1", ENGINE.incarnation, 2.0)
+    assert view.update_list([RESTARTED], 2.1, asked_at=1.9) == []
--- a/tests/front/test_restarted_endpoints.py
+++ b/tests/front/test_restarted_endpoints.py
@@ -6,8 +6,10 @@
 import pytest
 import trio
 
+from rattangate.core.messages import EndpointState
 from tests.front.deployment import (
     BORN,
+    NON_IDEMPOTENT_PATH,
     RESUMABLE_PATH,
     STREAM_PATH,
     Call,
@@ -18,6 +20,11 @@
 )
 
 
+def state_of(deployment, endpoint: str) -> EndpointState:
+    """Return the state of an endpoint as requests are placed by."""
+    return deployment.app.state.driver.gateway.endpoints[endpoint].status.state
+
+
 def engines(deployment):
     """Return the replicas of the service with a model."""
     return [item for name, item in deployment.replicas.items() if name.startswith("llm")]
@@ -151,3 +158,49 @@
             assert not silent.calls
 
     trio.run(main)
+
+
+async def wait_until_list_is_being_read(deployment):
+    """Wait for a read of the list without changes, which the next one follows at once."""
+    state = deployment.app.state
+    read_before = state.list_read_at
+    await wait_until(lambda: state.list_read_at != read_before)
+
+
+def test_an_endpoint_that_says_it_leaves_before_its_new_entry_was_read_gets_no_request_after_it():
+    async def announce_leaving(call: Call) -> None:
+        await call.respond(200, b"done", Server_Leaving="1")
+
+    async def main() -> None:
+        async with running_deployment(
+            plain_handler=announce_leaving, replicas_per_service=1
+        ) as deployment:
+            state = deployment.app.state
+            await wait_until_list_is_being_read(deployment)
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 200
+            deployment.write_replica_entry("desk-0", "desk", born=BORN + 1)
+            await wait_until(lambda: state.view.endpoints["desk-0"].incarnation == BORN + 1)
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 503
+            deployment.write_replica_entry("desk-0", "desk", born=BORN + 1, state="draining")
+            await wait_until(lambda: state_of(deployment, "desk-0") is EndpointState.LEAVING)
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 503
+            assert len(deployment.calls()) == 1
+
+    trio.run(main)
+
+
+def test_an_endpoint_that_restarted_after_it_said_it_leaves_gets_requests_again():
+    async def announce_leaving(call: Call) -> None:
+        await call.respond(200, b"done", Server_Leaving="1")
+
+    async def main() -> None:
+        async with running_deployment(
+            plain_handler=announce_leaving, replicas_per_service=1
+        ) as deployment:
+            await wait_until_list_is_being_read(deployment)
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 200
+            deployment.write_replica_entry("desk-0", "desk", born=BORN + 1)
+            await wait_until(lambda: state_of(deployment, "desk-0") is EndpointState.LIVE)
+            assert (await deployment.request(NON_IDEMPOTENT_PATH)).status_code == 200
+
+    trio.run(main)
