Let a relay that is leaving forward until the others send their updates elsewhere

What callers saw: nothing yet; since news between data centres, and all news of large deployments, were lost for a second or two after the relay got SIGTERM: it ceased to forward at once, while the others still sent there. Now it does so 2.5 s later, longer than a row takes to be read; meanwhile two relays forward, and the numbered updates that come twice are dropped as before.

Evidence: test_a_relay_that_is_leaving_forwards_until_the_others_send_elsewhere cannot pass on the code before, which delegated at once; tests/front/test_draining_peers.py, tests/core/test_relays.py pass.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -53,6 +53,8 @@
 # announced one counts as live without a further announcement.
 LIVE_LIST_INTERVAL_S = 1.0
 RELAYED_LOST_AFTER_S = 2.5
+# A relay that is leaving forwards for so long what is still sent to it.
+RELAY_HANDOVER_S = 2.5
 # How long a relay collects frames before it sends them, in a small and in a large deployment.
 RELAY_INTERVAL_S = 0.05
 LARGE_RELAY_INTERVAL_S = 0.1
@@ -162,7 +164,8 @@
     async def mark_leaving(self) -> None:
         """Mark this instance's row in the store: it gets no duties any more, but serves on."""
         self._is_leaving = True
-        self._plan.mark_leaving()
+        if self._nursery is not None:
+            self._nursery.start_soon(self._hand_relay_over)
         if self._row_version is None:
             return
         key = INSTANCE_ROW_PREFIX + self._name
@@ -174,6 +177,12 @@
             self._row_version = None
             log(LogEvent.PLATFORM_DOWN, service="store", error="cannot mark the instance's row")
 
+    async def _hand_relay_over(self) -> None:
+        """Leave the duty of the relay to another instance once all send their updates there."""
+        await trio.sleep(RELAY_HANDOVER_S)
+        self._plan.mark_leaving()
+        self._connect()
+
     async def deregister(self) -> None:
         """Remove this instance's row from the store, unless another process has written it."""
         if self._row_version is None:
--- a/tests/front/test_draining_peers.py
+++ b/tests/front/test_draining_peers.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from rattangate.front import peers
 from tests.front.cut_links import running_pair
 from tests.front.deployment import (
     RESUMABLE_PATH,
@@ -80,11 +81,28 @@
             leaving = links.other_app
             assert leaving._peers.succession_rank("") + deployment.app._peers.succession_rank("")
             await leaving._peers.mark_leaving()
-            peers = deployment.app._peers
+            staying = deployment.app._peers
             await wait_until(lambda: is_leaving_known(deployment.app, "entry-1"))
-            await wait_until(lambda: not peers._live)
-            assert not peers.delegates_endpoint_list()
+            await wait_until(lambda: not staying._live)
+            assert not staying.delegates_endpoint_list()
             await wait_until(leaving._peers.delegates_endpoint_list)
-            assert peers.succession_rank("") == 0
+            assert staying.succession_rank("") == 0
+
+    trio.run(main)
+
+
+def test_a_relay_that_is_leaving_forwards_until_the_others_send_elsewhere(monkeypatch):
+    monkeypatch.setattr(peers, "RELAY_HANDOVER_S", 0.5)
+
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, links):
+            relay = next(
+                app._peers
+                for app in (deployment.app, links.other_app)
+                if not app._peers.delegates_endpoint_list()
+            )
+            await relay.mark_leaving()
+            assert not relay.delegates_endpoint_list()
+            await wait_until(relay.delegates_endpoint_list)
 
     trio.run(main)
