Let what a relay learns of streams from another data centre reach its own

What callers saw: suspected only, refusals of streams as stream_unknown. Cause: the history of streams goes to the instance that a connection leads to, and is not relayed; behind a relay whose connection to another data centre had broken, nobody else heard what it was told. Found by the review. Now a relay sends its local peers the first update again after it was told one by an instance of another data centre. The first update has a timeout of its own, 10 s, as a long one may not pass within that of the handshake on a slow link.

By reading; tests/peers and tests/front/test_stream_news.py pass. A test with two data centres is missing.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -406,6 +406,7 @@
                 self._log_found(name, incarnation)
         if update.stream_history is not None:
             self._state.driver.feed(StreamHistoryReceived(update.stream_history))
+            self._tell_local_peers(update.instance)
         for item in update.weights:
             self._state.apply_weights(item)
         for endpoint, incarnation in update.leaving_endpoints:
@@ -424,6 +425,12 @@
                 )
             )
 
+    def _tell_local_peers(self, origin: str) -> None:
+        """Tell the own data centre what its relay learned from an instance of another one."""
+        is_local = origin in self._plan.local_peers
+        if self._links is not None and not is_local and self._plan.is_relay(self._live):
+            self._links.resend_initial_update(self._plan.local_peers)
+
     def _log_found(self, name: str, incarnation: int) -> None:
         data_centre = self._peers_by_name[name].data_centre
         log(LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre)
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -42,6 +42,8 @@
 # Updates that waited longer are outdated, and a relay holds one queue for each peer that lags
 # behind.
 MAX_QUEUED_WRITES = 32
+# The first update on a connection may be long.
+INITIAL_UPDATE_TIMEOUT_S = 10.0
 # A peer that lags gets the first update again no more often than at this interval.
 INITIAL_UPDATE_INTERVAL_S = 2.0
 
@@ -111,6 +113,10 @@
             except trio.WouldBlock:
                 self._lagging.add(name)
 
+    def resend_initial_update(self, names: Iterable[str]) -> None:
+        """Send the first update again to some peers, after the next frame for each."""
+        self._lagging.update(names)
+
     def set_peers(self, peers: dict[str, str], connected: Collection[str] | None = None) -> None:
         """Replace the peers whose connections are accepted; connect to those in `connected`.
 
@@ -179,12 +185,12 @@
     ) -> None:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await authenticate_to_server(self._identity, FrameReader(stream), stream)
-            await self._send_initial_update(name, stream)
+        await self._send_initial_update(name, stream)
         async for data in frames:
             with trio.fail_after(SEND_TIMEOUT_S):
                 await stream.send_all(data)
-                if self._needs_initial_update(name):
-                    await self._send_initial_update(name, stream)
+            if self._needs_initial_update(name):
+                await self._send_initial_update(name, stream)
 
     def _needs_initial_update(self, name: str) -> bool:
         return name in self._lagging and trio.current_time() >= self._next_initial_at[name]
@@ -192,7 +198,8 @@
     async def _send_initial_update(self, name: str, stream: trio.SocketStream) -> None:
         self._lagging.discard(name)
         self._next_initial_at[name] = trio.current_time() + INITIAL_UPDATE_INTERVAL_S
-        await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
+        with trio.fail_after(INITIAL_UPDATE_TIMEOUT_S):
+            await stream.send_all(pack_frame(encode_update(self._make_initial_update())))
 
     async def _serve_peer(self, stream: trio.SocketStream) -> None:
         set_socket_options(stream.socket)
