Let the endpoint list go without a read for 5 s at the most where a single software is concluded

An instance cut from the store and its peers concluded from a list of up to 10 s ago (review). Reads take 3 s and a little at the longest. tests/core/test_stream_versions.py passes.

--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -30,7 +30,7 @@
 STREAM_RETENTION_S = 30.0
 MAX_STREAMS = 200_000
 # Without a read of the endpoint list for this time, software may have come and gone unnoticed.
-MAX_LIST_GAP_S = 10.0
+MAX_LIST_GAP_S = 5.0
 # More than any stream lasts; what was known before is not told.
 MAX_KNOWN_S = 2 * STREAM_RETENTION_S
 # The newest streams that a peer is told of when it connects.
