Keep in the store which software serves, for instances that start when no peer is left to tell

Cause: a young instance concludes from a single software only if it is told what served before, and no peer was left to tell. Class: what must last was kept in processes.

Now one row beside those of the instances tells all software that serves, since when that is complete, and what left within the last minute. While no instance lives no stream begins, so that the time in between hides nothing.

--- a/rattangate/core/stream_versions.py
+++ b/rattangate/core/stream_versions.py
@@ -99,6 +99,14 @@
             self._record_begun(stream, _Begun(now, endpoint=endpoint))
             self._prune(now)
 
+    def listed_software(self) -> dict[Software, bool]:
+        """Return the software of the listed endpoints, and whether its service runs models."""
+        return {
+            self._software[key]: self._software[key].service in self._model_services
+            for key in self._current.values()
+            if key not in self._ended_at
+        }
+
     def news_of(self, stream: bytes, now: float) -> StreamOrigin | None:
         """Return the software that began a stream by the news of it, None without usable news."""
         begun = self._streams.get(stream)
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -19,6 +19,7 @@
     InstanceEntry,
     decode_instance_entry,
 )
+from rattangate.front.software_record import SOFTWARE_ROW_KEY, SoftwareRecord
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.front.tunnels import TunnelPeer
 from rattangate.log_events import LogEvent, log
@@ -95,6 +96,9 @@
         self._live: frozenset[str] = frozenset()
         self._relay_queues: dict[str, list[bytes]] = {}
         self._frames_queued = trio.Event()
+        self._software_record = SoftwareRecord(
+            store, state, store.clock, lambda: not self.delegates_endpoint_list()
+        )
         self.table_update_handlers: dict[str, Callable[[TableDelta], None]] = {}
 
     @property
@@ -151,6 +155,7 @@
             nursery.start_soon(self._send_heartbeats)
             nursery.start_soon(self._flush_relay_queues)
             nursery.start_soon(self._announce_live_instances)
+            nursery.start_soon(self._software_record.run)
             watcher = TableWatcher(
                 self._store,
                 WATCHER_CFG,
@@ -242,8 +247,12 @@
             self._nursery.start_soon(self._restore_rows, update.rows)
         instances = {} if update.is_snapshot else dict(self._instances)
         leaving = {} if update.is_snapshot else dict(self._leaving_instances)
+        if update.is_snapshot:
+            self._software_record.apply_snapshot()
         for row in update.rows:
             name = row.key.removeprefix(INSTANCE_ROW_PREFIX)
+            if row.key == SOFTWARE_ROW_KEY:
+                self._software_record.apply_row(row)
             if row.value == msgspec.json.encode(self._entry):
                 self._row_version = row.version
             if name in (row.key, self._name):
