Soak: move and split the route of streams, silence engines, and check what began each event

A second service with the same model joins; the operator moves the route of the resumable streams between the two, splits it and changes timeouts; engines write nothing for 0.9 to 1.9 s soon after. Each event names its service and software, so that a stream of two is seen. Of the streams that could go on, half have to.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -13,8 +13,10 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections import Counter
-from dataclasses import dataclass, field
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -23,19 +25,23 @@
 
 from bench.loopback_proxy import Harm, LoopbackProxy
 from bench.platform_soak_callers import Callers
-from bench.platform_soak_endpoints import SoakEndpoint
+from bench.platform_soak_endpoints import VERSIONS, SoakEndpoint
+from bench.platform_soak_operator import ENGINE_SERVICES, SoakOperator
 from rattangate.standins.platform import Platform, run_platform
-from tests.front.deployment import make_config
 from tests.small_deployment import free_addresses
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parent.parent
-ENGINES = 5
+ENGINES = (5, 3)
 PLAIN_ENDPOINTS = 3
 GRACE_S = 8
 MAX_PAUSE_S = 2.0
+CHANGE_GAP_S = (1.0, 2.0)
+MAX_SILENCE_DELAY_S = 0.9
+SILENCE_S = (0.9, 1.9)
+SILENT_SHARES = (1.0, 0.6)
 FURTHER_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
@@ -98,6 +104,15 @@
             return False
 
 
+@dataclass(frozen=True)
+class Plan:
+    """Hold what a soak does; with `mixes_software` each service has endpoints of two versions."""
+
+    faults: tuple[str, ...]
+    breaks_streams: bool = True
+    mixes_software: bool = True
+
+
 @dataclass
 class Soak:
     """Run the parts of one soak; `broken` holds what broke a promise."""
@@ -109,16 +124,20 @@
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     injected: Counter[str] = field(default_factory=Counter)
+    operator: SoakOperator = field(init=False)
 
-    async def run(self, seconds: float, instances: int, only_stops: bool) -> Callers:
+    def __post_init__(self) -> None:
+        self.operator = SoakOperator(self.platform.store, self.rng)
+
+    async def run(self, seconds: float, instances: int, plan: Plan) -> Callers:
         """Inject faults for `seconds`, let the system settle and check that all serve."""
         (store,) = free_addresses(1)
-        self.platform.store.put("op", "config", _make_soak_config())
+        self._note(self.operator.write())
         self.platform.store.put("op", "version/daka", {"model": "daka", "version": 1})
-        callers = Callers(self.rng, self.instances, self.endpoints, self.broken)
+        callers = Callers(self.rng, self.instances, self.endpoints, self.operator, self.broken)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_platform, store, self.platform)
-            self._add_endpoints(nursery, breaks_streams=not only_stops)
+            self._add_endpoints(nursery, plan)
             for number in range(instances):
                 await self._add_instance(number, store, nursery)
             for instance in self.instances:
@@ -126,30 +145,36 @@
             callers.start(nursery)
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as faults:
-                    names = ["stop", "reload"] if only_stops else list(_FAULTS)
-                    for _ in range(max(1, instances // 4)):
-                        faults.start_soon(self._inject, names)
-                    if not only_stops:
-                        faults.start_soon(self._inject, ["endpoint"])
+                    for group in _FAULT_GROUPS:
+                        names = [name for name in group if name in plan.faults]
+                        for _ in range(max(1, instances // 4) if names else 0):
+                            faults.start_soon(self._inject, names)
             await self._settle()
             callers.stop()
             await callers.stopped.wait()
+            for line in callers.unresumed:
+                self._note(f"did not go on: {line}")
             callers.check_runs()
+            callers.check_resumed()
             for instance in self.instances:
                 if instance.process is not None and instance.process.returncode is None:
                     instance.process.kill()
             nursery.cancel_scope.cancel()
         return callers
 
-    def _add_endpoints(self, nursery: trio.Nursery, breaks_streams: bool) -> None:
-        services = ["llm"] * ENGINES + ["desk"] * PLAIN_ENDPOINTS
+    def _add_endpoints(self, nursery: trio.Nursery, plan: Plan) -> None:
+        services = ["desk"] * PLAIN_ENDPOINTS
+        for service, engines in zip(ENGINE_SERVICES, ENGINES, strict=True):
+            services += [service] * engines
         addresses = free_addresses(len(services))
         for number, (service, address) in enumerate(zip(services, addresses, strict=True)):
             seed = random.Random(self.rng.randrange(2**32))
             name = f"{service}-{number}"
             endpoint = SoakEndpoint(name, service, address, self.platform.store, seed)
-            endpoint.breaks_streams = breaks_streams
-            endpoint.software = "v1" if number % 2 else "v2"
+            endpoint.breaks_streams = plan.breaks_streams
+            endpoint.keeps_software = not plan.mixes_software
+            kind = number if plan.mixes_software else service != ENGINE_SERVICES[0]
+            endpoint.software = VERSIONS[kind % len(VERSIONS)]
             self.endpoints.append(endpoint)
             nursery.start_soon(endpoint.run)
 
@@ -216,6 +241,11 @@
         for instance in self.instances:
             await self._wait_ready(instance)
 
+    def _note(self, text: str) -> None:
+        """Write what was done to a log beside those of the instances."""
+        with (self.folder / "soak.log").open("a") as log:
+            log.write(f"{time.time():.3f} {text}\n")
+
     async def _stop_one(self) -> None:
         """Stop an instance with several signals, and kill it after the grace period."""
         instance = self.rng.choice(self.instances)
@@ -223,6 +253,7 @@
         if process is None or instance.is_stopping:
             return
         instance.expect_stop()
+        self._note(f"stop {instance.name}")
         instance.send(signal.SIGTERM)
         # A pause may come in between.
         with trio.move_on_after(GRACE_S + MAX_PAUSE_S):
@@ -243,11 +274,13 @@
         instance = self.rng.choice(self.instances)
         if not instance.is_stopping:
             instance.expected_codes = KILL_CODES
+            self._note(f"kill {instance.name}")
             instance.send(signal.SIGKILL)
             await trio.sleep(1.0)
 
     async def _pause_one(self) -> None:
         instance = self.rng.choice(self.instances)
+        self._note(f"pause {instance.name}")
         instance.send(signal.SIGSTOP)
         await trio.sleep(self.rng.uniform(0.2, MAX_PAUSE_S))
         instance.send(signal.SIGCONT)
@@ -267,9 +300,29 @@
         self.platform.faults.answer = ""
 
     async def _restart_endpoint(self) -> None:
-        self.rng.choice(self.endpoints).restart()
+        endpoint = self.rng.choice(self.endpoints)
+        self._note(f"restart {endpoint.name}")
+        endpoint.restart()
         await trio.sleep(self.rng.uniform(0.2, 1.0))
 
+    async def _change_route(self) -> None:
+        self._note(self.operator.change_route())
+        await trio.sleep(self.rng.uniform(*CHANGE_GAP_S))
+
+    async def _silence_engines(self) -> None:
+        """Change the configuration, and let engines write nothing for a while soon after."""
+        self._note(self.operator.change_any())
+        await trio.sleep(self.rng.uniform(0.0, MAX_SILENCE_DELAY_S))
+        engines = [endpoint for endpoint in self.endpoints if endpoint.is_engine]
+        count = round(self.rng.choice(SILENT_SHARES) * len(engines))
+        silence_s = self.rng.uniform(*SILENCE_S)
+        until = trio.current_time() + silence_s
+        for engine in self.rng.sample(engines, count):
+            engine.silent_until = until
+        self._note(f"hush {count} engines for {silence_s:.2f} s")
+        await trio.sleep_until(until)
+        await trio.sleep(self.rng.uniform(*CHANGE_GAP_S))
+
 
 _FAULTS: dict[str, Callable[[Soak], Awaitable[None]]] = {
     "stop": Soak._stop_one,
@@ -279,16 +332,17 @@
     "store": Soak._harm_store,
     "odd_store": Soak._answer_oddly,
     "endpoint": Soak._restart_endpoint,
+    "route": Soak._change_route,
+    "hush": Soak._silence_engines,
 }
-
-
-def _make_soak_config() -> dict[str, object]:
-    config = make_config(1)
-    for route in config["routes"]:
-        route["timeout_ms"] = 6000
-        if route["name"] == "r":
-            route["max_attempts"] = 3
-    return config
+# The faults of a group come one after the other, those of different groups at once.
+_FAULT_GROUPS = (
+    ("stop", "reload", "kill", "pause", "store", "odd_store"),
+    ("endpoint",),
+    ("route", "hush"),
+)
+ALL_FAULTS = Plan(tuple(_FAULTS))
+ONLY_STOPS = Plan(("stop", "reload"), breaks_streams=False)
 
 
 def main() -> None:
@@ -298,15 +352,33 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--only-stops", action="store_true", help="planned stops and reloads only")
+    parser.add_argument("--faults", type=_parse_faults, default=ALL_FAULTS.faults, metavar="A,B")
+    parser.add_argument("--one-software", action="store_true", help="one version in each service")
+    parser.add_argument("--logs", type=Path, help="the folder that keeps the logs")
     args = parser.parse_args()
-    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-        soak = Soak(random.Random(args.seed), Path(folder))
-        callers = trio.run(soak.run, args.seconds, args.instances, args.only_stops)
+    plan = ONLY_STOPS if args.only_stops else Plan(args.faults)
+    plan = replace(plan, mixes_software=not args.one_software)
+    with ExitStack() as stack:
+        temporary = stack.enter_context(tempfile.TemporaryDirectory(prefix="soak-"))
+        folder = args.logs or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(random.Random(args.seed), folder)
+        callers = trio.run(soak.run, args.seconds, args.instances, plan)
     print(f"seed {args.seed}: {dict(callers.counts)}, faults {dict(soak.injected)}")
+    counts = callers.counts
+    print(f"{counts['resumed']} of {counts['resumable']} streams that could go on went on")
     for line in soak.broken:
         print(f"BROKEN {line}")
     sys.exit(1 if soak.broken else 0)
 
 
+def _parse_faults(text: str) -> tuple[str, ...]:
+    names = tuple(text.split(","))
+    unknown = [name for name in names if name not in _FAULTS]
+    if unknown:
+        raise argparse.ArgumentTypeError(f"{unknown} are not among {list(_FAULTS)}")
+    return names
+
+
 if __name__ == "__main__":
     main()
--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -25,14 +26,20 @@
 
     from bench.platform_soak import Instance
     from bench.platform_soak_endpoints import SoakEndpoint
+    from bench.platform_soak_operator import SoakOperator
 
 STREAMERS = 16
 PLAIN_CALLERS = 4
 TRIES = 4
 RETRY_PAUSE_S = 0.1
 CALL_TIMEOUT_S = 12.0
+# Callers give a stream up after such a gap.
+STREAM_GAP_S = 2.0
+# At least this share of the streams that can go on does, judged from so many on.
+MIN_RESUMED_SHARE = 0.5
+MIN_RESUMABLE = 12
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
-EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (v\d)\n\n")
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
 @dataclass
@@ -40,8 +47,11 @@
     """Hold what a caller has of one stream over its tries; `began_as` brought its first event."""
 
     numbers: list[int] = field(default_factory=list)
-    versions: set[str] = field(default_factory=set)
+    labels: list[str] = field(default_factory=list)
     began_as: str = ""
+    tries: list[str] = field(default_factory=list)
+    # Taken up while it could go on, and not gone on since.
+    is_owed: bool = False
 
 
 @dataclass
@@ -51,8 +61,10 @@
     rng: random.Random
     instances: list[Instance]
     endpoints: list[SoakEndpoint]
+    operator: SoakOperator
     broken: list[str]
     counts: Counter[str] = field(default_factory=Counter)
+    unresumed: list[str] = field(default_factory=list)
     stopped: trio.Event = field(default_factory=trio.Event)
     _is_stopping: bool = False
     _running: int = 0
@@ -79,6 +91,12 @@
             if runs and status in PROMISES_NOT_RUN:
                 self.broken.append(f"REFUSED: {attempt} got {status} and ran")
 
+    def check_resumed(self) -> None:
+        """Check that enough of the streams go on whose software still serves on their route."""
+        resumable, resumed = self.counts["resumable"], self.counts["resumed"]
+        if resumable >= MIN_RESUMABLE and resumed < MIN_RESUMED_SHARE * resumable:
+            self.broken.append(f"LOST: {resumed} of {resumable} streams that could go on went on")
+
     async def _run(self, call, name: str) -> None:
         self._running += 1
         number = 0
@@ -91,10 +109,10 @@
             if not self._running:
                 self.stopped.set()
 
-    def _client(self) -> httpx.AsyncClient:
-        instance = self.rng.choice(self.instances)
+    def _client(self, instance: Instance, gap_s: float = CALL_TIMEOUT_S) -> httpx.AsyncClient:
+        timeout = httpx.Timeout(CALL_TIMEOUT_S, read=gap_s)
         return httpx.AsyncClient(
-            base_url=f"http://{instance.caller}", trust_env=False, timeout=CALL_TIMEOUT_S
+            base_url=f"http://{instance.caller}", trust_env=False, timeout=timeout
         )
 
     def _headers(self, attempt: str) -> dict[str, str]:
@@ -108,7 +126,7 @@
     async def _call_plain(self, name: str) -> None:
         """Send requests over one kept connection until it ends."""
         path = NON_IDEMPOTENT_PATH if name.startswith("b") else IDEMPOTENT_PATH
-        async with self._client() as client:
+        async with self._client(self.rng.choice(self.instances)) as client:
             for number in range(20):
                 attempt = f"{name}.{number}"
                 try:
@@ -138,11 +156,13 @@
                 break
             await trio.sleep(RETRY_PAUSE_S)
         self.counts["streams"] += 1
+        if stream.is_owed:
+            self.unresumed.append(f"{name}: {'; '.join(stream.tries)}")
         self.counts["whole"] += len(stream.numbers) == EVENTS
         if stream.numbers != list(range(1, len(stream.numbers) + 1)):
             self.broken.append(f"ORDER: {name} got {stream.numbers}")
-        if len(stream.versions) > 1:
-            self.broken.append(f"ORDER: {name} holds {sorted(stream.versions)}")
+        if len(set(stream.labels)) > 1:
+            self.broken.append(f"ORDER: {name} holds {stream.labels}: {'; '.join(stream.tries)}")
 
     async def _read_stream(self, attempt: str, stream: _Stream) -> bool:
         """Read events until the answer ends; tell whether it ended as complete."""
@@ -154,13 +174,17 @@
         if stream.numbers:
             headers |= {"Last-Event-Id": str(stream.numbers[-1]), "Resumes": stream.began_as}
             self.counts["taken up"] += 1
+            self._note_owed(stream)
+        instance = self.rng.choice(self.instances)
+        stream.tries.append(f"{time.time():.3f} {attempt} at {instance.name}")
         data = b""
         try:
             async with (
-                self._client() as client,
+                self._client(instance, STREAM_GAP_S) as client,
                 client.stream("POST", RESUMABLE_PATH, content=b"x", headers=headers) as resp,
             ):
                 self.counts[f"stream {resp.status_code}"] += 1
+                stream.tries[-1] += f" got {resp.status_code}"
                 if resp.status_code != 200:
                     return False
                 async for chunk in resp.aiter_raw():
@@ -177,5 +201,22 @@
             self.counts["went on"] += 1
         if found and not stream.began_as:
             stream.began_as = attempt
+        if found and stream.is_owed:
+            stream.is_owed = False
+            self.counts["resumed"] += 1
         stream.numbers += [int(number) for number, _ in found]
-        stream.versions |= {version.decode() for _, version in found}
+        labels = dict.fromkeys(label.decode() for _, label in found)
+        stream.labels += [label for label in labels if label not in stream.labels]
+        stream.tries[-1] += f", {len(found)} events of {list(labels)}"
+
+    def _note_owed(self, stream: _Stream) -> None:
+        """Count a stream once if what began it serves on a service to which the route leads."""
+        can_go_on = any(
+            endpoint.is_up
+            and endpoint.software_label == stream.labels[0]
+            and self.operator.leads_to(endpoint.service)
+            for endpoint in self.endpoints
+        )
+        if can_go_on and not stream.is_owed:
+            stream.is_owed = True
+            self.counts["resumable"] += 1
