--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -98,7 +98,7 @@
     async def is_ready(self) -> bool:
         """Ask for readiness as the platform's balancer does."""
         try:
-            async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
+            async with httpx.AsyncClient(trust_env=False, timeout=1.0, verify=False) as client:
                 return (await client.get(f"http://{self.ready}/readyz")).status_code == 200
         except httpx.HTTPError:
             return False
