--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -165,7 +165,7 @@
         self.counts["whole"] += len(stream.numbers) == EVENTS
         if stream.numbers != list(range(1, len(stream.numbers) + 1)):
             self.broken.append(f"ORDER: {name} got {stream.numbers}")
-        if len(set(stream.labels)) > 1:
+        if len(stream.labels) > 1:
             self.broken.append(f"ORDER: {name} holds {stream.labels}: {'; '.join(stream.tries)}")
 
     async def _read_stream(self, attempt: str, stream: _Stream) -> bool:
