Red test: a stream whose news come late is refused at a split route

Callers got stream_elsewhere for a stream whose service still had half of the route. An instance that has just started picks the service by hash, waits for the news of the stream, and then finds that it began at the other service.

--- a/tests/front/test_stream_versions.py
+++ b/tests/front/test_stream_versions.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 import httpx
 import pytest
 import trio
 
 from rattangate.core import stream_versions
+from rattangate.core.intake import STREAM_NEWS_S
+from rattangate.front.stream_ids import STREAM_ID_BYTES
 from tests.front.deployment import (
+    BORN,
+    HOST,
     MODEL,
     RESUMABLE_PATH,
     Call,
@@ -194,6 +200,34 @@
     trio.run(main)
 
 
+def test_a_stream_whose_news_come_late_goes_on_at_the_service_of_a_split_route_that_began_it():
+    async def main() -> None:
+        async with running_deployment() as deployment, trio.open_nursery() as nursery:
+            await serve_two_services(deployment)
+            route = deployment.app.state.config.find_route(HOST, RESUMABLE_PATH)
+            began_as = next(
+                name
+                for name in (f"a{number}" for number in range(99))
+                if route.pick_service(name) == "llm-two"
+            )
+            stream = blake2b(began_as.encode(), digest_size=STREAM_ID_BYTES).digest()
+            responses: list[httpx.Response] = []
+
+            async def take_up() -> None:
+                resumed = {"Resumes": began_as, "Last_Event_Id": "2"}
+                responses.append(await deployment.request(RESUMABLE_PATH, **resumed))
+
+            nursery.start_soon(take_up)
+            await trio.sleep(STREAM_NEWS_S / 2)
+            versions = deployment.app.state.driver.gateway.stream_versions
+            versions.record_placement(stream, ("llm-0", BORN), trio.current_time())
+            await wait_until(lambda: responses)
+            assert responses[0].content == event(3)
+            assert deployment.replicas["llm-0"].calls
+
+    trio.run(main)
+
+
 def test_a_stream_is_refused_at_once_when_its_route_leads_to_another_service():
     async def main() -> None:
         async with running_deployment() as deployment:
