--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -213,7 +213,9 @@
             await process.wait()
             if process.returncode not in instance.expected_codes:
                 self.broken.append(f"FAULT: {instance.name} ended with {process.returncode}")
+            self._note(f"{instance.name} ended with {process.returncode}")
             await trio.sleep(0.2)
+            self._note(f"start {instance.name}")
             await instance.start()
 
     async def _wait_ready(self, instance: Instance) -> None:
@@ -266,6 +268,7 @@
 
     async def _reload_all(self) -> None:
         for instance in self.instances:
+            self._note(f"reload {instance.name}")
             instance.send(signal.SIGHUP)
             await trio.sleep(self.rng.uniform(0.0, 0.1))
 
