Choose the service of a stream again when the news of it come late

Cause: without news the service was chosen by hash, and the refusal compared with that choice when the news came. Class: a conclusion from missing news that is kept when they arrive.

Now the request goes once more to the service that began the stream, if its route leads there, and is refused only otherwise.

--- a/rattangate/front/admission.py
+++ b/rattangate/front/admission.py
@@ -91,6 +91,18 @@
     )
 
 
+def choose_origin_service(state: FrontState, admitted: AdmittedRequest) -> bool:
+    """Let a stream go on at the service that began it; tell whether that is another one.
+
+    The news of the stream may have come after its service was chosen.
+    """
+    service = _origin_service(state, admitted.route, admitted.head)
+    if service is None or service == admitted.service:
+        return False
+    admitted.service = service
+    return True
+
+
 def is_still_authorized(state: FrontState, admitted: AdmittedRequest) -> bool:
     """Check the key again, which may have been revoked while the request was queued."""
     if admitted.workspace is None:
@@ -106,11 +118,16 @@
     """Choose a service; for a stream that is taken up the one that began it, if that is allowed."""
     if not takes_up_stream(route, head):
         return route.pick_service(head.attempt_id)
+    return _origin_service(state, route, head) or route.pick_service(head.resumes)
+
+
+def _origin_service(state: FrontState, route: Route, head: RequestHead) -> str | None:
+    """Return the service that began a stream, None if it is unknown or the route leads elsewhere."""
     versions = state.driver.gateway.stream_versions
     origin = versions.news_of(stream_id(route, head), trio.current_time())
-    if origin is not None and route.leads_to(origin.software.service):
-        return origin.software.service
-    return route.pick_service(head.resumes)
+    if origin is None or not route.leads_to(origin.software.service):
+        return None
+    return origin.software.service
 
 
 def _find_workspace(
--- a/rattangate/front/forward.py
+++ b/rattangate/front/forward.py
@@ -12,10 +12,16 @@
     AttemptResult,
     Refuse,
 )
+from rattangate.core.refusals import RefusalReason
 from rattangate.core.request_stage import RequestStage
 from rattangate.core.routes import RouteKind
 from rattangate.errors import ErrorKind, Failure
-from rattangate.front.admission import BufferedResponse, admit, is_still_authorized
+from rattangate.front.admission import (
+    BufferedResponse,
+    admit,
+    choose_origin_service,
+    is_still_authorized,
+)
 from rattangate.front.caller_conn import CallerDisconnected
 from rattangate.front.decision_log import (
     log_abandoned,
@@ -172,8 +178,7 @@
                     return
                 effect = await decisions.next_effect()
                 if isinstance(effect, Refuse):
-                    await self._finish_refused(admitted, effect.failure, responder)
-                    return
+                    break
                 if not is_still_authorized(self._state, admitted):
                     failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, "key no longer valid", 1.0)
                     await self._finish_refused(admitted, failure, responder)
@@ -184,6 +189,11 @@
                 if result is AttemptResult.COMPLETED:
                     log_done(admitted)
                     return
+        is_elsewhere = effect.reason is RefusalReason.STREAM_ELSEWHERE
+        if is_elsewhere and choose_origin_service(self._state, admitted):
+            await self._serve(admitted, responder)
+        else:
+            await self._finish_refused(admitted, effect.failure, responder)
 
     async def _attempt(
         self,
