Bound the frames of a tunnel by what a peer sends

What callers saw: nothing; by arithmetic a faulty peer could have made an instance keep 8 GB (16 frames of 1 MB ahead in each of 512 tunnels), of frames that are 64 KiB at the most.

--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -45,6 +45,8 @@
     ReportRest = Callable[[TunnelRequest, float], None]
 
 MAX_DATA_BYTES = 65_536
+# A frame with that much data, and the rest of its fields.
+MAX_TUNNEL_FRAME_BYTES = MAX_DATA_BYTES + 1_024
 # Frames of a client that are read ahead of the endpoint.
 MAX_QUEUED_FRAMES = 16
 REQUEST_TIMEOUT_S = 2.0
@@ -121,7 +123,8 @@
 
     async def _read(self) -> TunnelFrame:
         try:
-            frame: TunnelFrame = decode_frame(decode_tunnel_frame, await self._reader.read())
+            data = await self._reader.read(MAX_TUNNEL_FRAME_BYTES)
+            frame: TunnelFrame = decode_frame(decode_tunnel_frame, data)
         except (EOFError, OSError, PeerProtocolError) as exc:
             raise trio.BrokenResourceError(f"tunnel lost: {exc!r}") from exc
         return frame
@@ -243,7 +246,8 @@
         """
         while True:
             try:
-                frame = decode_frame(decode_tunnel_frame, await tunnel.reader.read())
+                data = await tunnel.reader.read(MAX_TUNNEL_FRAME_BYTES)
+                frame = decode_frame(decode_tunnel_frame, data)
             except CONNECTION_ERRORS:
                 tunnel.client_closed.set()
                 scope.cancel()
--- a/tests/peers/test_endless_frames.py
+++ b/tests/peers/test_endless_frames.py
@@ -10,7 +10,7 @@
 from rattangate.peers.framing import FRAME_HEADER, FrameReader, PeerProtocolError, pack_frame
 from rattangate.peers.handshake import PeerIdentity, authenticate_client, authenticate_to_server
 from rattangate.peers.tunnel_codec import TunnelFrame, encode_frame
-from rattangate.peers.tunnels import TunnelStream
+from rattangate.peers.tunnels import MAX_DATA_BYTES, TunnelStream
 from rattangate.turns import ITEMS_PER_TURN
 from tests.turns import counting_turns
 
@@ -96,3 +96,13 @@
         assert sent < KERNEL_BYTES
 
     trio.run(main)
+
+
+def test_a_frame_of_a_tunnel_that_is_larger_than_any_that_is_sent_is_not_kept():
+    async def main() -> None:
+        ours, theirs = open_pair()
+        await theirs.send_all(FRAME_HEADER.pack(2 * MAX_DATA_BYTES))
+        with pytest.raises(trio.BrokenResourceError), trio.fail_after(5.0):
+            await TunnelStream(ours, FrameReader(ours)).receive_some()
+
+    trio.run(main)
