Log why a peer is lost, which instance relays, dropped writes and missed table updates

Nothing told apart the hypotheses of the postmortem: peer_lost did not say how long the peer and the lists that name it were silent, a change of the relay and writes dropped at full queues left no line, nor did an instance that read a table itself or skipped an update. No decision changes.

--- a/rattangate/core/peer_registry.py
+++ b/rattangate/core/peer_registry.py
@@ -23,7 +23,8 @@
     """Hold what an instance knows of one peer; it is lost once `deadline` has passed.
 
     `last_seq` is the highest sequence number received from this incarnation, and `was_contacted`
-    says that the peer was live at some time.
+    says that the peer was live at some time. `heard_at` is when its last update came, and
+    `reported_at` when a third instance last reported it as live.
     """
 
     incarnation: int = 0
@@ -32,6 +33,8 @@
     state: PeerState = PeerState.LOST
     last_seq: int = 0
     was_contacted: bool = False
+    heard_at: float | None = None
+    reported_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +81,9 @@
         self.peers = {name: self.peers.get(name, PeerRecord()) for name in names}
         self._lost_after_s = lost_after_s
 
-    def record_indirect_contact(self, instance: str, incarnation: int, deadline: float) -> bool:
+    def record_indirect_contact(
+        self, instance: str, incarnation: int, deadline: float, now: float
+    ) -> bool:
         """Record that a third instance reports a peer as live; return whether it was lost before.
 
         A report does not override an incarnation that announced that it is leaving.
@@ -93,6 +98,7 @@
         was_lost = peer.state is PeerState.LOST
         peer.incarnation = incarnation
         peer.deadline = max(peer.deadline, deadline)
+        peer.reported_at = now
         peer.state = PeerState.LIVE
         peer.was_contacted = True
         return was_lost
@@ -109,6 +115,7 @@
         peer.incarnation = status.incarnation
         peer.config_version = status.config_version
         peer.deadline = now + self._lost_after_s
+        peer.heard_at = now
         peer.state = PeerState.LEAVING if status.leaving else PeerState.LIVE
         peer.last_seq = max(peer.last_seq, status.seq)
         peer.was_contacted = True
--- a/rattangate/core/relays.py
+++ b/rattangate/core/relays.py
@@ -83,6 +83,12 @@
             self._ranks[name] < self._own_rank for name in self.local_peers if name in live
         )
 
+    def own_relay(self, live: Collection[str]) -> str:
+        """Return the relay of the own data centre, which may be this instance."""
+        if self.is_relay(live):
+            return self._name
+        return next(name for name in self.local_peers if name in live)
+
     def relays(self, live: Collection[str]) -> tuple[str, ...]:
         """Return the relays of the other data centres.
 
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -49,6 +49,7 @@
 from rattangate.records.config_store import ConfigStore, decode_record, encode_record
 from rattangate.records.config_watch import ConfigWatch
 from rattangate.records.lease_row import ORDERS_LEASE_KEY, LeaseRow
+from rattangate.units import MS_PER_S
 from rattangate.warm_start import CacheContentsSource, WarmStart
 
 if TYPE_CHECKING:
@@ -347,8 +348,15 @@
 
     def _expire_peers(self, now: float) -> None:
         for name in self.peer_registry.expire(now):
-            incarnation = self.peer_registry.peers[name].incarnation
-            log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
+            peer = self.peer_registry.peers[name]
+            heard_at = now if peer.heard_at is None else peer.heard_at
+            log(
+                LogEvent.PEER_LOST,
+                instance=name,
+                incarnation=peer.incarnation,
+                silent_ms=round((now - heard_at) * MS_PER_S),
+                list_age_ms=None,
+            )
             self.metrics.peers.set(self.peer_registry.count_reachable())
             self.driver.feed(PeerLost(name))
 
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -27,6 +27,7 @@
 from rattangate.peers.handshake import PeerIdentity
 from rattangate.peers.link import PeerLinks
 from rattangate.platform.outcomes import StoreConflict, StoreRow, Written
+from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +38,7 @@
     from rattangate.front.table_watcher import TableUpdate
     from rattangate.metrics import Metrics
     from rattangate.peers.codec import PeerUpdate, TableDelta
-    from rattangate.peers.link import ReceivedUpdate
+    from rattangate.peers.link import DroppedWrites, ReceivedUpdate
     from rattangate.platform.store import Store
 
 SECRET_ROW_KEY = "secret"
@@ -94,6 +95,7 @@
         self._first_seen_at: dict[str, float] = {}
         self._plan = RelayPlan(boot.instance, boot.data_centre, boot.cores)
         self._live: frozenset[str] = frozenset()
+        self._relay = boot.instance
         self._relay_queues: dict[str, list[bytes]] = {}
         self._frames_queued = trio.Event()
         self._software_record = SoftwareRecord(
@@ -326,6 +328,7 @@
         heard = {name for name, peer in self._peer_registry.peers.items() if peer.was_contacted}
         live = {*self._peer_registry.live_names(), *(recent - heard)}
         self._live = frozenset(live - self._leaving_instances.keys())
+        self._log_relay_change()
         if self._links is not None:
             addresses = {name: entry.address for name, entry in self._peers_by_name.items()}
             self._links.set_peers(addresses, self._plan.connections(self._live))
@@ -348,10 +351,11 @@
             if trio.current_time() >= self._sent_at + HEARTBEAT_INTERVAL_S:
                 self._broadcast(self._make_update(None))
             for name in self._peer_registry.expire(trio.current_time()):
-                incarnation = self._peer_registry.peers[name].incarnation
-                log(LogEvent.PEER_LOST, instance=name, incarnation=incarnation)
+                self._log_lost(name)
                 self._state.driver.feed(PeerLost(name))
             self._connect()
+            if self._links is not None:
+                self._log_dropped(self._links.take_dropped())
 
     async def _announce_live_instances(self) -> None:
         """Announce the live instances of this data centre, as its relay in a large deployment."""
@@ -410,8 +414,9 @@
         if heard.is_found:
             self._log_found(update.instance, update.incarnation)
         for name, incarnation in update.live_instances:
-            deadline = trio.current_time() + RELAYED_LOST_AFTER_S
-            if self._peer_registry.record_indirect_contact(name, incarnation, deadline):
+            now = trio.current_time()
+            deadline = now + RELAYED_LOST_AFTER_S
+            if self._peer_registry.record_indirect_contact(name, incarnation, deadline, now):
                 self._log_found(name, incarnation)
         if update.stream_history is not None:
             self._state.driver.feed(StreamHistoryReceived(update.stream_history))
@@ -440,6 +445,39 @@
         if self._links is not None and not is_local and self._plan.is_relay(self._live):
             self._links.resend_initial_update(self._plan.local_peers)
 
+    def _log_relay_change(self) -> None:
+        relay = self._plan.own_relay(self._live)
+        if relay != self._relay:
+            live = len(self._live)
+            log(LogEvent.RELAY_CHANGED, relay=relay, previous=self._relay, live=live)
+            self._metrics.relay_changes.inc()
+            self._relay = relay
+
+    def _log_dropped(self, dropped: DroppedWrites) -> None:
+        if not dropped.writes:
+            return
+        self._metrics.peer_writes_dropped.inc(dropped.writes)
+        log(
+            LogEvent.PEER_UPDATES_DROPPED,
+            peers=dropped.peers,
+            writes=dropped.writes,
+            queued_bytes=dropped.queued_bytes,
+        )
+
+    def _log_lost(self, name: str) -> None:
+        peer = self._peer_registry.peers[name]
+        log(
+            LogEvent.PEER_LOST,
+            instance=name,
+            incarnation=peer.incarnation,
+            silent_ms=_age_ms(peer.heard_at),
+            list_age_ms=_age_ms(peer.reported_at),
+        )
+
     def _log_found(self, name: str, incarnation: int) -> None:
         data_centre = self._peers_by_name[name].data_centre
         log(LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre)
+
+
+def _age_ms(at: float | None) -> int | None:
+    return None if at is None else round((trio.current_time() - at) * MS_PER_S)
--- a/rattangate/front/table_watcher.py
+++ b/rattangate/front/table_watcher.py
@@ -13,6 +13,7 @@
 from rattangate.log_events import LogEvent, log
 from rattangate.peers.codec import TableDelta
 from rattangate.platform.outcomes import HistoryLost, StoreRows, Unavailable
+from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -100,7 +101,16 @@
 
     def apply_peer_update(self, update: TableDelta) -> None:
         """Apply what a peer has read, unless it leaves a gap after the version known here."""
-        if self._version is None or not update.after <= self._version <= update.version:
+        if self._version is None or update.version < self._version:
+            return
+        if update.after > self._version:
+            table = self._cfg.table
+            log(
+                LogEvent.TABLE_UPDATES_MISSED,
+                table=table,
+                version=self._version,
+                after=update.after,
+            )
             return
         self._version = update.version
         self._on_update(TableUpdate(update.rows, False, update.asked_at + self._store_offset_s))
@@ -119,6 +129,9 @@
         ):
             with trio.move_on_at(min(deadline, trio.current_time() + DELEGATION_CHECK_INTERVAL_S)):
                 await self._peer_update.wait()
+        if not self._peer_update.is_set() and self._is_delegated():
+            silent_ms = round(self._cfg.peer_timeout_s * MS_PER_S)
+            log(LogEvent.TABLE_RELAY_SILENT, table=self._cfg.table, silent_ms=silent_ms)
         return self._peer_update.is_set()
 
     async def _read(self) -> None:
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -201,10 +201,24 @@
         ("endpoint", "incarnation"),
     )
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
-    PEER_LOST = (401, "A peer instance is no longer heard from.", ("instance", "incarnation"))
+    PEER_LOST = (
+        401,
+        "A peer instance is no longer heard from; the ages are null for what never came.",
+        ("instance", "incarnation", "silent_ms", "list_age_ms"),
+    )
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
     PEER_REFUSED = (403, "A peer failed authentication.", ("address",))
     NEWS_LOST = (404, "State updates of a peer were lost.", ("instance", "first_seq", "last_seq"))
+    RELAY_CHANGED = (
+        405,
+        "Another instance relays the updates of this data centre.",
+        ("relay", "previous", "live"),
+    )
+    PEER_UPDATES_DROPPED = (
+        406,
+        "Writes to peers were dropped since the last report, as their queues were full.",
+        ("peers", "writes", "queued_bytes"),
+    )
     CONFIG_IN_FORCE = (500, "A configuration version is in force.", ("version", "source"))
     CONFIG_INVALID = (
         501,
@@ -230,6 +244,16 @@
         ("table", "row", "error"),
     )
     HISTORY_LOST = (504, "The store discarded changes before they were read.", ("table", "version"))
+    TABLE_RELAY_SILENT = (
+        505,
+        "The instance that reads a table for this one is silent; this one reads it itself.",
+        ("table", "silent_ms"),
+    )
+    TABLE_UPDATES_MISSED = (
+        506,
+        "An update of a table came after others that were missed; it is not applied.",
+        ("table", "version", "after"),
+    )
     LEASE_TAKEN = (600, "This instance acquired a lease.", ("lease", "fencing"))
     LEASE_LOST = (601, "This instance lost a lease.", ("lease", "fencing"))
     ADMIN_CHANGED = (620, "The administration API changed something.", ("who", "action", "object"))
--- a/rattangate/metrics.py
+++ b/rattangate/metrics.py
@@ -108,6 +108,20 @@
         "Peer instances that are heard from.",
         "Fewer than configured: check for a network partition or a failed instance.",
     )
+    PEER_WRITES_DROPPED = (
+        "rattangate_peer_writes_dropped",
+        MetricKind.COUNTER,
+        (),
+        "Writes to peers that were dropped because the peer's queue was full.",
+        "Rising: peers or their links take updates too slowly; look at `peer_updates_dropped`.",
+    )
+    RELAY_CHANGES = (
+        "rattangate_relay_changes",
+        MetricKind.COUNTER,
+        (),
+        "Changes of the instance that relays updates in this data centre, as seen from here.",
+        "More than one for each relay that stops: relays are late; look at `relay_changed`.",
+    )
     ENDPOINTS = (
         "rattangate_endpoints",
         MetricKind.GAUGE,
@@ -279,6 +293,8 @@
         self.rows_rewritten = Series()
         self.streams = Series()
         self.peers = Series()
+        self.peer_writes_dropped = Series()
+        self.relay_changes = Series()
         self.endpoints = Series()
         self.unreachable_endpoints = Series()
         self.config_version = Series()
@@ -302,6 +318,8 @@
             Metric.LOG_LINES_DROPPED: self.log_lines_dropped,
             Metric.STREAMS: self.streams,
             Metric.PEERS: self.peers,
+            Metric.PEER_WRITES_DROPPED: self.peer_writes_dropped,
+            Metric.RELAY_CHANGES: self.relay_changes,
             Metric.ENDPOINTS: self.endpoints,
             Metric.UNREACHABLE_ENDPOINTS: self.unreachable_endpoints,
             Metric.CONFIG_VERSION: self.config_version,
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,18 @@
     frame: bytes
 
 
+@dataclass(slots=True)
+class DroppedWrites:
+    """Count the writes that were dropped because the queues of their peers were full.
+
+    `peers` is the number of peers whose queues are full, and `queued_bytes` what those hold.
+    """
+
+    writes: int = 0
+    peers: int = 0
+    queued_bytes: int = 0
+
+
 class PeerLinks:
     """Send updates to peers and receive theirs.
 
@@ -88,6 +101,8 @@
         # Peers for which updates were dropped, so that they need the first update again.
         self._lagging: set[str] = set()
         self._next_initial_at: dict[str, float] = {}
+        self._dropped_writes: Counter[str] = Counter()
+        self._queued_bytes: Counter[str] = Counter()
         self._nursery: trio.Nursery | None = None
 
     def send(self, update: PeerUpdate) -> None:
@@ -110,8 +125,16 @@
                 continue
             try:
                 queue.send_nowait(data)
+                self._queued_bytes[name] += len(data)
             except trio.WouldBlock:
                 self._lagging.add(name)
+                self._dropped_writes[name] += 1
+
+    def take_dropped(self) -> DroppedWrites:
+        """Return what was dropped since the last call."""
+        dropped, self._dropped_writes = self._dropped_writes, Counter()
+        queued_bytes = sum(self._queued_bytes[name] for name in dropped)
+        return DroppedWrites(dropped.total(), len(dropped), queued_bytes)
 
     def resend_initial_update(self, names: Iterable[str]) -> None:
         """Send the first update again to some peers, after the next frame for each."""
@@ -147,6 +170,7 @@
         if self._nursery is None:
             return
         sender, receiver = trio.open_memory_channel[bytes](MAX_QUEUED_WRITES)
+        self._queued_bytes[name] = 0
         self._queues[name] = sender
         self._cancel_scopes[name] = scope = trio.CancelScope()
         address = self._peers[name]
@@ -176,6 +200,7 @@
             except Exception as exc:  # noqa: BLE001 - one connection must not end the others
                 _log_fault(exc)
             _discard_queued(frames)
+            self._queued_bytes[name] = 0
             self._reconnect_events[name] = trio.Event()
             with trio.move_on_after(RECONNECT_DELAY_S):
                 await self._reconnect_events[name].wait()
@@ -187,6 +212,7 @@
             await authenticate_to_server(self._identity, FrameReader(stream), stream)
         await self._send_initial_update(name, stream)
         async for data in frames:
+            self._queued_bytes[name] -= len(data)
             with trio.fail_after(SEND_TIMEOUT_S):
                 await stream.send_all(data)
             if self._needs_initial_update(name):
--- a/tests/core/test_roster.py
+++ b/tests/core/test_roster.py
@@ -66,20 +66,20 @@
 
 def test_report_of_a_third_instance_extends_the_deadline_of_a_peer():
     peer_registry = PeerRegistry(("b", "c"), 2.0)
-    assert peer_registry.record_indirect_contact("b", 7, deadline=3.0)
-    assert not peer_registry.record_indirect_contact("b", 7, deadline=4.0)
+    assert peer_registry.record_indirect_contact("b", 7, deadline=3.0, now=1.0)
+    assert not peer_registry.record_indirect_contact("b", 7, deadline=4.0, now=1.0)
     assert peer_registry.live_names() == ["b"]
     assert peer_registry.expire(3.5) == []
     assert peer_registry.expire(4.1) == ["b"]
-    assert peer_registry.record_indirect_contact("b", 7, deadline=8.0)
+    assert peer_registry.record_indirect_contact("b", 7, deadline=8.0, now=1.0)
 
 
 def test_report_of_a_third_instance_does_not_override_a_leaving_peer():
     peer_registry = PeerRegistry(("b",), 2.0)
     peer_registry.record_status(PeerStatus("b", 7, 1, True, 1), 0.0)
-    assert not peer_registry.record_indirect_contact("b", 7, deadline=9.0)
-    assert not peer_registry.record_indirect_contact("b", 6, deadline=9.0)
-    assert not peer_registry.record_indirect_contact("unknown", 7, deadline=9.0)
+    assert not peer_registry.record_indirect_contact("b", 7, deadline=9.0, now=1.0)
+    assert not peer_registry.record_indirect_contact("b", 6, deadline=9.0, now=1.0)
+    assert not peer_registry.record_indirect_contact("unknown", 7, deadline=9.0, now=1.0)
     assert peer_registry.live_names() == []
-    assert not peer_registry.record_indirect_contact("b", 8, deadline=9.0)
+    assert not peer_registry.record_indirect_contact("b", 8, deadline=9.0, now=1.0)
     assert peer_registry.live_names() == ["b"]
