Let only the instance that lost a run tell its peers of it

Callers saw answers refused for keys that may be out of date, and configurations late, from the crash of a few engines on, at 195 instances. Cause: each instance told all others of every failed run and of every good run on a suspect part that it had heard of, at once, at each confirmation and clearance, and again each second for up to ten minutes.

Now an instance tells what it has seen itself, three times, and a few of those that know a good run tell of it. What it was told it passes on with the first update of a connection, as it does the recent streams, so young instances and peers that lagged learn it still.

Ruled out: tunnels alone (our users' trial without them had the same losses); a longer time for lists (the same).

--- a/rattangate/core/gateway.py
+++ b/rattangate/core/gateway.py
@@ -27,6 +27,7 @@
     EndpointListRead,
     EndpointState,
     EndpointStatus,
+    EvidenceReceived,
     FirstTokenSeen,
     LimitsUpdate,
     LoadReported,
@@ -215,6 +216,10 @@
         self.stream_versions.merge(msg.history, now)
         return []
 
+    @_handle.register
+    def _on_evidence(self, msg: EvidenceReceived, now: float) -> list[Effect]:
+        return self.scheduler.merge_evidence(msg.evidence, now)
+
     @_handle.register
     def _on_endpoint_limit(self, msg: EndpointLimitReported, now: float) -> list[Effect]:
         if self._current(msg.endpoint, msg.incarnation) is None:
--- a/rattangate/core/intake.py
+++ b/rattangate/core/intake.py
@@ -27,7 +27,14 @@
 
     from rattangate.core.admission import Decision
     from rattangate.core.limits import WorkspaceLimit
-    from rattangate.core.messages import AttemptEnded, Dispatch, Effect, Placement, RequestArrived
+    from rattangate.core.messages import (
+        AttemptEnded,
+        Dispatch,
+        Effect,
+        Evidence,
+        Placement,
+        RequestArrived,
+    )
     from rattangate.core.placement import Candidate
     from rattangate.core.stream_history import StreamOrigin
     from rattangate.core.suspects import Step
@@ -204,12 +211,18 @@
 
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[Effect]:
         """Apply a peer's update on its usage of limits, its queue and its suspects."""
-        if not self.has_heard_from(instance):
-            self.suspects.schedule_resend()
         self.limits.set_peer_usage(instance, update.usages)
         self._peer_queued_tokens[instance] = update.queued_tokens
+        digests = self.suspects.apply_peer_update(instance, update, now)
+        return self._hold_suspects(digests, now)
+
+    def merge_evidence(self, evidence: Evidence, now: float) -> list[Effect]:
+        """Apply all that a peer knows of failed and of good runs."""
+        return self._hold_suspects(self.suspects.merge(evidence, now), now)
+
+    def _hold_suspects(self, digests: Iterable[bytes], now: float) -> list[Effect]:
         effects: list[Effect] = []
-        for digest in self.suspects.apply_peer_update(instance, update, now):
+        for digest in digests:
             effects.extend(self._hold_copies(digest, now))
         return [*effects, *self._refuse_poisoned(now)]
 
--- a/rattangate/core/messages.py
+++ b/rattangate/core/messages.py
@@ -319,6 +319,21 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """Hold all that an instance knows of failed runs and of good runs on suspect parts."""
+
+    suspicions: tuple[Suspicion, ...] = ()
+    good_runs: tuple[GoodRun, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReceived:
+    """Report all that a peer knows of failed and of good runs."""
+
+    evidence: Evidence
+
+
 @dataclass(frozen=True, slots=True)
 class TrialClaim:
     """Announce that an instance holds a suspect request, to be run apart from other suspects.
@@ -425,6 +440,7 @@
     | EndpointStatus
     | EndpointListRead
     | StreamHistoryReceived
+    | EvidenceReceived
     | EndpointLimitReported
     | BrittlenessReported
     | RequestRejected
--- a/rattangate/core/part_evidence.py
+++ b/rattangate/core/part_evidence.py
@@ -5,10 +5,11 @@
 import math
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from rattangate.core.messages import GoodRun, Verdict, VerdictChanged
 from rattangate.core.poison_parts import PartQuarantine
-from rattangate.core.quarantine import PROPAGATION_S, QUARANTINE_S, RESEND_S
+from rattangate.core.quarantine import PROPAGATION_S, QUARANTINE_S, RESEND_S, RESENDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +23,11 @@
 SURVIVAL_S = 1.0
 # Number of parts of prompts whose last good run an instance remembers.
 MAX_GOOD_RUNS = 4096
+# How many instances, on average, tell at once of a good run that all have seen; the others tell
+# only if none of them has within this time.
+PROMPT_TELLERS = 8
+TELL_DELAY_S = 0.5
+HASH_RANGE = 2.0**32
 # Interval of judging the parts of prompts while there is new evidence.
 JUDGE_INTERVAL_S = 0.2
 
@@ -30,14 +36,18 @@
     """Gather the good runs on parts of prompts and judge them with the crashed runs.
 
     The crashed runs are those of the failures that `quarantine` holds. `part_quarantine` has the
-    parts in quarantine.
+    parts in quarantine. `instance` is the name of this one.
     """
 
-    def __init__(self, quarantine: Quarantine) -> None:
+    def __init__(self, instance: str, quarantine: Quarantine) -> None:
         self.part_quarantine = PartQuarantine()
+        self._instance = instance
         self._quarantine = quarantine
         self._good_runs: OrderedDict[str, float] = OrderedDict()
         self._unsent: set[str] = set()
+        self._resends: dict[str, int] = {}
+        # The parts whose good runs this instance tells of at a time, unless a peer does before.
+        self._tell_at: dict[str, float] = {}
         self._answers_begun: deque[tuple[float, ActiveRequest]] = deque()
         self._judge_until = -math.inf
         self._next_judge_at = -math.inf
@@ -56,13 +66,18 @@
             return ()
         return request.req.parts
 
-    def recall_good_runs(self, parts: Iterable[str]) -> None:
-        """Tell peers of the last good runs of parts that became suspect, unless one did already."""
+    def recall_good_runs(self, parts: Iterable[str], peers: int, now: float) -> None:
+        """Tell peers, of whom there are `peers`, of the last good runs of parts that became suspect.
+
+        With many peers a few tell at once, and the others only if none of those knows a good run.
+        """
         for part in parts:
-            began_at = self._good_runs.get(part)
-            if began_at is not None and not self.part_quarantine.has_good_run(part):
-                self.part_quarantine.merge_good_run(part, began_at)
-                self._unsent.add(part)
+            if part not in self._good_runs or self.part_quarantine.has_good_run(part):
+                continue
+            place = crc32(f"{part}/{self._instance}".encode()) / HASH_RANGE
+            is_prompt = place * (peers + 1) < PROMPT_TELLERS
+            self._tell_at.setdefault(part, now if is_prompt else now + TELL_DELAY_S)
+        self._tell_due(now)
 
     def record_first_token(self, request: ActiveRequest, now: float) -> None:
         """Note when an answer began, which is a good run once it has gone on for long enough."""
@@ -84,7 +99,7 @@
             if len(self._good_runs) > MAX_GOOD_RUNS:
                 self._good_runs.popitem(last=False)
             if self.part_quarantine.record_good_run(part, began_at):
-                self._unsent.add(part)
+                self._tell(part)
                 self._judge_soon(now)
 
     def merge(self, good_runs: Iterable[GoodRun], now: float) -> None:
@@ -100,23 +115,23 @@
                 continue
             for part in entry.parts:
                 self.part_quarantine.merge_good_run(part, now)
-                self._unsent.add(part)
+                self._tell(part)
             self._judge_soon(now)
 
     def good_runs(self, now: float) -> tuple[GoodRun, ...]:
-        """Return the good runs that peers were not told of, and all every `RESEND_S` seconds."""
+        """Return the good runs that peers were not told of often enough."""
+        self._tell_due(now)
         if now >= self._resend_at:
             self._resend_at = now + RESEND_S
             self.part_quarantine.expire(now - QUARANTINE_S)
-            self._unsent.update(part for part, _ in self.part_quarantine.good_runs())
-        known = self.part_quarantine.good_runs()
-        sent = tuple(GoodRun(part, now - at) for part, at in known if part in self._unsent)
-        self._unsent.clear()
-        return sent
-
-    def schedule_resend(self) -> None:
-        """Send all good runs with the next update, for a new peer."""
-        self._resend_at = 0.0
+            self._unsent.update(self._resends)
+            self._resends = {part: count - 1 for part, count in self._resends.items() if count > 1}
+        unsent, self._unsent = self._unsent, set()
+        return tuple(run for run in self.known_good_runs(now) if run.part in unsent)
+
+    def known_good_runs(self, now: float) -> tuple[GoodRun, ...]:
+        """Return the good runs of suspect parts, for a peer that may have missed some of them."""
+        return tuple(GoodRun(part, now - at) for part, at in self.part_quarantine.good_runs())
 
     def judge(self, now: float) -> list[PoisonParts]:
         """Apply new evidence to the parts of prompts; return those quarantined since last time."""
@@ -144,6 +159,21 @@
         taken, self._changes = self._changes, []
         return taken
 
+    def _tell(self, part: str) -> None:
+        """Tell peers of a good run with the next update, and again later."""
+        self._unsent.add(part)
+        self._resends[part] = RESENDS
+
+    def _tell_due(self, now: float) -> None:
+        """Tell of the good runs that are due and of which no peer has told."""
+        due = [part for part, at in self._tell_at.items() if at <= now]
+        for part in due:
+            del self._tell_at[part]
+            began_at = self._good_runs.get(part)
+            if began_at is not None and not self.part_quarantine.has_good_run(part):
+                self.part_quarantine.merge_good_run(part, began_at)
+                self._tell(part)
+
     def _judge_soon(self, now: float) -> None:
         self._judge_until = max(self._judge_until, now + 2 * JUDGE_INTERVAL_S)
 
--- a/rattangate/core/poison_parts.py
+++ b/rattangate/core/poison_parts.py
@@ -81,7 +81,6 @@
         suspect_since = self._suspect_since.get(part)
         if suspect_since is None or began_at <= suspect_since:
             return False
-        del self._suspect_since[part]
         self.merge_good_run(part, began_at)
         return True
 
@@ -92,6 +91,8 @@
     def merge_good_run(self, part: str, began_at: float) -> None:
         """Record an answer that went well before, or that a peer told of."""
         self._well_at[part] = max(began_at, self._well_at.get(part, -math.inf))
+        if began_at > self._suspect_since.get(part, math.inf):
+            del self._suspect_since[part]
 
     def good_runs(self) -> tuple[tuple[str, float], ...]:
         """Return the parts with the time at which their last good run began."""
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -27,6 +27,8 @@
     from rattangate.core.endpoint_key import EndpointKey
     from rattangate.core.messages import QuarantineChange
 
+    _FailureKey = tuple[bytes, EndpointKey]
+
 # Confirmed crashes after which a digest is quarantined.
 QUARANTINE_CRASHES = 3
 # Crashes of endpoints that did not run the digest, within the window, after which one crash more
@@ -41,7 +43,13 @@
 # which is also how long a quarantine lasts.
 SUSPECT_S = 60.0
 QUARANTINE_S = 600.0
+# What this instance has seen itself is told again this many times, at this interval: an update may
+# be lost. What peers told is not told again, so that the cost of a crash does not grow with the
+# instances that hear of it.
+RESENDS = 2
 RESEND_S = 1.0
+# Failures that are passed to a peer when a connection to it opens, the newest ones.
+MAX_PASSED_ON = 2048
 
 
 @dataclass(slots=True)
@@ -50,7 +58,8 @@
 
     `confirmed` says that this instance or a peer saw the endpoint crash; `cleared` says that the
     failure no longer counts against the digest, which completed elsewhere or was released by an
-    operator. `parts` are the suspect parts of the prompt.
+    operator. `parts` are the suspect parts of the prompt, and `is_own` says that this instance
+    ran the request.
     """
 
     ran_s: float
@@ -59,6 +68,7 @@
     confirmed: bool = False
     cleared: bool = False
     parts: tuple[str, ...] = ()
+    is_own: bool = False
 
 
 @dataclass(slots=True)
@@ -96,7 +106,8 @@
         self._endpoint_states: dict[str, tuple[int, EndpointState]] = {}
         self._crashes: dict[EndpointKey, float] = {}
         self._attributed: set[EndpointKey] = set()
-        self._unsent: set[tuple[bytes, EndpointKey]] = set()
+        self._unsent: set[_FailureKey] = set()
+        self._resends: dict[_FailureKey, int] = {}
         self._resend_at = 0.0
         self._changes: list[QuarantineChange] = []
         self._poison_crashes: frozenset[EndpointKey] = frozenset()
@@ -131,8 +142,10 @@
         parts: tuple[str, ...] = (),
     ) -> None:
         """Record a lost attempt, which makes its request and the parts of its prompt suspect."""
-        failure = _Failure(ran_s, now, now + QUARANTINE_S, key in self._crashes, parts=parts)
-        self._add(digest, key, failure, now)
+        is_crash = key in self._crashes
+        failure = _Failure(ran_s, now, now + QUARANTINE_S, is_crash, parts=parts, is_own=True)
+        if self._add(digest, key, failure, now):
+            self._tell(digest, key)
         self._changes.append(SuspicionRecorded(digest, parts, *key, ran_s))
 
     def clear(self, digest: bytes, now: float) -> None:
@@ -168,25 +181,22 @@
         return bool(self._unsent)
 
     def suspicions(self, now: float) -> tuple[Suspicion, ...]:
-        """Return the changes for peers, and every `RESEND_S` seconds all failures."""
+        """Return what this instance has seen itself and its peers were not told often enough."""
         if now >= self._resend_at:
             self._resend_at = now + RESEND_S
-            self._unsent = {(digest, key) for digest, key, _ in self._all_failures()}
-        sent = tuple(
-            Suspicion(
-                digest,
-                *key,
-                failure.ran_s,
-                failure.deadline - now,
-                failure.confirmed or self._is_replaced(key),
-                failure.cleared,
-                failure.parts,
-            )
+            self._unsent.update(self._resends)
+            self._resends = {key: count - 1 for key, count in self._resends.items() if count > 1}
+        unsent, self._unsent = self._unsent, set()
+        return tuple(
+            self._suspicion(digest, key, failure, now)
             for digest, key, failure in self._all_failures()
-            if (digest, key) in self._unsent
+            if (digest, key) in unsent
         )
-        self._unsent.clear()
-        return sent
+
+    def known_suspicions(self, now: float) -> tuple[Suspicion, ...]:
+        """Return all that is known here, for a peer that may have missed some of it."""
+        failures = sorted(self._all_failures(), key=lambda item: item[2].recorded_at)
+        return tuple(self._suspicion(*item, now) for item in failures[-MAX_PASSED_ON:])
 
     def take_new_evidence(self) -> bool:
         """Tell whether crashed runs were added, confirmed or cleared since the last call."""
@@ -260,10 +270,6 @@
         history = self._histories[digest]
         return max(failure.deadline for failure in history.failures.values()) - now
 
-    def schedule_resend(self) -> None:
-        """Send all failures with the next update, for a new peer."""
-        self._resend_at = 0.0
-
     def expire(self, now: float) -> None:
         """Remove expired failures and update the verdicts on the remaining digests."""
         self._crashes = {
@@ -296,7 +302,6 @@
         if known is None:
             history.failures[key] = failure
             history.changed_at = now
-            self._unsent.add((digest, key))
             self._has_new_evidence = True
             return not failure.cleared
         if failure.confirmed and not known.confirmed:
@@ -307,7 +312,6 @@
             known.deadline = min(known.deadline, failure.deadline)
             history.quarantined = False
             self._has_new_evidence = True
-            self._unsent.add((digest, key))
             self._update_attributed()
         return False
 
@@ -322,7 +326,8 @@
             if not failure.confirmed:
                 failure.confirmed = True
                 self._has_new_evidence = True
-                self._unsent.add((digest, key))
+                if failure.is_own:
+                    self._tell(digest, key)
         if key not in self._crashes:
             self._changes.append(CrashRecorded(*key, suspects))
         self._crashes[key] = now
@@ -337,10 +342,28 @@
             if not failure.cleared:
                 failure.cleared = True
                 failure.deadline = min(failure.deadline, deadline)
-                self._unsent.add((digest, key))
+                self._tell(digest, key)
         history.quarantined = False
         self._update_attributed()
 
+    def _tell(self, digest: bytes, key: EndpointKey) -> None:
+        """Tell peers of a failure with the next update, and again later."""
+        self._unsent.add((digest, key))
+        self._resends[digest, key] = RESENDS
+
+    def _suspicion(
+        self, digest: bytes, key: EndpointKey, failure: _Failure, now: float
+    ) -> Suspicion:
+        return Suspicion(
+            digest,
+            *key,
+            failure.ran_s,
+            failure.deadline - now,
+            failure.confirmed or self._is_replaced(key),
+            failure.cleared,
+            failure.parts,
+        )
+
     def _update_attributed(self) -> None:
         """Collect the failures that are attributed to quarantined digests."""
         quarantined = [history for history in self._histories.values() if history.quarantined]
--- a/rattangate/core/suspects.py
+++ b/rattangate/core/suspects.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rattangate.core.messages import Verdict
+from rattangate.core.messages import Evidence, Verdict
 from rattangate.core.part_evidence import PartEvidence
 from rattangate.core.quarantine import Quarantine, QuarantineEntry
 from rattangate.core.trials import TrialScheduler
@@ -66,7 +66,7 @@
 
     def __init__(self, instance: str, propagation_s: float) -> None:
         self.quarantine = Quarantine(propagation_s)
-        self.parts = PartEvidence(self.quarantine)
+        self.parts = PartEvidence(instance, self.quarantine)
         self._trials = TrialScheduler(instance, self.quarantine)
         self._waiting: dict[int, ActiveRequest] = {}
         self._in_trial: dict[int, ActiveRequest] = {}
@@ -103,7 +103,7 @@
         parts = self.parts.suspect_parts(request, now)
         ran_s = now - request.placed_at
         self.quarantine.record_failure(request.digest, key, ran_s, now, parts)
-        self.parts.recall_good_runs(parts)
+        self.parts.recall_good_runs(parts, self._trials.peer_count, now)
 
     def record_completed(self, request: ActiveRequest, now: float) -> None:
         """Clear a request that completed, and the parts of its prompt."""
@@ -120,10 +120,9 @@
         """Tell whether peers were not told of all evidence."""
         return self.quarantine.has_unsent or self.parts.has_unsent
 
-    def schedule_resend(self) -> None:
-        """Send all evidence with the next update, for a new peer."""
-        self.quarantine.schedule_resend()
-        self.parts.schedule_resend()
+    def known_evidence(self, now: float) -> Evidence:
+        """Return all evidence that is known here, for a peer that may have missed some of it."""
+        return Evidence(self.quarantine.known_suspicions(now), self.parts.known_good_runs(now))
 
     def record_endpoint(self, seen: EndpointStatus, now: float) -> None:
         """Record the state of an endpoint, which confirms a crash or rules it out."""
@@ -172,10 +171,16 @@
     def apply_peer_update(self, instance: str, update: LimitsUpdate, now: float) -> list[bytes]:
         """Merge a peer's failure histories and claims; return the digests that became suspect."""
         self._trials.set_peer_claims(instance, update.claims)
-        self.parts.merge(update.good_runs, now)
-        for suspicion in update.suspicions:
-            self.parts.recall_good_runs(suspicion.parts)
-        return self.quarantine.merge(update.suspicions, now)
+        return self.merge(Evidence(update.suspicions, update.good_runs), now)
+
+    def merge(self, evidence: Evidence, now: float) -> list[bytes]:
+        """Merge what a peer knows; return the digests that became suspect."""
+        self.parts.merge(evidence.good_runs, now)
+        for suspicion in evidence.suspicions:
+            if not suspicion.cleared:
+                peers = self._trials.peer_count
+                self.parts.recall_good_runs(suspicion.parts, peers, now)
+        return self.quarantine.merge(evidence.suspicions, now)
 
     def claims(self) -> tuple[TrialClaim, ...]:
         """Return the trial claims of this instance, for its peers."""
--- a/rattangate/core/trials.py
+++ b/rattangate/core/trials.py
@@ -41,6 +41,11 @@
         self._held: dict[bytes, _HeldSuspect] = {}
         self._peers: dict[str, dict[bytes, TrialClaim]] = {}
 
+    @property
+    def peer_count(self) -> int:
+        """Return the number of peers that have told of their claims and were not lost since."""
+        return len(self._peers)
+
     def add_copy(self, digest: bytes, now: float) -> None:
         """Add a copy of a suspect and announce the suspect to peers."""
         held = self._held.get(digest)
--- a/rattangate/entry.py
+++ b/rattangate/entry.py
@@ -23,7 +23,7 @@
 )
 from rattangate.core.gateway import Gateway
 from rattangate.core.leases import Holder, Lease
-from rattangate.core.messages import PeerLost, PeerUpdateReceived, Tick
+from rattangate.core.messages import EvidenceReceived, PeerLost, PeerUpdateReceived, Tick
 from rattangate.core.peer_registry import PeerRegistry, PeerStatus
 from rattangate.driver import Driver
 from rattangate.endpoints.client import EndpointClient, closing_clients
@@ -92,7 +92,7 @@
         identity = PeerIdentity(name, self.incarnation, secret)
         addresses = {peer.name: peer.peer_address for peer in peers}
         self._links = PeerLinks(
-            identity, addresses, self._receive_update, lambda: self._make_update(None)
+            identity, addresses, self._receive_update, self._make_initial_update
         )
         self._store = Store(settings.platform.address, STORE_TIMEOUT_S)
         self._monitor = Monitor(
@@ -301,6 +301,11 @@
         )
         return replace(update, leaving_endpoints=self._monitor.leaving_endpoints())
 
+    def _make_initial_update(self) -> PeerUpdate:
+        """Return what a peer needs that has just started, or that missed updates."""
+        evidence = self.driver.gateway.scheduler.suspects.known_evidence(trio.current_time())
+        return replace(self._make_update(None), evidence=evidence)
+
     def _receive_update(self, received: ReceivedUpdate) -> None:
         update = received.update
         status = PeerStatus(
@@ -315,6 +320,8 @@
         self._receive_config(update)
         self._receive_cache_contents(update)
         self._monitor.merge_leaving(update.leaving_endpoints)
+        if update.evidence is not None:
+            self.driver.feed(EvidenceReceived(update.evidence))
         for placement in update.placements:
             self.metrics.peer_update_age.observe(placement.age_s)
         if update.seq:
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -10,7 +10,12 @@
 import msgspec
 import trio
 
-from rattangate.core.messages import PeerLost, PeerUpdateReceived, StreamHistoryReceived
+from rattangate.core.messages import (
+    EvidenceReceived,
+    PeerLost,
+    PeerUpdateReceived,
+    StreamHistoryReceived,
+)
 from rattangate.core.peer_registry import PeerRegistry, PeerStatus
 from rattangate.core.relays import RelayPlan
 from rattangate.front.instance_entry import (
@@ -385,9 +390,11 @@
 
     def _make_initial_update(self) -> PeerUpdate:
         """Return what a peer needs that has just started, or that missed updates."""
-        versions = self._state.driver.gateway.stream_versions
-        history = versions.history(trio.current_time())
-        return replace(self._make_update(None), stream_history=history)
+        now = trio.current_time()
+        gateway = self._state.driver.gateway
+        history = gateway.stream_versions.history(now)
+        evidence = gateway.scheduler.suspects.known_evidence(now)
+        return replace(self._make_update(None), stream_history=history, evidence=evidence)
 
     def _make_update(self, sent: SendPeerUpdate | None) -> PeerUpdate:
         config = self._state.config
@@ -406,8 +413,7 @@
             return
         targets = self._plan.forward_targets(update.instance, received.via, self._live)
         is_covered_by_live_list = update.is_heartbeat and self._plan.is_large
-        is_for_peer_only = update.listed is not None or update.stream_history is not None
-        if targets and not is_for_peer_only and not is_covered_by_live_list:
+        if targets and not update.is_for_receiver_only and not is_covered_by_live_list:
             for target in targets:
                 self._relay_queues.setdefault(target, []).append(received.frame)
             self._frames_queued.set()
@@ -418,6 +424,8 @@
             deadline = now + RELAYED_LOST_AFTER_S
             if self._peer_registry.record_indirect_contact(name, incarnation, deadline, now):
                 self._log_found(name, incarnation)
+        if update.evidence is not None:
+            self._state.driver.feed(EvidenceReceived(update.evidence))
         if update.stream_history is not None:
             self._state.driver.feed(StreamHistoryReceived(update.stream_history))
             self._tell_local_peers(update.instance)
--- a/rattangate/peers/codec.py
+++ b/rattangate/peers/codec.py
@@ -17,13 +17,23 @@
     pictures_from_thrift,
     pictures_to_thrift,
 )
-from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
+from rattangate.peers.limits_codec import (
+    evidence_from_thrift,
+    evidence_to_thrift,
+    limits_from_thrift,
+    limits_to_thrift,
+)
 from rattangate.peers.stream_history_codec import history_from_thrift, history_to_thrift
 from rattangate.platform.outcomes import StoreRow
 from rattangate.units import MS_PER_S
 
 if TYPE_CHECKING:
-    from rattangate.core.messages import CacheSnapshotReceived, LimitsUpdate, SendPeerUpdate
+    from rattangate.core.messages import (
+        CacheSnapshotReceived,
+        Evidence,
+        LimitsUpdate,
+        SendPeerUpdate,
+    )
     from rattangate.core.stream_history import StreamHistory
 
 MAX_CONFIG_BYTES = 16_000_000
@@ -62,7 +72,8 @@
     `leaving_endpoints` holds the names and incarnations of leaving endpoints, `live_instances`
     those of the live instances of its data centre. `wants_config` and `wants_pictures` ask the
     receiver for its configuration and its cache contents. `listed` holds changes to a table of the
-    store, `stream_history` what the sender knows of recent streams.
+    store, `stream_history` what the sender knows of recent streams and `evidence` what it knows of
+    failed runs.
     """
 
     instance: str
@@ -82,13 +93,18 @@
     listed: TableDelta | None = None
     live_instances: tuple[tuple[str, int], ...] = ()
     stream_history: StreamHistory | None = None
+    evidence: Evidence | None = None
+
+    @property
+    def is_for_receiver_only(self) -> bool:
+        """Tell whether the receiver does not forward this update."""
+        return not (self.listed is self.stream_history is self.evidence is None)
 
     @property
     def is_heartbeat(self) -> bool:
         """Tell whether this update only says that the instance is live."""
         has_content = self.weights or self.leaving_endpoints or self.live_instances
-        is_empty = self.listed is None and self.stream_history is None
-        return not self.seq and not has_content and is_empty
+        return not self.seq and not has_content and not self.is_for_receiver_only
 
 
 def encode_message(message: object) -> bytes:
@@ -145,6 +161,7 @@
                 if update.stream_history is not None
                 else None
             ),
+            evidence=evidence_to_thrift(update.evidence) if update.evidence is not None else None,
         )
     )
 
@@ -170,6 +187,7 @@
         _rows_from_thrift(raw.listed) if raw.listed is not None else None,
         tuple((raw.live_instances or {}).items()),
         history_from_thrift(raw.stream_history) if raw.stream_history is not None else None,
+        evidence_from_thrift(raw.evidence) if raw.evidence is not None else None,
     )
 
 
--- a/rattangate/peers/limits_codec.py
+++ b/rattangate/peers/limits_codec.py
@@ -7,6 +7,7 @@
 from rattangate.core.messages import (
     EndpointLimit,
     EndpointRejection,
+    Evidence,
     GoodRun,
     LimitsUpdate,
     Suspicion,
@@ -47,7 +48,7 @@
         tuple(
             TrialClaim(trial.digest, trial.endpoint, bool(trial.exclusive)) for trial in raw.trials
         ),
-        tuple(GoodRun(run.part, run.age_ms / MS_PER_S) for run in raw.good_runs or ()),
+        tuple(map(_good_run_from_thrift, raw.good_runs or ())),
         tuple(_endpoint_limit_from_thrift(limit) for limit in raw.endpoint_limits or ()),
         tuple(_endpoint_limit_from_thrift(limit) for limit in raw.brittle_services or ()),
         tuple(
@@ -57,6 +58,22 @@
     )
 
 
+def evidence_to_thrift(evidence: Evidence) -> Any:
+    """Return the thrift struct of what an instance knows of failed and good runs."""
+    return idl.Evidence(
+        suspected=[_suspicion_to_thrift(suspicion) for suspicion in evidence.suspicions],
+        good_runs=[_good_run_to_thrift(run) for run in evidence.good_runs],
+    )
+
+
+def evidence_from_thrift(raw: Any) -> Evidence:
+    """Return the evidence of a thrift struct."""
+    return Evidence(
+        tuple(map(_suspicion_from_thrift, raw.suspected)),
+        tuple(map(_good_run_from_thrift, raw.good_runs)),
+    )
+
+
 def _usage_to_thrift(usage: WorkspaceUsage) -> Any:
     return idl.Usage(
         workspace=usage.workspace,
@@ -95,6 +112,10 @@
     return idl.GoodRun(part=run.part, age_ms=_clamp_to_ms(run.age_s))
 
 
+def _good_run_from_thrift(raw: Any) -> GoodRun:
+    return GoodRun(raw.part, raw.age_ms / MS_PER_S)
+
+
 def _endpoint_limit_to_thrift(limit: EndpointLimit) -> Any:
     return idl.EndpointLimit(
         endpoint=limit.endpoint,
--- a/rattangate/peers/peers.thrift
+++ b/rattangate/peers/peers.thrift
@@ -169,6 +169,12 @@
   4: i32 list_age_ms
 }
 
+/** All that an instance knows of failed runs and of good runs on suspect parts of prompts. */
+struct Evidence {
+  1: list<Suspected> suspected
+  2: list<GoodRun> good_runs
+}
+
 /** An update from an instance to its peers; without content it is the heartbeat. */
 struct News {
   1: string instance
@@ -194,6 +200,8 @@
   17: optional map<string, i64> live_instances
   /** Sent first on each connection. */
   18: optional StreamHistory stream_history
+  /** Sent first on each connection. */
+  19: optional Evidence evidence
 }
 
 /** Asks the server of a tunnel to connect to one incarnation of an endpoint. */
--- a/rattangate/peers/peers_thrift.py
+++ b/rattangate/peers/peers_thrift.py
@@ -339,6 +339,19 @@
     ]
 
 
+class Evidence(TPayload):
+    """Carry the struct Evidence."""
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.LIST, "suspected", (TType.STRUCT, Suspected), False),
+        2: (TType.LIST, "good_runs", (TType.STRUCT, GoodRun), False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("suspected", None),
+        ("good_runs", None),
+    ]
+
+
 class News(TPayload):
     """Carry the struct News."""
 
@@ -361,6 +374,7 @@
         16: (TType.STRUCT, "listed", Listed, False),
         17: (TType.MAP, "live_instances", (TType.STRING, TType.I64), False),
         18: (TType.STRUCT, "stream_history", StreamHistory, False),
+        19: (TType.STRUCT, "evidence", Evidence, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("instance", None),
@@ -381,6 +395,7 @@
         ("listed", None),
         ("live_instances", None),
         ("stream_history", None),
+        ("evidence", None),
     ]
 
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -128,6 +128,15 @@
     assert new_instance.listing(2 * LATER)[0].digest == POISON
 
 
+def test_what_a_peer_told_is_passed_on_when_a_connection_opens_and_not_told_again(quarantined):
+    told = Quarantine()
+    told.merge(quarantined.suspicions(LATER), LATER)
+    assert told.suspicions(LATER) == ()
+    new_instance = Quarantine()
+    new_instance.merge(told.known_suspicions(LATER), LATER)
+    assert new_instance.verdict_on(POISON, 2 * LATER) is Verdict.GUILTY
+
+
 def test_each_change_of_belief_is_reported_once():
     quarantine = Quarantine()
     for endpoint in ("a", "b", "c"):
--- a/tests/front/test_stream_news.py
+++ b/tests/front/test_stream_news.py
@@ -40,3 +40,17 @@
             await wait_until(lambda: versions._streams, 3.0)
 
     trio.run(main)
+
+
+def test_an_instance_that_started_after_a_crashed_run_learns_of_it():
+    async def main() -> None:
+        async with running_deployment() as deployment:
+            now = trio.current_time()
+            first = deployment.app.state.driver.gateway.scheduler.suspects.quarantine
+            first.record_failure(b"digest", ("llm-0", 1), 0.1, now)
+            await trio.sleep(4.0)
+            async with running_second(deployment) as second:
+                learned = second.app.state.driver.gateway.scheduler.suspects.quarantine
+                await wait_until(lambda: learned.known_suspicions(trio.current_time()), 3.0)
+
+    trio.run(main)
--- a/tests/peers/test_limits_codec.py
+++ b/tests/peers/test_limits_codec.py
@@ -5,11 +5,17 @@
 from rattangate.core.messages import (
     EndpointLimit,
     EndpointRejection,
+    Evidence,
     GoodRun,
     LimitsUpdate,
     Suspicion,
 )
-from rattangate.peers.limits_codec import limits_from_thrift, limits_to_thrift
+from rattangate.peers.limits_codec import (
+    evidence_from_thrift,
+    evidence_to_thrift,
+    limits_from_thrift,
+    limits_to_thrift,
+)
 
 
 def test_suspect_parts_and_good_runs_reach_peers():
@@ -23,6 +29,12 @@
     assert limits_from_thrift(limits_to_thrift(update)) == update
 
 
+def test_all_evidence_reaches_a_peer():
+    suspicion = Suspicion(b"d", "e1", 7, 0.25, 600.0, confirmed=True, parts=("m/a",))
+    evidence = Evidence((suspicion,), (GoodRun("m/a", 1.5),))
+    assert evidence_from_thrift(evidence_to_thrift(evidence)) == evidence
+
+
 def test_request_rates_of_endpoints_reach_peers():
     update = LimitsUpdate(
         endpoint_limits=(EndpointLimit("e1", 7, 1.9, 0.25), EndpointLimit("e2", 8, None, 0.0))
