Ask peers ever less often for a way to an endpoint that nobody reaches

Now the wait between searches doubles from 0.5 s to 4 s; an instance that is cut off from most endpoints asks as often as before. The probe of its own connection is unchanged.

--- a/rattangate/front/endpoint_paths.py
+++ b/rattangate/front/endpoint_paths.py
@@ -29,16 +29,25 @@
     from rattangate.log_events import FieldValue
 
 PROBE_INTERVAL_S = 0.25
+# After a search in vain among the peers, the next one waits; the wait doubles up to the second value.
+# An endpoint that nobody reaches is probably down, and each instance asks the others about it.
+FIRST_SEARCH_WAIT_S = 0.5
+MAX_SEARCH_WAIT_S = 4.0
 # Interval of the checks of the other endpoints once a peer reaches one that this instance does not.
 CHECK_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
 class _Probe:
-    """Hold the state of one endpoint that is probed; `peer` is the way to it, empty for none."""
+    """Hold the state of one endpoint that is probed; `peer` is the way to it, empty for none.
+
+    No peer is looked for before `next_search_at`, unless this instance is cut off.
+    """
 
     since: float
     peer: str = ""
+    next_search_at: float = -math.inf
+    search_wait_s: float = FIRST_SEARCH_WAIT_S
     lost: trio.Event = field(default_factory=trio.Event)
 
 
@@ -124,7 +133,7 @@
                 if await pool.probe():
                     break
                 next_probe_at = trio.current_time() + PROBE_INTERVAL_S
-            if not probe.peer:
+            if not probe.peer and self._may_search(probe):
                 await self._find_peer(key, probe, pool)
             with trio.move_on_at(next_probe_at):
                 await probe.lost.wait()
@@ -137,6 +146,9 @@
         unreachable_ms = round((now - probe.since) * MS_PER_S)
         self._log_change(LogEvent.ENDPOINT_REACHABLE, key, unreachable_ms=unreachable_ms)
 
+    def _may_search(self, probe: _Probe) -> bool:
+        return self._view.is_cut_off or trio.current_time() >= probe.next_search_at
+
     async def _find_peer(self, key: EndpointKey, probe: _Probe, pool: EndpointPool) -> None:
         """Find a peer that reaches an endpoint; without one, the endpoint may be gone."""
         listed = self._listed(*key)
@@ -146,6 +158,8 @@
         found = await self.tunnels.find(listed) if has_peers else None
         now = trio.current_time()
         if found is None:
+            probe.next_search_at = now + probe.search_wait_s
+            probe.search_wait_s = min(2 * probe.search_wait_s, MAX_SEARCH_WAIT_S)
             self._feed_changes(self._view.set_via_peer(*key, False, now))
             # An instance that lost most endpoints itself cannot tell which of them are gone.
             if not has_peers or not self._view.is_cut_off:
--- a/tests/front/test_cut_links.py
+++ b/tests/front/test_cut_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import struct
 
@@ -11,6 +12,7 @@
 import trio.testing
 
 from rattangate.core.messages import EndpointState
+from rattangate.front.endpoint_paths import FIRST_SEARCH_WAIT_S
 from tests.front.cut_links import Cut, running_pair
 from tests.front.deployment import (
     IDEMPOTENT_PATH,
@@ -202,6 +204,36 @@
     trio.run(main)
 
 
+def _listed_keys(paths):
+    return [(item.endpoint, item.incarnation) for item in paths._view.endpoints.values()]
+
+
+def test_peers_are_asked_ever_less_often_for_an_endpoint_that_nobody_reaches(monkeypatch):
+    async def main() -> None:
+        async with running_pair(monkeypatch) as (deployment, _links):
+            paths = deployment.app.state.paths
+            searched = []
+
+            async def find_none(listed):
+                searched.append(trio.current_time())
+
+            async def fail() -> bool:
+                return False
+
+            monkeypatch.setattr(paths.tunnels, "find", find_none)
+            (key,) = (key for key in _listed_keys(paths) if key[0] == "desk-0")
+            monkeypatch.setattr(paths.pool_of(*key), "probe", fail)
+            paths.mark_lost(*key, "no connection")
+            await trio.sleep(6.0)
+        assert 1 <= len(searched) <= 5
+        assert all(
+            later - earlier >= FIRST_SEARCH_WAIT_S
+            for earlier, later in itertools.pairwise(searched)
+        )
+
+    trio.run(main)
+
+
 def test_instances_that_are_leaving_still_serve_those_without_links(monkeypatch):
     async def main() -> None:
         async with running_pair(monkeypatch) as (deployment, links):
