Log the loss or return of many peers in one line

More than four changes of a kind within a heartbeat interval have one line now, with their number, the first names and how many are live.

--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -24,6 +24,7 @@
     InstanceEntry,
     decode_instance_entry,
 )
+from rattangate.front.peer_log import FoundPeer, LostPeer, PeerLog
 from rattangate.front.software_record import SOFTWARE_ROW_KEY, SoftwareRecord
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.front.tunnels import TunnelPeer
@@ -94,6 +95,7 @@
         self._row_version: int | None = None
         self._has_read_instances = False
         self._relay = boot.instance
+        self._peer_log = PeerLog()
         self._relay_queues: dict[str, list[bytes]] = {}
         self._frames_queued = trio.Event()
         self._software_record = SoftwareRecord(
@@ -344,9 +346,10 @@
             if trio.current_time() >= self._sent_at + HEARTBEAT_INTERVAL_S:
                 self._broadcast(self._make_update(None))
             for name in self._view.expire(trio.current_time()):
-                self._log_lost(name)
+                self._record_lost(name)
                 self._state.driver.feed(PeerLost(name))
             self._connect()
+            self._peer_log.flush(len(self._view.live))
             if self._links is not None:
                 self._log_dropped(self._links.take_dropped())
 
@@ -402,10 +405,10 @@
                 self._relay_queues.setdefault(target, []).append(received.frame)
             self._frames_queued.set()
         if heard.is_found:
-            self._log_found(update.instance, update.incarnation)
+            self._record_found(update.instance, update.incarnation)
         if update.live_instances:
             for found in self._view.record_list(update.instance, update.live_instances, now):
-                self._log_found(*found)
+                self._record_found(*found)
         if update.evidence is not None:
             self._state.driver.feed(EvidenceReceived(update.evidence))
         if update.stream_history is not None:
@@ -454,19 +457,15 @@
             queued_bytes=dropped.queued_bytes,
         )
 
-    def _log_lost(self, name: str) -> None:
+    def _record_lost(self, name: str) -> None:
         peer = self._view.registry.peers[name]
-        log(
-            LogEvent.PEER_LOST,
-            instance=name,
-            incarnation=peer.incarnation,
-            silent_ms=_age_ms(peer.heard_at),
-            list_age_ms=_age_ms(peer.reported_at),
+        self._peer_log.record_lost(
+            LostPeer(name, peer.incarnation, _age_ms(peer.heard_at), _age_ms(peer.reported_at))
         )
 
-    def _log_found(self, name: str, incarnation: int) -> None:
+    def _record_found(self, name: str, incarnation: int) -> None:
         data_centre = self._peers_by_name[name].data_centre
-        log(LogEvent.PEER_FOUND, instance=name, incarnation=incarnation, data_centre=data_centre)
+        self._peer_log.record_found(FoundPeer(name, incarnation, data_centre))
 
 
 def _age_ms(at: float | None) -> int | None:
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -244,6 +244,16 @@
         ("table", "row", "error"),
     )
     HISTORY_LOST = (504, "The store discarded changes before they were read.", ("table", "version"))
+    PEERS_FOUND = (
+        407,
+        "Many peer instances were found within one heartbeat interval.",
+        ("count", "first", "live"),
+    )
+    PEERS_LOST = (
+        408,
+        "Many peer instances are no longer heard from within one heartbeat interval.",
+        ("count", "first", "live"),
+    )
     TABLE_RELAY_SILENT = (
         505,
         "The instance that reads a table for this one is silent; this one reads it itself.",
