Bound the bytes of the failed runs that one update tells of

What is passed on when a connection opens must fit a frame of 1 MB, or the connection would end and open without end. Failures of very long prompts, 100 parts of 64 characters each, took 3.6 MB for 500 of them by multiplying; they are told in several updates, and the newest that fit are passed on.

--- a/rattangate/core/part_evidence.py
+++ b/rattangate/core/part_evidence.py
@@ -23,6 +23,8 @@
 SURVIVAL_S = 1.0
 # Number of parts of prompts whose last good run an instance remembers.
 MAX_GOOD_RUNS = 4096
+# Good runs that are passed to a peer when a connection to it opens, the newest ones.
+MAX_PASSED_ON = 4096
 # How many instances, on average, tell at once of a good run that all have seen; the others tell
 # only if none of them has within this time.
 PROMPT_TELLERS = 8
@@ -127,11 +129,13 @@
             self._unsent.update(self._resends)
             self._resends = {part: count - 1 for part, count in self._resends.items() if count > 1}
         unsent, self._unsent = self._unsent, set()
-        return tuple(run for run in self.known_good_runs(now) if run.part in unsent)
+        known = self.part_quarantine.good_runs()
+        return tuple(GoodRun(part, now - at) for part, at in known if part in unsent)
 
     def known_good_runs(self, now: float) -> tuple[GoodRun, ...]:
         """Return the good runs of suspect parts, for a peer that may have missed some of them."""
-        return tuple(GoodRun(part, now - at) for part, at in self.part_quarantine.good_runs())
+        newest = sorted(self.part_quarantine.good_runs(), key=lambda run: run[1])[-MAX_PASSED_ON:]
+        return tuple(GoodRun(part, now - at) for part, at in newest)
 
     def judge(self, now: float) -> list[PoisonParts]:
         """Apply new evidence to the parts of prompts; return those quarantined since last time."""
--- a/rattangate/core/quarantine.py
+++ b/rattangate/core/quarantine.py
@@ -48,8 +48,12 @@
 # instances that hear of it.
 RESENDS = 2
 RESEND_S = 1.0
-# Failures that are passed to a peer when a connection to it opens, the newest ones.
-MAX_PASSED_ON = 2048
+# Failures that one update tells of take up to this many bytes; others wait for the next update.
+# What is passed to a peer when a connection to it opens are the newest ones.
+MAX_TOLD_BYTES = 300_000
+# Of one failure without the parts of its prompt, and of each part beside its name.
+FAILURE_BYTES = 160
+PART_BYTES = 8
 
 
 @dataclass(slots=True)
@@ -186,17 +190,17 @@
             self._resend_at = now + RESEND_S
             self._unsent.update(self._resends)
             self._resends = {key: count - 1 for key, count in self._resends.items() if count > 1}
-        unsent, self._unsent = self._unsent, set()
-        return tuple(
-            self._suspicion(digest, key, failure, now)
-            for digest, key, failure in self._all_failures()
-            if (digest, key) in unsent
-        )
+        due = [item for item in self._all_failures() if item[:2] in self._unsent]
+        told = _fitting(due)
+        self._unsent = {item[:2] for item in due[len(told) :]}
+        return tuple(self._suspicion(*item, now) for item in told)
 
     def known_suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Return all that is known here, for a peer that may have missed some of it."""
-        failures = sorted(self._all_failures(), key=lambda item: item[2].recorded_at)
-        return tuple(self._suspicion(*item, now) for item in failures[-MAX_PASSED_ON:])
+        newest_first = sorted(
+            self._all_failures(), key=lambda item: item[2].recorded_at, reverse=True
+        )
+        return tuple(self._suspicion(*item, now) for item in _fitting(newest_first))
 
     def take_new_evidence(self) -> bool:
         """Tell whether crashed runs were added, confirmed or cleared since the last call."""
@@ -428,3 +432,15 @@
         for digest, history in self._histories.items():
             for key, failure in history.failures.items():
                 yield digest, key, failure
+
+
+def _fitting(
+    failures: list[tuple[bytes, EndpointKey, _Failure]],
+) -> list[tuple[bytes, EndpointKey, _Failure]]:
+    """Return the first failures that fit into one update, at least one."""
+    size = 0
+    for number, (_, _, failure) in enumerate(failures):
+        size += FAILURE_BYTES + sum(len(part) + PART_BYTES for part in failure.parts)
+        if number and size > MAX_TOLD_BYTES:
+            return failures[:number]
+    return failures
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from rattangate.core.fleet import (
@@ -14,6 +16,7 @@
 from rattangate.core.messages import (
     CrashRecorded,
     EndpointState,
+    Evidence,
     LimitsUpdate,
     SuspicionRecorded,
     Verdict,
@@ -21,12 +24,15 @@
 )
 from rattangate.core.quarantine import (
     CONFIRM_TIMEOUT_S,
+    MAX_TOLD_BYTES,
     PROPAGATION_S,
     QUARANTINE_S,
     SUSPECT_S,
     Quarantine,
 )
 from rattangate.core.trials import TrialScheduler
+from rattangate.peers.codec import encode_update, make_update
+from rattangate.peers.framing import MAX_FRAME_BYTES
 
 POISON = b"bad"
 HARMLESS = b"good"
@@ -137,6 +143,23 @@
     assert new_instance.verdict_on(POISON, 2 * LATER) is Verdict.GUILTY
 
 
+def test_failures_of_very_long_prompts_are_told_in_updates_that_fit_a_frame():
+    quarantine = Quarantine()
+    parts = tuple(f"{number:064x}" for number in range(100))
+    for number in range(500):
+        quarantine.record_failure(b"%d" % number, ("a", 1), 0.1, float(number), parts)
+    told = []
+    while suspicions := quarantine.suspicions(500.0):
+        update = make_update(None, "i", 1, 1, False)
+        frame = encode_update(replace(update, evidence=Evidence(suspicions)))
+        assert len(frame) < MAX_FRAME_BYTES / 2
+        told += suspicions
+    assert {item.digest for item in told} == {b"%d" % number for number in range(500)}
+    newest = quarantine.known_suspicions(500.0)
+    assert newest[0].digest == b"499"
+    assert sum(len(part) for item in newest for part in item.parts) < MAX_TOLD_BYTES
+
+
 def test_each_change_of_belief_is_reported_once():
     quarantine = Quarantine()
     for endpoint in ("a", "b", "c"):
