Let the long poll of the endpoint list end before others read the list themselves

The new test counted 34 and 20 reads by a follower in a minute; now 1, as it should be. Ruled out: a relay that is late, as relay_changed shows none then.

--- a/rattangate/front/store_watchers.py
+++ b/rattangate/front/store_watchers.py
@@ -11,7 +11,7 @@
 from rattangate.clock import boottime_now
 from rattangate.core.fleet import ListedEndpoint, ModelVersion
 from rattangate.core.routes import ServingConfig
-from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
+from rattangate.front.table_watcher import SHORT_WAIT_S, TableWatcher, TableWatcherCfg
 from rattangate.log_events import LogEvent, log
 from rattangate.platform.operator import (
     ENDPOINT_TABLE,
@@ -36,7 +36,8 @@
 # The same for the time for which API keys may be used after a read. A response extends that time,
 # counted from when its request was sent.
 KEYS_WAIT_SHARE = 0.45
-LIST_WAIT_S = 3.0
+# Longest long poll of the endpoint list.
+MAX_LIST_WAIT_S = 3.0
 # Minimum interval between reads and peer timeout, as shares of the bound within which an endpoint
 # that is leaving must be known.
 LIST_INTERVAL_SHARE = 0.4
@@ -107,12 +108,10 @@
         self._state = state
         self._peers = peers
         drain_s = state.boot.bounds.drain_s
-        cfg = TableWatcherCfg(
-            ENDPOINT_TABLE,
-            LIST_WAIT_S,
-            LIST_INTERVAL_SHARE * drain_s,
-            LIST_PEER_TIMEOUT_SHARE * drain_s,
-        )
+        peer_timeout_s = LIST_PEER_TIMEOUT_SHARE * drain_s
+        # The relay has told that nothing changed before the others read the list themselves.
+        wait_s = max(SHORT_WAIT_S, min(MAX_LIST_WAIT_S, peer_timeout_s - PEER_TIMEOUT_SLACK_S))
+        cfg = TableWatcherCfg(ENDPOINT_TABLE, wait_s, LIST_INTERVAL_SHARE * drain_s, peer_timeout_s)
         self._watcher = TableWatcher(
             store, cfg, self._apply_update, peers.delegates_endpoint_list, self._publish
         )
--- a/tests/front/test_store_watchers.py
+++ b/tests/front/test_store_watchers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
 import trio.testing
 
@@ -99,3 +100,51 @@
         StoreRows((written_again,), make_version(1, 2)),
         StoreRows((heartbeat,), make_version(1, 3)),
     ) == [(written_again,), ()]
+
+
+@dataclass
+class QuietStore:
+    """Answer each read without changes after its wait, and count the reads."""
+
+    reads: int = 0
+
+    async def read_table(self, table: str) -> StoreRows:
+        """Return the whole table."""
+        self.reads += 1
+        return StoreRows((_entry_row(5),), 5)
+
+    async def watch_table(self, table: str, after: int, wait_s: float) -> StoreRows:
+        """Wait in vain for changes."""
+        self.reads += 1
+        await trio.sleep(wait_s)
+        return StoreRows((), after)
+
+
+@dataclass
+class FollowerPeers(RelayPeers):
+    """Stand for the peers of an instance whose relay reads the list for it."""
+
+    def delegates_endpoint_list(self) -> bool:
+        """Tell that a relay reads the list."""
+        return True
+
+
+@pytest.mark.parametrize("drain_s", [2.0, 3.0, 4.0])
+def test_a_list_that_does_not_change_is_read_by_the_relay_only(drain_s):
+    boot = BootSettings("a", "riverside", "127.0.0.1", "", "", 0, "", Bounds(drain_s=drain_s))
+    follower, relay = FollowerPeers(), RelayPeers()
+    follower_store, relay_store = QuietStore(), QuietStore()
+
+    async def main() -> None:
+        following = EndpointListWatcher(follower_store, ListState(boot), follower)
+        reading = EndpointListWatcher(relay_store, ListState(boot), relay)
+        (apply_update,) = follower.table_update_handlers.values()
+        relay.publish_rows = apply_update
+        with trio.move_on_after(60.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(following.run)
+                nursery.start_soon(reading.run)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert follower_store.reads == 1
+    assert relay_store.reads <= 1 + 60.0 / (0.4 * drain_s)
