Name the entries of the peer log apart from the peers that serve tunnels

Found while reading the change as a newcomer: FoundPeer stood twice, for a peer that was found and for one through which an endpoint is reached.

--- a/rattangate/core/tunnel_peers.py
+++ b/rattangate/core/tunnel_peers.py
@@ -37,8 +37,9 @@
     ) -> list[str]:
         """Return the names of the peers, by their data centres, in the order to ask them.
 
-        Those that just failed come last, and before them those that are leaving; those in the data centre of the endpoint first: the way
-        through them crosses between data centres no more often than a direct one.
+        Those in the data centre of the endpoint come first: the way through them crosses between
+        data centres no more often than a direct one. Those that just failed come last, and before
+        them those that are leaving.
         """
         self._failed_until = {
             peer: until
--- a/rattangate/front/peer_log.py
+++ b/rattangate/front/peer_log.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FoundPeer:
+class FoundInstance:
     """Hold a peer that was found."""
 
     name: str
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LostPeer:
+class LostInstance:
     """Hold a peer that was lost, and how long it and the lists that name it were silent."""
 
     name: str
@@ -37,14 +37,14 @@
     """Collect the peers that were found and lost, and log them at each flush."""
 
     def __init__(self) -> None:
-        self._found: list[FoundPeer] = []
-        self._lost: list[LostPeer] = []
+        self._found: list[FoundInstance] = []
+        self._lost: list[LostInstance] = []
 
-    def record_found(self, peer: FoundPeer) -> None:
+    def record_found(self, peer: FoundInstance) -> None:
         """Add a peer that was found."""
         self._found.append(peer)
 
-    def record_lost(self, peer: LostPeer) -> None:
+    def record_lost(self, peer: LostInstance) -> None:
         """Add a peer that was lost."""
         self._lost.append(peer)
 
@@ -75,5 +75,5 @@
                 )
 
 
-def _first(peers: Sequence[FoundPeer | LostPeer]) -> str:
+def _first(peers: Sequence[FoundInstance | LostInstance]) -> str:
     return ",".join(peer.name for peer in peers[:MAX_SINGLE_LINES])
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -24,7 +24,7 @@
     InstanceEntry,
     decode_instance_entry,
 )
-from rattangate.front.peer_log import FoundPeer, LostPeer, PeerLog
+from rattangate.front.peer_log import FoundInstance, LostInstance, PeerLog
 from rattangate.front.software_record import SOFTWARE_ROW_KEY, SoftwareRecord
 from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.front.tunnels import TunnelPeer
@@ -460,12 +460,12 @@
     def _record_lost(self, name: str) -> None:
         peer = self._view.registry.peers[name]
         self._peer_log.record_lost(
-            LostPeer(name, peer.incarnation, _age_ms(peer.heard_at), _age_ms(peer.reported_at))
+            LostInstance(name, peer.incarnation, _age_ms(peer.heard_at), _age_ms(peer.reported_at))
         )
 
     def _record_found(self, name: str, incarnation: int) -> None:
         data_centre = self._peers_by_name[name].data_centre
-        self._peer_log.record_found(FoundPeer(name, incarnation, data_centre))
+        self._peer_log.record_found(FoundInstance(name, incarnation, data_centre))
 
 
 def _age_ms(at: float | None) -> int | None:
--- a/tests/front/test_peer_log.py
+++ b/tests/front/test_peer_log.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rattangate.front import peer_log
-from rattangate.front.peer_log import MAX_SINGLE_LINES, FoundPeer, LostPeer, PeerLog
+from rattangate.front.peer_log import MAX_SINGLE_LINES, FoundInstance, LostInstance, PeerLog
 from rattangate.log_events import LogEvent
 
 
@@ -19,8 +19,8 @@
 
 def test_few_changes_have_a_line_each(lines):
     log = PeerLog()
-    log.record_found(FoundPeer("a", 1, "dc"))
-    log.record_lost(LostPeer("b", 1, 2100, None))
+    log.record_found(FoundInstance("a", 1, "dc"))
+    log.record_lost(LostInstance("b", 1, 2100, None))
     log.flush(1)
     assert [event for event, _ in lines] == [LogEvent.PEER_FOUND, LogEvent.PEER_LOST]
     log.flush(1)
@@ -30,7 +30,7 @@
 def test_the_loss_of_a_data_centre_is_one_line(lines):
     log = PeerLog()
     for number in range(39):
-        log.record_lost(LostPeer(f"b-{number:02}", 1, 2100, 3000))
+        log.record_lost(LostInstance(f"b-{number:02}", 1, 2100, 3000))
     log.flush(156)
     ((event, fields),) = lines
     assert event is LogEvent.PEERS_LOST
