Red test: keys lapse while the store answers slowly

A read takes its wait of 1.8 s and the delay; the lease of 4 s counts from when a read was sent, so two of them must fit into it.

--- a/tests/front/test_store_watchers.py
+++ b/tests/front/test_store_watchers.py
@@ -10,8 +10,10 @@
 import trio
 import trio.testing
 
+from rattangate.core.key_lease import KeyLease
 from rattangate.core.store_version import make_version
-from rattangate.front.store_watchers import EndpointListWatcher
+from rattangate.front.store_watchers import KEYS_WAIT_SHARE, EndpointListWatcher
+from rattangate.front.table_watcher import TableWatcher, TableWatcherCfg
 from rattangate.platform.boot import BootSettings, Bounds
 from rattangate.platform.outcomes import HistoryLost, StoreRow, StoreRows
 from tests.front.test_table_watcher import ScriptedStore
@@ -148,3 +150,46 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert follower_store.reads == 1
     assert relay_store.reads <= 1 + 60.0 / (0.4 * drain_s)
+
+
+@dataclass
+class SlowStore(QuietStore):
+    """Take time for each answer, besides its wait."""
+
+    delay_s: float = 0.0
+
+    async def read_table(self, table: str) -> StoreRows:
+        """Return the whole table, slowly."""
+        await trio.sleep(self.delay_s)
+        return await super().read_table(table)
+
+    async def watch_table(self, table: str, after: int, wait_s: float) -> StoreRows:
+        """Wait in vain for changes, and answer slowly."""
+        await trio.sleep(self.delay_s)
+        return await super().watch_table(table, after, wait_s)
+
+
+@pytest.mark.parametrize("delay_s", [0.004, 0.376])
+def test_keys_hold_while_the_store_answers_slowly(delay_s, monkeypatch):
+    monkeypatch.setattr("rattangate.front.table_watcher.boottime_now", trio.current_time)
+    keys = KeyLease(revoke_s=5.0)
+    wait_s = KEYS_WAIT_SHARE * keys.duration_s
+    lapsed_at: list[float] = []
+
+    async def main() -> None:
+        watcher = TableWatcher(
+            SlowStore(delay_s=delay_s),
+            TableWatcherCfg("op", wait_s),
+            lambda update: keys.renew(update.asked_at),
+        )
+        with trio.move_on_after(30.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watcher.run)
+                await trio.sleep(1.0)
+                while True:
+                    await trio.sleep(0.05)
+                    if not keys.holds(trio.current_time()):
+                        lapsed_at.append(trio.current_time())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert lapsed_at == []
