--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -15,6 +15,7 @@
 import shlex
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -87,6 +88,18 @@
 # --- HTTP/1.1 ------------------------------------------------------------------------------------
 
 
+# SO_LINGER for no time: on, 0 s.
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    writer.transport.abort()
+
+
 @dataclass
 class Message:
     """Hold the first line, the headers (names in lowercase) and the body of a message."""
@@ -180,7 +193,7 @@
 
     def drop_connections(self) -> None:
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     def _apply(self, items: list[tuple[str, str, bytes | None]]) -> None:
         self.version += 1
@@ -203,7 +216,7 @@
         try:
             while (req := await read_request(reader)) is not None:
                 if self.is_away:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 status, answer = await self._answer(req)
                 if translate is not None:
@@ -325,7 +338,7 @@
             host, port = self._target.rsplit(":", 1)
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
         except (OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset(writer)
             return
         passing = {
             asyncio.ensure_future(self._pass(reader, far_writer)),
@@ -342,13 +355,16 @@
             far_writer.close()
 
     async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass the bytes of one direction on, and how the connection ends."""
         try:
             while data := await reader.read(65_536):
                 await self._open.wait()
                 writer.write(data)
                 await writer.drain()
             await self._open.wait()
-        except (OSError, asyncio.CancelledError):
+        except OSError:
+            reset(writer)
+        except asyncio.CancelledError:
             return
 
 
@@ -490,7 +506,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     def entry(self) -> dict[str, Any]:
         return {
