--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -128,6 +128,12 @@
             else:
                 writer.close()
 
+    async def cut(self, for_s: float) -> None:
+        """Reset all connections and take none for a time; what runs here goes on otherwise."""
+        await self.stop()
+        await asyncio.sleep(for_s)
+        await self.start()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
