--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -183,6 +183,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def make_copy(self) -> tuple:
+        return self.ver, dict(self.rows), list(self.history)
+
+    def return_from(self, copy: tuple) -> None:
+        """Come back from an older copy: later writes are gone, and a new era begins."""
+        self.era += 1
+        self.ver, rows, history = copy
+        self.rows, self.history = dict(rows), list(history)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _now_ms(self) -> int:
         return int(time.monotonic() * 1000)
 
