--- a/review/14/case.py
+++ b/review/14/case.py
@@ -23,7 +23,10 @@
     run_case,
 )
 
-ZONES = ("riverside", "uptown")
+# The machines of the site: three, two and one. The clients are those of the second zone.
+ZONES = ("riverside", "fairgrounds", "uptown")
+ZONE_OF_ROUTER = ("riverside",) * 3 + ("fairgrounds",) * 2 + ("uptown",)
+CLIENT_ZONE = "fairgrounds"
 KILL_GAP_S = 1.6
 DOWN_S = 3.0
 STREAM_DEADLINE_S = 15.0
@@ -84,23 +87,25 @@
     store.put("op", "config", make_config(3))
     store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
     replicas = [
-        Replica(f"i-lm-{n}", "lm-pool", store, record, weights=1, zone=ZONES[n // 2],
-                software=("1", "2")[n % 2])
-        for n in range(4)
+        Replica(f"i-lm-{n}", "lm-pool", store, record, weights=1, zone=ZONES[n % 3],
+                software=("1", "2")[n // 3])
+        for n in range(6)
     ]
     for replica in replicas:
         replica.tokens, replica.token_s = TOKENS, TOKEN_S
     replicas += [Replica(f"i-desk-{n}", "pass-desk", store, record) for n in range(3)]
     beats = [asyncio.create_task(one.run()) for one in replicas]
     await asyncio.sleep(0.3)
-    for number, zone in enumerate(("riverside", "riverside", "uptown", "uptown")):
+    for number, zone in enumerate(ZONE_OF_ROUTER):
         router = Router(number, store.address, scratch, record, zone, ZONES)
         router.start()
         routers.append(router)
     for router in routers:
         await router.wait_ready()
     await asyncio.sleep(5.0)
-    relay, other, *far = routers
+    # The first by name is the relay of its zone, as all machines have as many cores.
+    relay, other = (router for router in routers if CLIENT_ZONE in router.name)
+    far = [router for router in routers if CLIENT_ZONE not in router.name]
     up = set(routers)
     turn = itertools.count()
 
