review: engines with two models never get new weights (case 15)

Cause: the order controller keeps one state and one order for an endpoint, whatever number of models it runs.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
