--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -316,6 +316,7 @@
         self.seq = 0
         self.beats = 0
         self.is_loading = False
+        self.is_leaving = False
         self.token_s = 0.02
         self.tokens = 13
         self.work_s = 0.03
@@ -402,6 +403,8 @@
     async def serve_request(self, req: Head, target: str, writer) -> bool:
         attempt = req.headers.get("x-attempt-id", "")
         headers = {"X-Attempt-Id": attempt, "X-Server-Seal": f"{self.name}.{attempt}"}
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         status = self.refusal(req)
         if status:
             self.record(f"{self.name} turns {attempt} away: {status}")
