review: a cut answer is given to clients as whole during an upload (case 11)

Cause: the flag that tells a reset from a regular end is set a checkpoint after sending has met the reset, so that receiving may see an end before it. The stand-ins end connections with a real reset now.

--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -26,6 +27,8 @@
 KEY = "ctnfzs989anu6wsjnban"
 HEARTBEAT_S = 1.2
 TIME_LIMIT_S = 105.0
+# With SO_LINGER set so, closing a connection resets it.
+LINGER_NONE = struct.pack("ii", 1, 0)
 # The bounds of the small deployment magbend-parkride.
 BOUNDS = {
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
@@ -124,6 +127,8 @@
             self._server = None
         for writer in list(self._writers):
             if reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
                 writer.transport.abort()
             else:
                 writer.close()
