Take a peer that closes its connections and refuses new ones for lost at once

Cause: what an instance tells others goes to its relay alone. The relay's connection was closed with the kill, but the sender met that at its next write, tried again without telling anybody, and the relay counted as live until it had been silent for 2 s. What was begun in between was known to nobody but its own instance.

Ruled out: the relay's queue (0.05 s, some three streams), another reason to refuse (63 times 503, all of streams without news).

Fix: links notice the close at once and try again at once; a peer that refuses and has no connection open to this instance is gone, and its duties pass on.

Tests that failed before: test_news_of_streams_cross_data_centres_at_once_after_the_ relay_was_killed (timed out), test_relays_whose_processes_end_are_replaced_at_once_ without_a_storm, test_a_peer_whose_process_has_ended_is_reported_as_gone (new calls). Not covered: a relay that falls silent with its connections open is noticed after 2 s, as before.

--- a/rattangate/core/peer_registry.py
+++ b/rattangate/core/peer_registry.py
@@ -139,6 +139,18 @@
                 lost.append(name)
         return lost
 
+    def is_lost(self, instance: str) -> bool:
+        """Tell whether a peer is unknown, was never heard of or is lost."""
+        peer = self.peers.get(instance)
+        return peer is None or peer.state is PeerState.LOST
+
+    def mark_lost(self, instance: str) -> bool:
+        """Mark a peer as lost whose process has ended; return whether it was not lost before."""
+        if self.is_lost(instance):
+            return False
+        self.peers[instance].state = PeerState.LOST
+        return True
+
     def count_reachable(self) -> int:
         """Return the number of peers that are not lost."""
         return sum(peer.state is not PeerState.LOST for peer in self.peers.values())
--- a/rattangate/core/peer_view.py
+++ b/rattangate/core/peer_view.py
@@ -1,5 +1,9 @@
 """What one instance believes of the others: who is live, who relays, and whose silence means loss.
 
+A contact whose process has ended, as its closed connections show, is lost at once, so that nothing
+more is sent to it. In a large deployment the instances note that one after the other, as they all
+connect to the next relay then.
+
 In a large deployment an instance hears of the others only through its relay, so the silence of the
 relay is one event and not the loss of all whom it reports on. An instance judges by silence only
 those whom it is connected to, its contacts. All others it takes for lost when a list of their data
@@ -13,6 +17,7 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from rattangate.core.peer_registry import PeerRegistry
 from rattangate.core.relays import RelayPlan
@@ -35,6 +40,9 @@
 MAX_PAUSE_S = 1.0
 # Without a list of their data centre for this long, instances count as lost.
 UNLISTED_LOST_AFTER_S = 10.0
+# Time over which the instances of a large deployment note that a contact's process has ended.
+GONE_SPREAD_S = 0.5
+_CRC_RANGE = 2.0**32
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +73,11 @@
         self._unlisted: set[str] = set()
         # Never heard of, though they were contacts for long enough or a list could have named them.
         self._absent: set[str] = set()
+        # When contacts whose processes have ended are lost.
+        self._gone_at: dict[str, float] = {}
         self._relay_candidates: frozenset[str] = frozenset()
+        # The place of this instance, from 0 to 1, where all would act at one moment.
+        self._turn = crc32(name.encode()) / _CRC_RANGE
 
     @property
     def is_relay(self) -> bool:
@@ -101,6 +113,10 @@
         """Return the instances to which an update of `origin` that `via` sent is forwarded."""
         return self.plan.forward_targets(origin, via, self._relay_candidates)
 
+    def turn_s(self, spread_s: float) -> float:
+        """Return the seconds that this instance waits where a large deployment would act at once."""
+        return spread_s * self._turn if self.plan.is_large else 0.0
+
     def configure(self, peers: Mapping[str, PeerInfo], now: float) -> None:
         """Replace the set of the other instances."""
         self._peers = dict(peers)
@@ -119,8 +135,19 @@
         """Record the status in an update that came from a peer, directly or forwarded."""
         self._unlisted.discard(status.instance)
         self._absent.discard(status.instance)
+        self._gone_at.pop(status.instance, None)
         return self.registry.record_status(status, now)
 
+    def record_gone(self, name: str, now: float) -> bool:
+        """Record that the process of a contact has ended; return whether that is news.
+
+        `expire` returns the contact once it is lost.
+        """
+        if name in self._gone_at or self.registry.is_lost(name):
+            return False
+        self._gone_at[name] = now + self.turn_s(GONE_SPREAD_S)
+        return True
+
     def record_list(
         self, lister: str, live: Iterable[tuple[str, int]], now: float
     ) -> list[tuple[str, int]]:
@@ -159,7 +186,8 @@
         if now > self._expired_at + MAX_PAUSE_S:
             self._resumed_at = now
         self._expired_at = now
-        lost = self.registry.expire(now, lambda name: self._is_silence_loss(name, now))
+        lost = self._expire_gone(now)
+        lost += self.registry.expire(now, lambda name: self._is_silence_loss(name, now))
         self._unlisted.update(name for name in lost if self._lacks_list(name, now))
         self._absent.update(
             name
@@ -185,6 +213,12 @@
             for name in self.plan.connections(self._relay_candidates)
         }
 
+    def _expire_gone(self, now: float) -> list[str]:
+        due = [name for name, at in self._gone_at.items() if at <= now]
+        for name in due:
+            del self._gone_at[name]
+        return [name for name in due if self.registry.mark_lost(name)]
+
     def _unheard(self) -> set[str]:
         return {name for name, peer in self.registry.peers.items() if not peer.was_contacted}
 
--- a/rattangate/front/peers.py
+++ b/rattangate/front/peers.py
@@ -5,7 +5,6 @@
 import secrets
 from dataclasses import replace
 from typing import TYPE_CHECKING
-from zlib import crc32
 
 import msgspec
 import trio
@@ -55,7 +54,6 @@
 DEREGISTER_TIMEOUT_S = 0.2
 # Time over which the instances of a large deployment write lost rows again.
 RESTORE_SPREAD_S = 1.0
-CRC_RANGE = 2.0**32
 HEARTBEAT_INTERVAL_S = 0.5
 # A relay that is leaving forwards for so long what is still sent to it.
 RELAY_HANDOVER_S = 2.5
@@ -155,6 +153,7 @@
             self._make_initial_update,
             accepts_relayed=True,
             serve_tunnel=tunnels.server.serve,
+            on_gone=self._record_gone,
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
@@ -276,7 +275,7 @@
 
     async def _restore_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Write again what the store lost of this instance's rows when it returned."""
-        await trio.sleep(self._restore_delay_s())
+        await trio.sleep(self._view.turn_s(RESTORE_SPREAD_S))
         stored = {row.key: row.value for row in rows}
         value = msgspec.json.encode(self._entry)
         own_key = INSTANCE_ROW_PREFIX + self._name
@@ -296,12 +295,6 @@
                 return
             await trio.sleep(RETRY_DELAY_S)
 
-    def _restore_delay_s(self) -> float:
-        """Return this instance's place in the time over which all write their rows again."""
-        if not self._view.plan.is_large:
-            return 0.0
-        return RESTORE_SPREAD_S * crc32(self._name.encode()) / CRC_RANGE
-
     def _apply_instances(
         self, instances: dict[str, InstanceEntry], leaving: dict[str, InstanceEntry]
     ) -> None:
@@ -350,14 +343,21 @@
             await trio.sleep(HEARTBEAT_INTERVAL_S)
             if trio.current_time() >= self._sent_at + HEARTBEAT_INTERVAL_S:
                 self._broadcast(self._make_update(None))
-            for name in self._view.expire(trio.current_time()):
-                self._record_lost(name)
-                self._state.driver.feed(PeerLost(name))
-            self._connect()
+            self._expire_peers()
             self._peer_log.flush(len(self._view.live))
             if self._links is not None:
                 self._log_dropped(self._links.take_dropped())
 
+    def _record_gone(self, name: str) -> None:
+        if self._view.record_gone(name, trio.current_time()):
+            self._expire_peers()
+
+    def _expire_peers(self) -> None:
+        for name in self._view.expire(trio.current_time()):
+            self._record_lost(name)
+            self._state.driver.feed(PeerLost(name))
+        self._connect()
+
     async def _announce_live_instances(self) -> None:
         """Announce the live instances of this data centre, as its relay in a large deployment."""
         while True:
--- a/rattangate/peers/link.py
+++ b/rattangate/peers/link.py
@@ -1,12 +1,13 @@
 """The connections between entry instances on which they send updates to each other.
 
 An instance sends updates on the connections that it opens and receives them on those that it
-accepts.
+accepts. A peer that closes all of them and refuses new ones is gone: its process has ended.
 """
 
 from __future__ import annotations
 
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -39,7 +40,8 @@
     ServeTunnel = Callable[[str, FrameReader, trio.SocketStream], Awaitable[None]]
 
 SEND_TIMEOUT_S = 2.0
-RECONNECT_DELAY_S = 0.25
+# Least time between the starts of two attempts to connect to a peer.
+RECONNECT_INTERVAL_S = 0.25
 # Updates that waited longer are outdated, and a relay holds one queue for each peer that lags
 # behind.
 MAX_QUEUED_WRITES = 32
@@ -77,6 +79,7 @@
     that arrives; with `accepts_relayed`, a peer may forward updates of other instances.
     `make_initial_update` returns the first update on each connection. `serve_tunnel` serves a
     connection on which a peer asks for a tunnel to an endpoint; without it none is served.
+    `on_gone` is called with the name of a peer that is gone, at each attempt to connect to it.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         make_initial_update: Callable[[], PeerUpdate],
         accepts_relayed: bool = False,
         serve_tunnel: ServeTunnel | None = None,
+        on_gone: Callable[[str], None] | None = None,
     ) -> None:
         self._identity = identity
         self._peers = peers
@@ -94,6 +98,9 @@
         self._make_initial_update = make_initial_update
         self._accepts_relayed = accepts_relayed
         self._serve_tunnel = serve_tunnel
+        self._on_gone = on_gone
+        # The numbers of connections that the peers have open to this instance.
+        self._accepted: Counter[str] = Counter()
         self._connected = frozenset(peers)
         self._queues: dict[str, trio.MemorySendChannel[bytes]] = {}
         self._cancel_scopes: dict[str, trio.CancelScope] = {}
@@ -189,27 +196,38 @@
     async def _send_with_reconnects(
         self, name: str, address: str, frames: trio.MemoryReceiveChannel[bytes]
     ) -> None:
-        host, port = address.rsplit(":", 1)
         while True:
+            retry_at = trio.current_time() + RECONNECT_INTERVAL_S
             try:
-                async with await trio.open_tcp_stream(host, int(port)) as stream:
-                    set_socket_options(stream.socket)
-                    await self._run_connection(name, stream, frames)
-            except CONNECTION_ERRORS:
-                pass
+                await self._connect_and_send(name, address, frames)
+            except CONNECTION_ERRORS as exc:
+                if _is_refused(exc):
+                    self._report_gone(name)
             except Exception as exc:  # noqa: BLE001 - one connection must not end the others
                 _log_fault(exc)
             _discard_queued(frames)
             self._queued_bytes[name] = 0
             self._reconnect_events[name] = trio.Event()
-            with trio.move_on_after(RECONNECT_DELAY_S):
+            with trio.move_on_at(retry_at):
                 await self._reconnect_events[name].wait()
 
-    async def _run_connection(
+    async def _connect_and_send(
+        self, name: str, address: str, frames: trio.MemoryReceiveChannel[bytes]
+    ) -> None:
+        host, port = address.rsplit(":", 1)
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            set_socket_options(stream.socket)
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                await authenticate_to_server(self._identity, FrameReader(stream), stream)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_at_close, stream, nursery.cancel_scope)
+                with suppress(*CONNECTION_ERRORS):
+                    await self._send_updates(name, stream, frames)
+                nursery.cancel_scope.cancel()
+
+    async def _send_updates(
         self, name: str, stream: trio.SocketStream, frames: trio.MemoryReceiveChannel[bytes]
     ) -> None:
-        with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-            await authenticate_to_server(self._identity, FrameReader(stream), stream)
         await self._send_initial_update(name, stream)
         async for data in frames:
             self._queued_bytes[name] -= len(data)
@@ -218,6 +236,14 @@
             if self._needs_initial_update(name):
                 await self._send_initial_update(name, stream)
 
+    def _report_gone(self, name: str) -> None:
+        """Report a peer that refuses a connection, unless it has one open to this instance.
+
+        A cut link may refuse connections in one direction only.
+        """
+        if self._on_gone is not None and not self._accepted[name]:
+            self._on_gone(name)
+
     def _needs_initial_update(self, name: str) -> bool:
         return name in self._lagging and trio.current_time() >= self._next_initial_at[name]
 
@@ -237,11 +263,7 @@
             if client.purpose == Purpose.TUNNEL:
                 await self._serve_tunnel_to(name, reader, stream)
                 return
-            # A peer that connects can be reached again: the delay before reconnecting to it ends.
-            if name in self._reconnect_events:
-                self._reconnect_events[name].set()
-            while True:
-                self._receive_frame(name, await reader.read())
+            await self._receive_updates(name, reader)
         except (PeerProtocolError, trio.TooSlowError) as exc:
             log(LogEvent.PEER_REFUSED, address=f"{_remote_address(stream)} {exc}")
         except (OSError, trio.BrokenResourceError, EOFError):
@@ -249,6 +271,22 @@
         except Exception as exc:  # noqa: BLE001 - one connection must not end the others
             _log_fault(exc)
 
+    async def _receive_updates(self, name: str, reader: FrameReader) -> None:
+        self._accepted[name] += 1
+        try:
+            # A peer that connects can be reached again: the delay before reconnecting to it ends.
+            self._reconnect(name)
+            while True:
+                self._receive_frame(name, await reader.read())
+        finally:
+            self._accepted[name] -= 1
+            self._reconnect(name)
+
+    def _reconnect(self, name: str) -> None:
+        """Let the next attempt to connect to a peer begin at once."""
+        if name in self._reconnect_events:
+            self._reconnect_events[name].set()
+
     async def _authenticate_client(self, reader: FrameReader, stream: trio.SocketStream) -> Client:
         client = await authenticate_client(self._identity, reader, stream)
         if client.instance not in self._peers:
@@ -273,6 +311,21 @@
         self._on_update(ReceivedUpdate(name, update, frame))
 
 
+async def _cancel_at_close(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+    """Cancel a scope once the other side closes a connection on which it sends nothing."""
+    with suppress(*CONNECTION_ERRORS):
+        await stream.receive_some(1)
+    scope.cancel()
+
+
+def _is_refused(exc: BaseException) -> bool:
+    """Tell whether no process listens at the address to which a connection was tried."""
+    tried = exc.__cause__
+    return isinstance(tried, BaseExceptionGroup) and all(
+        isinstance(one, ConnectionRefusedError) for one in tried.exceptions
+    )
+
+
 def _log_fault(exc: Exception) -> None:
     log(LogEvent.INTERNAL_FAULT, where="peer connection", error=repr(exc))
 
--- a/tests/core/test_peer_view.py
+++ b/tests/core/test_peer_view.py
@@ -12,6 +12,7 @@
 from rattangate.core.peer_registry import PeerStatus
 from rattangate.core.peer_view import (
     FIRST_CONTACT_S,
+    GONE_SPREAD_S,
     LIST_INTERVAL_S,
     LISTED_LOST_AFTER_S,
     LOST_AFTER_S,
@@ -39,6 +40,7 @@
     def __init__(self, names=NAMES, handshake_s=0.0, view_class=PeerView, seed=1):
         self.now = 0.0
         self.stopped = set()
+        self._ended = set()
         self.lost = Counter()
         self.opened = 0
         self.most_relays = 0
@@ -69,6 +71,13 @@
             action(*args)
         self.now = until
 
+    def end(self, names):
+        """End instances: their connections are closed, and new ones to them are refused."""
+        self.stopped |= names
+        self._ended |= names
+        for name in self.views:
+            self._record_gone(name)
+
     def relays(self):
         """Return the running instances that take themselves for relays."""
         return {name for name, view in self.views.items() if view.is_relay} - self.stopped
@@ -99,6 +108,13 @@
             for target in view.own_targets:
                 self._send(name, target, self._receive, name, name, view.list_live())
 
+    def _record_gone(self, name):
+        view = self.views[name]
+        if name in self.stopped:
+            return
+        for gone in sorted(self._ended & view.contacts):
+            view.record_gone(gone, self.now)
+
     def _connect(self, name):
         contacts = self.views[name].contacts
         open_to = {to for origin, to in self._open_at if origin == name}
@@ -107,6 +123,7 @@
         for to in sorted(contacts - open_to):
             self.opened += 1
             self._open_at[name, to] = max(self._charge(name), self._charge(to)) + 2 * HOP_S
+        self._record_gone(name)
 
     def _charge(self, name):
         self._busy_until[name] = max(self._busy_until[name], self.now) + self._handshake_s
@@ -155,6 +172,26 @@
     assert len(fleet.relays()) == len(DATA_CENTRES)
 
 
+# Guards against LOST: until a killed relay has been silent for long enough, all is sent to it.
+@pytest.mark.parametrize("handshake_s", [0.0, 0.05])
+@pytest.mark.parametrize("where", ["a", "abcde"])
+def test_relays_whose_processes_end_are_replaced_at_once_without_a_storm(where, handshake_s):
+    fleet = Fleet(handshake_s=handshake_s)
+    fleet.run(SETTLED_AT)
+    fleet.most_relays, fleet.opened = 0, 0
+    fleet.lost.clear()
+    ended = _first_ranked(1, where)
+    fleet.end(ended)
+    fleet.run(SETTLED_AT + GONE_SPREAD_S + 2 * HEARTBEAT_S)
+    assert fleet.relays() == _first_ranked(1) - ended | {f"{letter}-01" for letter in where}
+    assert fleet.followed() == fleet.relays()
+    fleet.run(SETTLED_AT + 15.0)
+    assert fleet.most_relays <= len(DATA_CENTRES)
+    assert fleet.opened <= len(where) * 2 * (PER_DATA_CENTRE + len(DATA_CENTRES))
+    assert fleet.lost.keys() == fleet.stopped
+    assert fleet.followed() == fleet.relays()
+
+
 def test_a_relay_that_pauses_is_followed_again_and_nobody_else_is_lost():
     fleet = Fleet(handshake_s=0.02)
     fleet.run(SETTLED_AT)
@@ -263,3 +300,34 @@
     assert not view.is_relay
     expire_until(view, 2 * FIRST_CONTACT_S, 4 * FIRST_CONTACT_S)
     assert view.is_relay
+
+
+def test_an_instance_that_was_gone_is_live_again_once_it_is_heard():
+    view = make_view()
+    hear(view, "a-00", 4.0)
+    assert expire_until(view, 0.0, 4.0) == []
+    assert view.record_gone("a-00", 4.0)
+    assert not view.record_gone("a-00", 4.0)
+    assert expire_until(view, 4.0, 4.0 + GONE_SPREAD_S) == ["a-00"]
+    assert view.relay == "a-01"
+    view.record_status(PeerStatus("a-00", 2, 0, False, 0), 5.0)
+    view.refresh(5.0)
+    assert view.relay == "a-00"
+
+
+def test_an_instance_that_does_not_listen_yet_is_not_lost():
+    view = make_view()
+    assert not view.record_gone("a-00", 0.1)
+    assert expire_until(view, 0.1, 0.1 + GONE_SPREAD_S) == []
+    assert view.relay == "a-00"
+
+
+def test_in_a_small_deployment_an_instance_that_is_gone_is_lost_at_once():
+    view = PeerView("b-01", "b", 1.0, 0.0)
+    view.configure({name: PeerInfo(name[0], 1.0, 1) for name in ("a-00", "b-00", "c-00")}, 0.0)
+    for name in ("a-00", "b-00"):
+        hear(view, name, 1.0)
+    view.record_gone("b-00", 1.1)
+    assert view.expire(1.1) == ["b-00"]
+    assert view.is_relay
+    assert set(view.own_targets) == {"a-00", "b-00", "c-00"}
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -7,6 +7,7 @@
 from contextvars import ContextVar
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import httpx
 import trio
@@ -23,6 +24,9 @@
 )
 from tests.small_deployment import free_addresses
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 
 class Cut(Enum):
     """Name what becomes of the connections to replicas."""
@@ -72,33 +76,49 @@
 
 
 @asynccontextmanager
-async def running_second(deployment: Deployment, links: Links | None = None):
-    """Run a second instance in a deployment; yield the deployment with requests going to it."""
+async def running_second(
+    deployment: Deployment,
+    links: Links | None = None,
+    instance: str = "entry-2",
+    data_centre: str = "riverside",
+    others: Collection[FrontApp] = (),
+):
+    """Run a further instance in a deployment; yield the deployment with requests going to it.
+
+    `others` are the instances that run beside the first one.
+    """
     caller, ready, peer, metrics = free_addresses(4)
     boot = replace(
         deployment.boot,
-        instance="entry-2",
+        instance=instance,
+        data_centre=data_centre,
         caller_address=caller,
         ready_address=ready,
         first_free_port=int(peer.rsplit(":", 1)[1]),
     )
     app = FrontApp(boot, LineWriter(1, max_lines=0), int(metrics.rsplit(":", 1)[1]))
+    scope = trio.CancelScope()
     async with (
         trio.open_nursery() as nursery,
         httpx.AsyncClient(base_url=f"http://{caller}", trust_env=False, timeout=10.0) as client,
     ):
         _links.set(links)
-        nursery.start_soon(app.run)
+        nursery.start_soon(_run_within, scope, app)
         _links.set(None)
         await wait_until(lambda: hasattr(app, "state") and app.is_ready)
         if links is not None:
             links.other_app = deployment.app
-        peers = (deployment.app, app)
-        await wait_until(lambda: all(item._peers.count == 1 for item in peers))
-        yield Deployment(deployment.platform, app, deployment.replicas, client, boot)
+        peers = (deployment.app, *others, app)
+        await wait_until(lambda: all(item._peers.count == len(peers) - 1 for item in peers))
+        yield Deployment(deployment.platform, app, deployment.replicas, client, boot, scope)
         nursery.cancel_scope.cancel()
 
 
+async def _run_within(scope: trio.CancelScope, app: FrontApp) -> None:
+    with scope:
+        await app.run()
+
+
 def _make_socket_factory(make_socket):
     def make(*args, **kwargs):
         sock = make_socket(*args, **kwargs)
--- a/tests/front/deployment.py
+++ b/tests/front/deployment.py
@@ -141,13 +141,22 @@
 
 @dataclass
 class Deployment:
-    """Hold the parts of a running deployment, to drive it in a test."""
+    """Hold the parts of a running deployment, to drive it in a test.
+
+    `scope` holds the tasks of the instance if it can be killed.
+    """
 
     platform: Platform
     app: FrontApp
     replicas: dict[str, Replica]
     client: httpx.AsyncClient
     boot: BootSettings
+    scope: trio.CancelScope | None = None
+
+    def kill(self) -> None:
+        """End the instance without notice; its connections are closed."""
+        assert self.scope is not None
+        self.scope.cancel()
 
     async def request(self, path: str, key: str | None = KEY, **headers: str) -> httpx.Response:
         """Send one request as a caller."""
--- a/tests/front/test_stream_news.py
+++ b/tests/front/test_stream_news.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from rattangate.core import peer_view
 from tests.front.cut_links import running_pair, running_second
 from tests.front.deployment import RESUMABLE_PATH, event, running_deployment, wait_until
 
@@ -42,6 +43,28 @@
     trio.run(main)
 
 
+# Guards against LOST: news of streams go to a killed relay alone until it has been silent for long.
+def test_news_of_streams_cross_data_centres_at_once_after_the_relay_was_killed(monkeypatch):
+    # No silence counts as a loss, so that nothing but the closed connections tells of the kill.
+    monkeypatch.setattr(peer_view, "LOST_AFTER_S", 60.0)
+
+    async def main() -> None:
+        async with (
+            running_deployment() as deployment,
+            running_second(deployment, instance="entry-2", data_centre="uptown") as relay,
+            running_second(
+                deployment, instance="entry-3", data_centre="uptown", others=[relay.app]
+            ) as follower,
+        ):
+            assert follower.app._peers._view.relay == "entry-2"
+            versions = deployment.app.state.driver.gateway.stream_versions
+            relay.kill()
+            await follower.request(RESUMABLE_PATH)
+            await wait_until(lambda: versions._streams)
+
+    trio.run(main)
+
+
 def test_an_instance_that_started_after_a_crashed_run_learns_of_it():
     async def main() -> None:
         async with running_deployment() as deployment:
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -5,6 +5,7 @@
 import hmac
 import random
 import socket
+from functools import partial
 from typing import TYPE_CHECKING
 
 import eliot
@@ -17,6 +18,7 @@
 from rattangate.peers.framing import FRAME_HEADER
 from rattangate.peers.handshake import PeerIdentity
 from rattangate.peers.link import PeerLinks
+from rattangate.sockets import reset_on_close
 from tests.front.callers import reset
 from tests.small_deployment import free_addresses
 
@@ -68,10 +70,16 @@
             return
 
 
-def make_links(name: str, peers: dict[str, str], receive) -> PeerLinks:
+def make_links(name: str, peers: dict[str, str], receive, on_gone=None) -> PeerLinks:
     """Make the links of one instance."""
     identity = PeerIdentity(name, 1, SECRET)
-    return PeerLinks(identity, peers, receive, lambda: make_update(None, name, 1, 7, False))
+    return PeerLinks(
+        identity,
+        peers,
+        receive,
+        lambda: make_update(None, name, 1, 7, False),
+        on_gone=on_gone,
+    )
 
 
 def test_invalid_frames_do_not_keep_updates_of_a_peer_from_arriving():
@@ -225,3 +233,87 @@
 
     trio.run(main)
     assert 3 not in received
+
+
+# Guards against LOST: a killed relay counts as live until it was silent for long enough.
+def test_a_peer_whose_process_has_ended_is_reported_as_gone():
+    own_address, peer_address = free_addresses(2)
+    received, is_gone = trio.Event(), trio.Event()
+
+    async def main() -> None:
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                links = make_links(
+                    "a",
+                    {"b": peer_address},
+                    lambda item: received.set(),
+                    lambda name: is_gone.set(),
+                )
+                nursery.start_soon(links.run, own_address)
+                async with trio.open_nursery() as peer_process:
+                    peer = make_links("b", {"a": own_address}, lambda item: None)
+                    peer_process.start_soon(peer.run, peer_address)
+                    await received.wait()
+                    peer_process.cancel_scope.cancel()
+                await is_gone.wait()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert is_gone.is_set()
+
+
+def test_a_peer_that_resets_connections_but_takes_new_ones_is_not_reported_as_gone():
+    own_address, peer_address = free_addresses(2)
+    attempts: list[int] = []
+    gone: list[str] = []
+
+    async def reset_at_once(stream: trio.SocketStream) -> None:
+        attempts.append(1)
+        reset_on_close(stream.socket)
+        await trio.aclose_forcefully(stream)
+
+    async def main() -> None:
+        host, port = peer_address.rsplit(":", 1)
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(partial(trio.serve_tcp, reset_at_once, int(port), host=host))
+                links = make_links("a", {"b": peer_address}, lambda item: None, gone.append)
+                nursery.start_soon(links.run, own_address)
+                while len(attempts) < 3:
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert gone == []
+
+
+def test_a_peer_that_refuses_connections_but_keeps_its_own_is_not_reported_as_gone(monkeypatch):
+    own_address, peer_address, refusing_address = free_addresses(3)
+    gone: list[str] = []
+    refused = 0
+    report_gone = PeerLinks._report_gone
+
+    def count_refused(links: PeerLinks, name: str) -> None:
+        nonlocal refused
+        refused += links._accepted[name] > 0
+        report_gone(links, name)
+
+    monkeypatch.setattr(PeerLinks, "_report_gone", count_refused)
+
+    async def main() -> None:
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                received = trio.Event()
+                # Nobody listens there, though the peer itself is connected.
+                links = make_links("a", {"b": refusing_address}, lambda item: received.set())
+                nursery.start_soon(links.run, own_address)
+                peer = make_links("b", {"a": own_address}, lambda item: None)
+                nursery.start_soon(peer.run, peer_address)
+                await received.wait()
+                links._on_gone = gone.append
+                while refused < 3:
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert gone == []
