Let only entries of services that a configuration has named be endpoints

Cause: the view held each well-formed entry of the list, and its readers did not ask for the service. So 7 counted as named by what two replicas run, and the operator's 2 was ignored as older.

Evidence: weights_named, version 7, source "replicas" 0.2 s after the entries; no weights_named for 2. Ruled out: reading of the operator's row, requests or reports to the foreign addresses (nobody listens there).

Fix: FleetView decides in one place: endpoints are those of services that a configuration has named, replicas_of(model) those whose service also runs the model; inference, orders and the newest version use it. The same cause closed: foreign software as an origin of streams, foreign entries in the count that tells whether an instance is cut off. Versions are inferred again when one is named.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -2,6 +2,9 @@
 
 First-hand observations are reports in responses of endpoints, received by this instance or a peer,
 and failed connections.
+
+The list may hold entries of other writers. Once a configuration is known, the endpoints are those
+whose service a configuration has named; the others are kept aside in case that a later one does.
 """
 
 from __future__ import annotations
@@ -99,6 +102,9 @@
         self.endpoints: dict[str, ListedEndpoint] = {}
         self._cfg = cfg
         self._services: Mapping[str, Service] = {}
+        # The models of each service that a configuration has named, also if it names it no more.
+        self._models_of: dict[str, frozenset[str]] = {}
+        self._unnamed: dict[str, ListedEndpoint] = {}
         # Keys are the name and the incarnation of an endpoint.
         self._loading_until: dict[tuple[str, int], float] = {}
         self._unreachable: set[tuple[str, int]] = set()
@@ -118,6 +124,9 @@
     def configure(self, services: Mapping[str, Service], now: float) -> list[EndpointStatus]:
         """Set the services of a new configuration."""
         self._services = services
+        for name, service in services.items():
+            self._models_of[name] = self._models_of.get(name, frozenset()).union(service.models)
+        self._separate({**self.endpoints, **self._unnamed})
         return self._collect_changes(now)
 
     def update_list(
@@ -128,15 +137,16 @@
         An endpoint that is leaving stays so if its entry is gone and comes back. One that may have
         said so gets no requests until a list that was requested after that names it as ready.
         """
-        previous = self.endpoints
-        self.endpoints = {}
+        previous = {**self.endpoints, **self._unnamed}
+        current = {}
         for item in listed:
             merged = _merge(previous.get(item.endpoint), item)
             if self.is_leaving(item.endpoint, item.incarnation):
                 merged = replace(merged, is_leaving=True)
             if merged.is_leaving:
                 self._remember_leaving(item.endpoint, item.incarnation, now)
-            self.endpoints[item.endpoint] = merged
+            current[item.endpoint] = merged
+        self._separate(current)
         self._ended &= {(item.endpoint, item.incarnation) for item in self.endpoints.values()}
         self._update_doubts(asked_at)
         return self._collect_changes(now)
@@ -259,6 +269,24 @@
         """Return the listed endpoints of a service."""
         return [item for item in self.endpoints.values() if item.service == service]
 
+    def replicas_of(self, model: str) -> list[ListedEndpoint]:
+        """Return the endpoints that run a model which a configuration names for their service."""
+        return [
+            item
+            for item in self.endpoints.values()
+            if item.version_of(model) is not None
+            and model in self._models_of.get(item.service, frozenset())
+        ]
+
+    def _separate(self, listed: Mapping[str, ListedEndpoint]) -> None:
+        """Tell the deployment's endpoints from entries of services that were never configured."""
+        is_ours = {
+            name: not self._models_of or item.service in self._models_of
+            for name, item in listed.items()
+        }
+        self.endpoints = {name: item for name, item in listed.items() if is_ours[name]}
+        self._unnamed = {name: item for name, item in listed.items() if not is_ours[name]}
+
     def _update_doubts(self, asked_at: float) -> None:
         self._said_leaving_at = {
             endpoint: at for endpoint, at in self._said_leaving_at.items() if at >= asked_at
--- a/rattangate/front/replica_orders.py
+++ b/rattangate/front/replica_orders.py
@@ -111,7 +111,7 @@
             wanted.append(self._wanted(model))
             replicas[model] = [
                 _observed(item, model)
-                for item in self._state.view.endpoints.values()
+                for item in self._state.view.replicas_of(model)
                 if self._may_order(item, model)
             ]
         return Observation(tuple(wanted), replicas)
@@ -131,7 +131,7 @@
         )
 
     def _outdated_at(self, model: str) -> float:
-        running = (item.version_of(model) for item in self._state.view.endpoints.values())
+        running = (item.version_of(model) for item in self._state.view.replicas_of(model))
         versions = [one for one in running if one is not None]
         return self._state.desired_versions.outdated_at(model, versions)
 
--- a/rattangate/front/translate.py
+++ b/rattangate/front/translate.py
@@ -90,7 +90,7 @@
 def _newest_version(state: FrontState, model: str) -> str:
     version = state.desired_versions.newest(model)
     if version is None:
-        running = [item.version_of(model) for item in state.view.endpoints.values()]
+        running = [item.version_of(model) for item in state.view.replicas_of(model)]
         version = max((found for found in running if found is not None), default=None)
     return "" if version is None else str(version)
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -241,3 +241,31 @@
     view.update_list([RESTARTED], 1.5, asked_at=1.1)
     view.mark_leaving("e1", ENGINE.incarnation, 2.0)
     assert view.update_list([RESTARTED], 2.1, asked_at=1.9) == []
+
+
+def test_entries_of_services_that_were_never_configured_are_no_endpoints():
+    view = make_view()
+    foreign = replace(ENGINE, endpoint="g1", service="guest")
+    assert [item.endpoint for item in view.update_list([ENGINE, foreign], 0.0)] == ["e1"]
+    view.set_reachable("e1", 100, False, 1.0)
+    assert view.is_cut_off
+    (status,) = view.configure({**SERVICES, "guest": SERVICES["llm"]}, 2.0)
+    assert (status.endpoint, status.state) == ("g1", EndpointState.LIVE)
+
+
+def test_endpoints_of_a_service_that_the_configuration_names_no_more_stay():
+    view = make_view()
+    view.update_list([ENGINE, SERVICE_REPLICA], 0.0)
+    view.configure({"desk": SERVICES["desk"]}, 1.0)
+    view.update_list([ENGINE, SERVICE_REPLICA], 2.0)
+    assert set(view.endpoints) == {"e1", "p1"}
+    assert [item.endpoint for item in view.replicas_of("m")] == ["e1"]
+
+
+def test_an_unconfigured_entry_that_left_is_leaving_once_its_service_is_configured():
+    view = make_view()
+    foreign = replace(ENGINE, endpoint="g1", service="guest")
+    view.update_list([replace(foreign, is_leaving=True)], 0.0)
+    view.update_list([foreign], 1.0)
+    (status,) = view.configure({**SERVICES, "guest": SERVICES["llm"]}, 2.0)
+    assert status.state is EndpointState.LEAVING
