Name stopping an upload, and let the view of endpoints need no list kept aside

Upload.was_cut stopped the sending though its name asks: it is stop() and is_cut now. Before the first configuration the view held every entry and FrontState a list beside it, two ways to the same end: the view holds no endpoint until a configuration names its service, and the list kept aside is gone. Two tests of the quarantine and of stream versions name the service of their endpoint therefore. The two tests of a reset through a tunnel share their steps. peer_lost says that the process may have ended.

--- a/rattangate/core/fleet.py
+++ b/rattangate/core/fleet.py
@@ -3,8 +3,8 @@
 First-hand observations are reports in responses of endpoints, received by this instance or a peer,
 and failed connections.
 
-The list may hold entries of other writers. Once a configuration is known, the endpoints are those
-whose service a configuration has named; the others are kept aside in case that a later one does.
+The list may hold entries of other writers. Endpoints are those whose service a configuration has
+named; the others are kept aside in case that a later one does.
 """
 
 from __future__ import annotations
@@ -280,12 +280,10 @@
 
     def _separate(self, listed: Mapping[str, ListedEndpoint]) -> None:
         """Tell the deployment's endpoints from entries of services that were never configured."""
-        is_ours = {
-            name: not self._models_of or item.service in self._models_of
-            for name, item in listed.items()
-        }
-        self.endpoints = {name: item for name, item in listed.items() if is_ours[name]}
-        self._unnamed = {name: item for name, item in listed.items() if not is_ours[name]}
+        self.endpoints, self._unnamed = {}, {}
+        for name, item in listed.items():
+            is_ours = item.service in self._models_of
+            (self.endpoints if is_ours else self._unnamed)[name] = item
 
     def _update_doubts(self, asked_at: float) -> None:
         self._said_leaving_at = {
--- a/rattangate/front/endpoint_conn.py
+++ b/rattangate/front/endpoint_conn.py
@@ -325,8 +325,10 @@
 
     async def _receive(self) -> bytes:
         data = await self._conn.receive()
-        if not data and await self._upload.was_cut():
-            raise ExchangeLost("the connection broke while the request was sent")
+        if not data:
+            await self._upload.stop()
+            if self._upload.is_cut:
+                raise ExchangeLost("the connection broke while the request was sent")
         return data
 
     async def _skip_mismatched_response(self) -> None:
--- a/rattangate/front/state.py
+++ b/rattangate/front/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -37,14 +37,6 @@
 MAX_BACK_OFF_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class _EndpointList:
-    """Hold the endpoint list that was requested at `asked_at` on the clock of boottime."""
-
-    listed: tuple[ListedEndpoint, ...]
-    asked_at: float
-
-
 class FrontState:
     """Hold what this instance knows of its deployment, and feed changes to the gateway."""
 
@@ -63,8 +55,6 @@
         self._shared_clock = shared_clock
         self.paths = EndpointPaths(self, nursery, self._feed_changes)
         self._next_sweep_at = 0.0
-        # A list that was read before a configuration told which of its entries are the deployment's.
-        self._early_list: _EndpointList | None = None
 
     @property
     def is_initialized(self) -> bool:
@@ -83,9 +73,6 @@
         self.config = config
         log(LogEvent.CONFIG_IN_FORCE, version=config.version, source="store")
         self._feed_changes(self.view.configure(config.services, trio.current_time()))
-        if self._early_list is not None:
-            self._apply_list(self._early_list)
-            self._early_list = None
         self._infer_versions()
 
     def apply_named_version(self, named: ModelVersion, is_new: bool) -> None:
@@ -103,16 +90,9 @@
     def apply_endpoint_list(self, listed: Iterable[ListedEndpoint], asked_at: float) -> None:
         """Apply the endpoint list, which was requested at `asked_at` on the clock of boottime."""
         self.list_read_at = asked_at
-        endpoint_list = _EndpointList(tuple(listed), asked_at)
-        if self.config is None:
-            self._early_list = endpoint_list
-        else:
-            self._apply_list(endpoint_list)
-
-    def _apply_list(self, endpoint_list: _EndpointList) -> None:
         now = trio.current_time()
-        asked_s_ago = boottime_now() - endpoint_list.asked_at
-        self._feed_changes(self.view.update_list(endpoint_list.listed, now, now - asked_s_ago))
+        asked_s_ago = boottime_now() - asked_at
+        self._feed_changes(self.view.update_list(listed, now, now - asked_s_ago))
         listed_now = self.view.endpoints.values()
         keys = frozenset((item.endpoint, item.incarnation) for item in listed_now)
         self.driver.feed(EndpointListRead(keys))
--- a/rattangate/log_events.py
+++ b/rattangate/log_events.py
@@ -208,7 +208,7 @@
     PEER_FOUND = (400, "A peer instance was found.", ("instance", "incarnation", "data_centre"))
     PEER_LOST = (
         401,
-        "A peer instance is no longer heard from; the ages are null for what never came.",
+        "A peer instance fell silent or its process ended; the ages are null for what never came.",
         ("instance", "incarnation", "silent_ms", "list_age_ms"),
     )
     PEER_LEAVING = (402, "A peer instance is shutting down.", ("instance", "incarnation"))
@@ -256,7 +256,7 @@
     )
     PEERS_LOST = (
         408,
-        "Many peer instances are no longer heard from within one heartbeat interval.",
+        "Many peer instances were lost within one heartbeat interval.",
         ("count", "first", "live"),
     )
     STREAMS_READ = (
--- a/rattangate/peers/tunnels.py
+++ b/rattangate/peers/tunnels.py
@@ -290,7 +290,8 @@
     try:
         while data := await tunnel.endpoint.receive_some(MAX_DATA_BYTES):
             await tunnel.send(TunnelFrame(data=bytes(data)))
-        is_cut = await tunnel.upload.was_cut()
+        await tunnel.upload.stop()
+        is_cut = tunnel.upload.is_cut
         await tunnel.send(TunnelFrame(is_end=not is_cut, is_cut=is_cut))
     except CONNECTION_ERRORS:
         return False
--- a/rattangate/uploads.py
+++ b/rattangate/uploads.py
@@ -20,28 +20,27 @@
 class Upload:
     """Send in one task, and tell the task that receives how that ended.
 
-    `is_complete` tells that all was sent.
+    `is_complete` tells that all was sent, and `is_cut` that the connection broke before.
     """
 
     def __init__(self) -> None:
         self.is_complete = False
-        self._is_cut = False
+        self.is_cut = False
         self._scope = trio.CancelScope()
         self._ended = trio.Event()
 
     async def run(self, send: Callable[[], Awaitable[None]]) -> None:
-        """Send until all is sent, the connection breaks or `was_cut` is called."""
+        """Send until all is sent, the connection breaks or it is stopped."""
         try:
             with self._scope:
                 await send()
                 self.is_complete = True
         except SEND_ERRORS:
-            self._is_cut = True
+            self.is_cut = True
         finally:
             self._ended.set()
 
-    async def was_cut(self) -> bool:
-        """Stop sending, and tell whether the connection broke before; called at a received end."""
+    async def stop(self) -> None:
+        """Stop sending, and wait until that has ended, so that `is_cut` is known."""
         self._scope.cancel()
         await self._ended.wait()
-        return self._is_cut
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -30,6 +30,7 @@
     SUSPECT_S,
     Quarantine,
 )
+from rattangate.core.routes import Service
 from rattangate.core.trials import TrialScheduler
 from rattangate.peers.codec import encode_update, make_update
 from rattangate.peers.framing import MAX_FRAME_BYTES
@@ -100,6 +101,7 @@
 def test_endpoint_that_takes_no_requests_for_now_or_has_left_did_not_crash(change):
     quarantine = Quarantine()
     view = FleetView(FleetViewCfg("dc", 128, 0.0))
+    view.configure({"m": Service("m", 100, 64, 12_800, ("m",))}, 0.0)
     listed = ListedEndpoint("e1", 1, "m", "", "dc", 1, False, (ModelVersion("m", 1),))
     for status in [*view.update_list([listed], 0.0), *change(view)]:
         quarantine.record_endpoint(status.endpoint, status.incarnation, status.state, 1.0)
--- a/tests/core/test_stream_versions.py
+++ b/tests/core/test_stream_versions.py
@@ -28,6 +28,7 @@
 )
 from rattangate.core.prefix import CacheScope
 from rattangate.core.refusals import RefusalReason
+from rattangate.core.routes import Service
 from rattangate.core.stream_history import KnownBy, Software, StreamOrigin
 from rattangate.core.stream_versions import (
     MAX_LIST_GAP_S,
@@ -204,6 +205,7 @@
 def listed_where_one_cannot_be_reached(now):
     """Return a gateway that knows the list well, where one of two endpoints is cut off from it."""
     gateway, view = make_gateway({}), FleetView(FleetViewCfg("dc", 128, 0.0))
+    view.configure({SERVICE: Service(SERVICE, 100, 64, 12_800, ("m",))}, 0.0)
     listed = [
         ListedEndpoint(
             name, 1, SERVICE, f"{name}:1", "dc", 1, False, (ModelVersion("m", 1),), version
--- a/tests/peers/test_tunnels.py
+++ b/tests/peers/test_tunnels.py
@@ -141,18 +141,7 @@
 def test_a_reset_during_the_request_is_no_regular_end():
     async def test(tunnels: Tunnels) -> None:
         for _ in range(8):
-            stream, endpoint = await tunnels.open()
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_send_until_broken, stream)
-                await endpoint.send_all(b"half")
-                assert await stream.receive_some() == b"half"
-                await trio.sleep(0.1)
-                reset_on_close(endpoint.socket)
-                await trio.aclose_forcefully(endpoint)
-                with pytest.raises(trio.BrokenResourceError):
-                    await stream.receive_some()
-                nursery.cancel_scope.cancel()
-            await stream.aclose()
+            await _reset_during_request(tunnels)
 
     run(test)
 
@@ -161,22 +150,27 @@
 def test_a_reset_whose_error_of_sending_comes_after_the_end_is_no_regular_end():
     async def test(tunnels: Tunnels) -> None:
         tunnels.wrap = LateErrorStream
-        stream, endpoint = await tunnels.open()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_send_until_broken, stream)
-            await endpoint.send_all(b"half")
-            assert await stream.receive_some() == b"half"
-            await trio.sleep(0.1)
-            reset_on_close(endpoint.socket)
-            await trio.aclose_forcefully(endpoint)
-            with pytest.raises(trio.BrokenResourceError):
-                await stream.receive_some()
-            nursery.cancel_scope.cancel()
-        await stream.aclose()
+        await _reset_during_request(tunnels)
 
     run(test)
 
 
+async def _reset_during_request(tunnels: Tunnels) -> None:
+    """Reset the endpoint's connection while the request is sent; check that this is no end."""
+    stream, endpoint = await tunnels.open()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_send_until_broken, stream)
+        await endpoint.send_all(b"half")
+        assert await stream.receive_some() == b"half"
+        await trio.sleep(0.1)
+        reset_on_close(endpoint.socket)
+        await trio.aclose_forcefully(endpoint)
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some()
+        nursery.cancel_scope.cancel()
+    await stream.aclose()
+
+
 async def _send_until_broken(stream) -> None:
     with suppress(*CONNECTION_ERRORS):
         await stream.send_all(LARGE * 8)
