Send no order whose claim has expired since it was planned

An order waits for a report and a connection before its first byte. If its replica drops out of sight meanwhile, the claim expires and leaves the record of the lease, but the order was still permitted, so that the next holder could order the same replica within lease_ms.

Fix: right before the first byte the claim must be active and in the stored record. Test: test_an_order_is_not_sent_once_the_claim_on_its_engine_has_expired failed before (permitted although the record did not name the engine). Left: a record written without the claim in the moment in which it is made again.

--- a/rattangate/core/endpoint_claims.py
+++ b/rattangate/core/endpoint_claims.py
@@ -56,6 +56,11 @@
             endpoint for endpoint, until in self._claimed_until.items() if until == math.inf
         )
 
+    def may_send(self, endpoint: str, recorded: Collection[str], now: float) -> bool:
+        """Tell whether a planned order may be sent still, as its claim has not expired since."""
+        is_active = self._claimed_until.get(endpoint) == math.inf or not self._guard_s
+        return is_active and self.may_order(endpoint, recorded, now)
+
     def claimed(self, now: float) -> frozenset[str]:
         """Return the endpoints that the lease record must claim."""
         return frozenset(endpoint for endpoint, until in self._claimed_until.items() if until > now)
--- a/rattangate/orders.py
+++ b/rattangate/orders.py
@@ -202,6 +202,8 @@
         now = self._clock()
         if self.lease.fence_at(now) != fence:
             return False
+        if not self._claims.may_send(endpoint, self.lease.recorded_claims, now):
+            return False
         self._claims.record_sent(endpoint, now)
         return True
 
--- a/tests/test_order_controller.py
+++ b/tests/test_order_controller.py
@@ -449,3 +449,48 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
     assert site.sent[0][1] == "v2"
     assert site.sent[-1][1] == "v1"
+
+
+class VanishingEngineSite(SingleEngineSite):
+    """Simulate an engine that drops out of reach before the first byte of its order is sent.
+
+    `permitted` tells for each order whether it may be sent then, `recorded` whether the lease record
+    claims the engine.
+    """
+
+    def __init__(self, simulation: Simulation) -> None:
+        super().__init__()
+        self.permitted: list[bool] = []
+        self.recorded: list[bool] = []
+        self._simulation = simulation
+
+    async def observe(self) -> Observation:
+        """Return the engine during the first second, with an old version."""
+        seen = ObservedState("e1", 1, "v1", "", True, leaving=False)
+        replicas = [seen] if trio.current_time() < 1.0 else []
+        return Observation((DesiredVersion("m", "v2", "v2", 0),), {"m": replicas})
+
+    async def send(self, sent: SendOrder, permit: Permit) -> OrderResult:
+        """Take five seconds to connect to the engine."""
+        await trio.sleep(5.0)
+        self.permitted.append(permit.is_valid())
+        self.recorded.append("e1" in self._simulation.record.named)
+        return OrderResult.LOST
+
+
+# Guards against ONE: an order that no claim tells of, so that the next holder orders too soon.
+def test_an_order_is_not_sent_once_the_claim_on_its_engine_has_expired() -> None:
+    simulation = Simulation(random.Random(1))
+    site = VanishingEngineSite(simulation)
+    lease = Lease(Holder("i0", 1), LEASE_TERM_S)
+    controller = OrderController(
+        lease, SimulatedLeaseRow(simulation, "i0"), site, trio.current_time
+    )
+
+    async def main() -> None:
+        with trio.move_on_after(10.0):
+            await controller.run()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert site.recorded == [False]
+    assert site.permitted == [False]
